--- /dev/null
+++ b/src/bin/brassrouter-drill/settings.rs
@@ -0,0 +1,223 @@
+//! The settings text of the wire, read into the module's own [`Settings`].
+
+use brassrouter::{Class, Effect, Group, LoadField, Micros, Settings, Tenant};
+use serde::Deserialize;
+
+/// What of the wire's settings the module acts on. Passed over on purpose: names, this balancer's zone, probes,
+/// retry-after, prices, the goal, idle closing and multiplexing, the drain grace (nothing is sent after a notice),
+/// the fall of the origin, ordered answers, and the grace to answer (answers come before the deadline).
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct Wire {
+    balancers: u32,
+    me: u32,
+    classes: Vec<WireClass>,
+    realms: Vec<WireRealm>,
+    discovery: String,
+    specifics: Specifics,
+    limits: Limits,
+    guarantees: Guarantees,
+    report: Report,
+    weight_source: String,
+    period_us: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct WireClass {
+    goal_time_us: f64,
+    deadline_us: f64,
+    gain: f64,
+    late_value: f64,
+    effect: String,
+    dedup_scope: String,
+    dedup_window_us: f64,
+    runs_in: Option<Vec<u8>>,
+    bound_to: Option<Vec<u16>>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct WireRealm {
+    quota_per_s: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct Specifics {
+    mode: String,
+    origin_kind: i64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct Limits {
+    max_attempts: u32,
+    may_duplicate: bool,
+    may_cancel: bool,
+    peers: bool,
+    connect_timeout_us: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct Guarantees {
+    ask_within_us: f64,
+    cold_share: f64,
+    cold_us: f64,
+    drain_release_us: Option<f64>,
+    fall_multiple: f64,
+    tip_after_us: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct Report {
+    fields: Vec<String>,
+}
+
+impl Default for Wire {
+    fn default() -> Self {
+        let base = Settings::default();
+        Wire {
+            balancers: base.balancers,
+            me: base.me,
+            classes: Vec::new(),
+            realms: Vec::new(),
+            discovery: "push".into(),
+            specifics: Specifics::default(),
+            limits: Limits::default(),
+            guarantees: Guarantees::default(),
+            report: Report::default(),
+            weight_source: "silent".into(),
+            period_us: base.tick as f64,
+        }
+    }
+}
+
+impl Default for WireClass {
+    fn default() -> Self {
+        let base = Class::default();
+        WireClass {
+            goal_time_us: base.aim as f64,
+            deadline_us: base.deadline as f64,
+            gain: base.worth,
+            late_value: base.late_worth,
+            effect: "side_effect".into(),
+            dedup_scope: "cell".into(),
+            dedup_window_us: 0.0,
+            runs_in: None,
+            bound_to: None,
+        }
+    }
+}
+
+impl Default for Specifics {
+    fn default() -> Self {
+        Specifics { mode: "through".into(), origin_kind: -1 }
+    }
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            max_attempts: Settings::default().max_attempts,
+            may_duplicate: false,
+            may_cancel: false,
+            peers: false,
+            connect_timeout_us: Settings::default().connect_timeout as f64,
+        }
+    }
+}
+
+impl Default for Guarantees {
+    fn default() -> Self {
+        let base = Settings::default();
+        Guarantees {
+            ask_within_us: base.ask_within as f64,
+            cold_share: base.cold_share,
+            cold_us: base.warm_up as f64,
+            drain_release_us: None,
+            fall_multiple: base.fall_multiple,
+            tip_after_us: base.fall_after as f64,
+        }
+    }
+}
+
+/// Reads a settings text; the error is one plain line.
+pub fn read(text: &[u8]) -> Result<Settings, String> {
+    let wire: Wire = serde_json::from_slice(text).map_err(|e| format!("unreadable settings: {e}"))?;
+    let mut classes = Vec::with_capacity(wire.classes.len());
+    for c in &wire.classes {
+        classes.push(class(c)?);
+    }
+    let origin = (wire.specifics.mode == "aside").then(|| u16::try_from(wire.specifics.origin_kind).ok());
+    let limits = wire.limits;
+    Ok(Settings {
+        balancers: wire.balancers,
+        me: wire.me,
+        classes,
+        tenants: wire.realms.iter().map(|r| Tenant { quota_per_s: r.quota_per_s }).collect(),
+        ask_discovery: wire.discovery == "ask",
+        ask_within: micros(wire.guarantees.ask_within_us),
+        origin_kind: origin.flatten(),
+        weights_are_sizes: matches!(wire.weight_source.as_str(), "nominal" | "rough"),
+        load_fields: wire.report.fields.iter().map(|f| load_field(f)).collect(),
+        max_attempts: limits.max_attempts,
+        may_duplicate: limits.may_duplicate,
+        may_cancel: limits.may_cancel,
+        may_tell_peers: limits.peers,
+        connect_timeout: micros(limits.connect_timeout_us),
+        tick: micros(wire.period_us),
+        cold_share: wire.guarantees.cold_share,
+        warm_up: micros(wire.guarantees.cold_us),
+        fall_multiple: wire.guarantees.fall_multiple,
+        fall_after: micros(wire.guarantees.tip_after_us),
+        drain_close: wire.guarantees.drain_release_us.filter(|t| *t > 0.0).map(micros),
+    })
+}
+
+fn class(c: &WireClass) -> Result<Class, String> {
+    let group = match c.dedup_scope.as_str() {
+        "all" => Group::All,
+        "zone" => Group::Zone,
+        _ => Group::Cell,
+    };
+    let effect = match c.effect.as_str() {
+        "pure" => Effect::Safe,
+        "token" => Effect::Keyed { group, window: micros(c.dedup_window_us) },
+        "side_effect" => Effect::Unsafe,
+        other => {
+            return Err(format!("unreadable settings: unknown effect {other:?} of a class"));
+        }
+    };
+    Ok(Class {
+        aim: micros(c.goal_time_us),
+        deadline: micros(c.deadline_us),
+        worth: c.gain,
+        late_worth: c.late_value,
+        effect,
+        only_zones: c.runs_in.clone(),
+        only_kinds: c.bound_to.clone(),
+    })
+}
+
+fn load_field(name: &str) -> LoadField {
+    match name {
+        "rif" => LoadField::InFlight,
+        "q" => LoadField::Queued,
+        "busy" => LoadField::Busy,
+        "lat_ms" => LoadField::ServiceMs,
+        "rate" => LoadField::Rate,
+        "fail_rate" => LoadField::ErrorRate,
+        _ => LoadField::Other,
+    }
+}
+
+/// The longest span taken, 31 years: sums with a clock stay far from overflow.
+const LONGEST: f64 = 1e15;
+
+/// Saturating: a negative figure counts as 0, one past the longest span as that.
+fn micros(value: f64) -> Micros {
+    value.min(LONGEST) as Micros
+}
--- /dev/null
+++ b/src/policy.rs
@@ -0,0 +1,653 @@
+//! Every decision of a balancer. The types it speaks in (settings, events, actions) are in `interface.rs`.
+//!
+//! Ordinary path: a read goes to the first server in its key's order that is not over the load bound; after a
+//! miss the value is fetched from the origin, and a write goes straight there, through a gate of an
+//! outstanding cap and a windowed tally; a call that finds the gate shut is postponed by a random delay. All
+//! else here is a departure for a failure that the code names.
+
+use std::collections::BTreeMap;
+
+use crate::interface::*;
+use crate::state::*;
+
+/// Load bound, a multiple of a server's part of this balancer's attempts in flight; never below this
+/// balancer's part of the second, else a quiet one would scatter its keys.
+const BOUND: (f64, f64) = (1.25, 8.0);
+/// A server is full when its backlog takes this part of the time left; answers that each is credited with.
+const FULL: (f64, f64) = (0.5, 2.0);
+/// Gate: outstanding calls of one balancer at most, and of all together, of which each has its part.
+const GATE_OUT: (f64, f64) = (20.0, 80.0);
+/// Gate: calls a second, part of quotas or else of what it admits; least, the note's; window in longest aims.
+const GATE_RATE: (f64, f64, f64) = (1.0, 30.0, 0.25);
+/// Gate: sub-limit of fetches, of both limits; writes have the rest for themselves.
+const GATE_FETCHES: f64 = 0.7;
+/// Gate: factor on the cap at a sign of congestion; its floor; part of the shortest aim that makes a sign.
+const GATE_CUT: (f64, f64, f64) = (0.8, 0.1, 0.8);
+/// Postponement: the note's 1 to 3 s against its bound of 60 s, taken as parts of the request's aim.
+const DELAY: (f64, f64) = (1.0 / 60.0, 3.0 / 60.0);
+/// An attempt without answer for this part of its aim is slow, for twice this nearly late.
+const PATIENCE: f64 = 0.4;
+/// Least part of its keys a troubled server keeps; what a review leaves; mean at which the cause is shared.
+const PART: (f64, f64, f64) = (0.02, 0.97, 0.5);
+/// Worse than most: more signs of trouble an attempt than the first and this multiple of the fleet's.
+const WORSE: (f64, f64) = (0.3, 1.0);
+/// Signs of overload an attempt from which tenants are held to their quotas, and below them.
+const STRAIN: (f64, f64) = (0.06, 0.55);
+/// Multiple of its quota that a tenant may send: lowest (or slow fleets stay jammed), at start, highest.
+const LEVEL: (f64, f64, f64) = (0.25, 1.0, 4.0);
+const LEVEL_STEPS: (f64, f64) = (0.92, 1.04);
+/// What a review keeps of the counts before it: they tell of about the last aim.
+const FADE: f64 = 0.85;
+/// Messages to peers: one in so many reviews, counting for so many of those spans, to so many peers in turn.
+const TELL: (u32, u32, u32) = (4, 2, 16);
+/// Each part of a key has at most this part of a server's mean share; longest aims over which shares fade.
+const HEAT: (f64, f64) = (1.0, 10.0);
+/// Retry budget, a token bucket: what each request adds, and what it holds.
+const RETRY: (f64, f64) = (0.2, 5.0);
+/// A connection rests after this part of the longest aim; part of the attempts whose connection is not made
+/// in time, from which all are kept; what a review keeps of that count.
+const REST: (f64, f64, f64) = (0.3, 0.015, 0.99);
+/// Weights of kinds: step of a review for a difference in busy cores; least; what a review keeps of reports.
+const KINDS: (f64, f64, f64) = (0.03, 0.25, 0.98);
+/// A cold server gets this multiple of a warm one's attempts, times its present part of capacity.
+const COLD_RATE: f64 = 1.5;
+
+/// The decisions of one balancer.
+#[derive(Default)]
+pub struct Policy {
+    settings: Settings,
+    rng: Random,
+    now: Micros,
+    /// The longest aim of all classes, the shortest, and the least worth.
+    aim: Micros,
+    origin_aim: Micros,
+    least_worth: f64,
+    servers: BTreeMap<ServerId, Server>,
+    held: BTreeMap<RequestId, Held>,
+    flights: BTreeMap<(RequestId, u16), Flight>,
+    /// The request that fetches a key now.
+    fetches: BTreeMap<Key, RequestId>,
+    /// For each class, the weight of all ready cache servers that it may use.
+    weights: Vec<f64>,
+    kinds: BTreeMap<u16, Kind>,
+    heat: Heat,
+    gate: Gate,
+    senders: Vec<Sender>,
+    peers: Peers,
+    level: f64,
+    strain: Ratio,
+    /// Attempts whose connection was not made in time.
+    slow_connects: Ratio,
+    retry_budget: f64,
+    cache_out: u32,
+    admitted: Rate,
+    reviews: u32,
+    last_told: u32,
+    wakes: Wakes,
+    subscribed: bool,
+    subscribe_tries: u32,
+    ask_at: Micros,
+}
+
+impl Policy {
+    /// A balancer that knows its settings and nothing else yet.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let aims = settings.classes.iter().map(|c| c.aim);
+        let quotas: f64 = settings.tenants.iter().map(|t| t.quota_per_s).sum();
+        let quota_share = quotas / f64::from(settings.balancers.max(1));
+        let most_out = (GATE_OUT.1 / f64::from(settings.balancers.max(1))).clamp(2.0, GATE_OUT.0);
+        let mut policy = Policy {
+            aim: aims.clone().max().unwrap_or(1_000_000).max(1),
+            origin_aim: aims.min().unwrap_or(1_000_000),
+            least_worth: settings.classes.iter().map(|c| c.worth).fold(f64::INFINITY, f64::min).max(1e-9),
+            senders: vec![Sender::default(); settings.tenants.len().max(1)],
+            weights: vec![0.0; settings.classes.len()],
+            rng: Random::new(seed),
+            last_told: seed as u32 >> 1,
+            level: LEVEL.1,
+            retry_budget: RETRY.1,
+            // Calls of an earlier life of this balancer may still run: the gate opens gradually.
+            gate: Gate { limit: most_out / 2.0, most_out, quota_share, ..Gate::default() },
+            settings,
+            ..Policy::default()
+        };
+        policy.wake(0, Wake::Subscribe);
+        policy.wake(0, Wake::Review);
+        policy
+    }
+
+    /// Takes one event at a clock value and adds the actions that it calls for.
+    pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        self.now = now;
+        match event {
+            Event::ServerList { kind: ListKind::Failed, .. } => self.discovery_failed(out),
+            Event::ServerList { kind, servers } => self.server_list(kind, servers, out),
+            Event::Request(request) => self.request(request, out),
+            Event::Outcome(outcome) => self.outcome(outcome, out),
+            // A streamed answer belongs to the client: nothing is owed from here on.
+            Event::AnswerBegan { request, .. } | Event::ClientGone(request) => self.forget(request),
+            Event::Timer(_) => self.wakes.timer_came(),
+            Event::PeerMessage { from, bytes } => self.peers.told(now, from, &bytes, self.senders.len()),
+            Event::Probed { .. } => {}
+        }
+        while let Some(wake) = self.wakes.due(now, out) {
+            match wake {
+                Wake::End(id) => self.end(id, out),
+                Wake::Go(id, wait) if self.held.get(&id).map(|h| h.wait) == Some(wait) => self.step(id, out),
+                Wake::Patience(id, attempt) => self.patience(id, attempt, out),
+                Wake::Subscribe => self.subscribe(out),
+                Wake::Close(server) => self.close_drained(server, false, out),
+                Wake::Go(..) => {}
+                Wake::Review => self.review(out),
+            }
+        }
+    }
+
+    fn wake(&mut self, after: Micros, wake: Wake) {
+        self.wakes.at(self.now + after, wake);
+    }
+
+    fn request(&mut self, r: Request, out: &mut Vec<Action>) {
+        let share = self.heat.seen(r.key);
+        let parts = (share * self.ready(false).count() as f64 / HEAT.0).max(1.0);
+        let part = (parts * self.rng.unit()) as u64;
+        // Ends some ticks before its time is up, so that the answer is in time when a call comes late.
+        let held = Held {
+            class: r.class,
+            key: r.key,
+            order: if r.key == 0 { r.id } else { r.key ^ part.wrapping_mul(0x9e37_79b9_7f4a_7c15) },
+            write: r.write,
+            aim_at: self.now + self.settings.classes[r.class].aim,
+            ends: self.now + r.time_left.saturating_sub(2 * self.settings.tick),
+            ..Held::default()
+        };
+        let ends = held.ends;
+        let admitted = self.admit(r.class, r.tenant) && self.now < ends;
+        self.held.insert(r.id, held);
+        if !admitted {
+            return self.end(r.id, out);
+        }
+        self.admitted.count();
+        self.retry_budget = (self.retry_budget + RETRY.0).min(RETRY.1);
+        self.wake(ends - self.now, Wake::End(r.id));
+        self.step(r.id, out);
+    }
+
+    /// Under strain tenants are held to a multiple of their quota, the same for all, so that those furthest
+    /// over it are turned away first; the worth of a class counts when all must give way.
+    fn admit(&mut self, class: usize, tenant: usize) -> bool {
+        let Some(sender) = self.senders.get_mut(tenant) else { return true };
+        sender.rate.count();
+        let worth = (self.settings.classes[class].worth / self.least_worth).max(1.0);
+        let mut share = 1.0;
+        if let Some(quota) = self.settings.tenants.get(tenant) {
+            // Peers that tell of their traffic show the whole of it; without them all are taken as alike.
+            let alike = sender.rate.per_s * f64::from(self.settings.balancers.max(1));
+            let others = self.settings.balancers.max(2) - 1;
+            let unheard = f64::from(others) / f64::from(others.min(TELL.1 * TELL.2));
+            let whole = self.peers.sum(tenant).map_or(alike, |told| sender.rate.per_s + told * unheard);
+            share = quota.quota_per_s / whole.max(1.0);
+        }
+        // Below 1 the level bites at once, also on tenants that are far below their quotas.
+        let part = (self.level.max(1.0) * share).min(1.0) * self.level.min(1.0) * worth;
+        sender.credit += if self.level >= LEVEL.2 { 1.0 } else { part.min(1.0) };
+        let admitted = sender.credit >= 0.5; // Half of slack: a sender's first request is admitted.
+        sender.credit -= f64::from(u8::from(admitted));
+        admitted
+    }
+
+    /// Chooses and makes the next call of a request that has none out.
+    fn step(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(h) = self.held.get(&id) else { return };
+        if self.now >= self.useful_until(h) || u32::from(h.sent) >= self.settings.max_attempts {
+            return self.end(id, out);
+        }
+        // A burst for one key: those behind the first are postponed, then ask the cache again.
+        if !h.write && self.fetches.contains_key(&h.key) {
+            self.held.entry(id).and_modify(|h| h.missed = false);
+            return self.postpone(id, out);
+        }
+        if h.write || h.missed {
+            return self.origin_call(id, out);
+        }
+        if !self.pick(id).is_some_and(|server| self.send(id, server, Call::Cache, out)) {
+            self.end(id, out);
+        }
+    }
+
+    fn useful_until(&self, h: &Held) -> Micros {
+        if self.settings.classes[h.class].late_worth > 0.0 { h.ends } else { h.aim_at.min(h.ends) }
+    }
+
+    /// The first server in order within the load bound, or else the first; none if that is full under strain.
+    fn pick(&self, id: RequestId) -> Option<ServerId> {
+        let h = &self.held[&id];
+        let total = self.weights[h.class];
+        let left = self.useful_until(h).saturating_sub(self.now) as f64;
+        let floor = (BOUND.1 / f64::from(self.settings.balancers.max(2))).max(2.0);
+        let mut best = None;
+        for s in self.ready(false).filter(|s| self.may_use(h.class, s) && !h.tried.contains(&s.line.id)) {
+            if !self.warm_enough(h.order, h.tried.is_empty(), s, total) {
+                continue;
+            }
+            let bound = BOUND.0 * f64::from(self.cache_out + 1) * self.weight(s) / total;
+            let over = f64::from(s.in_flight) >= bound.max(floor);
+            let given_up = unit_hash(id, s.line.id, 1) >= s.part;
+            let place = (given_up, over, self.place(h.order, s), s.line.id);
+            if best.is_none_or(|b| place < b) {
+                best = Some(place);
+            }
+        }
+        // Passing a full server over would scatter its keys.
+        let full = |server: &ServerId| self.backlog(&self.servers[server]) > left * FULL.0;
+        best.map(|(.., server)| server).filter(|server| self.level >= LEVEL.2 || !full(server))
+    }
+
+    /// Time until a server has answered what this balancer has in flight there, at the pace of its latest
+    /// answers (Little's law), with a credit for a server that has had little to answer.
+    fn backlog(&self, s: &Server) -> f64 {
+        f64::from(s.in_flight) * self.aim as f64 / (s.answered_lately(self.now, self.aim) + FULL.1)
+    }
+
+    fn ready(&self, origin: bool) -> impl Iterator<Item = &Server> {
+        self.servers.values().filter(move |s| s.line.condition == Condition::Ready && s.origin == origin)
+    }
+
+    /// Placement: whether a class may be sent to a server; the origin is open to all.
+    fn may_use(&self, class: usize, s: &Server) -> bool {
+        let c = &self.settings.classes[class];
+        let among = |zones: &Option<Vec<u8>>| zones.as_ref().is_none_or(|z| z.contains(&s.line.zone));
+        let kind = |kinds: &Option<Vec<u16>>| kinds.as_ref().is_none_or(|k| k.contains(&s.line.kind));
+        s.origin || (among(&c.only_zones) && kind(&c.only_kinds))
+    }
+
+    fn weight(&self, s: &Server) -> f64 {
+        let size = if self.settings.weights_are_sizes { f64::from(s.line.weight).max(0.01) } else { 1.0 };
+        size * self.kinds.get(&s.line.kind).map_or(1.0, |k| k.weight)
+    }
+
+    /// A server's place in a key's order, the smaller the earlier (weighted rendezvous hashing).
+    fn place(&self, key: Key, s: &Server) -> f64 {
+        -unit_hash(key, s.line.id, 0).ln() / self.weight(s)
+    }
+
+    /// Part of its capacity that a server has at the least, some time after its start.
+    fn warmth(&self, s: &Server) -> f64 {
+        let age = self.now.saturating_sub(s.line.started) as f64 / self.settings.warm_up.max(1) as f64;
+        let share = self.settings.cold_share;
+        if s.line.started == 0 { 1.0 } else { (share + (1.0 - share) * age).min(1.0) }
+    }
+
+    /// Against pushing a cold server over: it gets a part of its keys that grows as it warms, the same keys
+    /// from every balancer, no more than a part of a warm server's requests, and nothing turned away
+    /// elsewhere.
+    fn warm_enough(&self, key: Key, first: bool, s: &Server, total: f64) -> bool {
+        let (warmth, (level, depth)) = (self.warmth(s), self.cold_bucket(s, total));
+        warmth >= 1.0 || (first && unit_hash(key, s.line.id, 1) < warmth && level + 1.0 <= depth)
+    }
+
+    /// Level and depth of the bucket of attempts at a server, as cold as it is.
+    fn cold_bucket(&self, s: &Server, total: f64) -> (f64, f64) {
+        let rate = COLD_RATE * self.warmth(s) * self.admitted.per_s * self.weight(s) / total.max(0.01) / 1e6;
+        let level = s.cold_level - rate * (self.now - s.used) as f64;
+        (level.max(0.0), (rate * self.settings.fall_after as f64 / 2.0).max(1.0))
+    }
+
+    fn origin_call(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let (key, call) = (self.held[&id].key, if self.held[&id].write { Call::Write } else { Call::Fetch });
+        let order = |a: &&Server, b: &&Server| self.place(id, a).total_cmp(&self.place(id, b));
+        let origin = self.ready(true).min_by(order).map(|s| s.line.id);
+        let target = if self.settings.origin_kind.is_some() { origin } else { self.pick(id) };
+        let Some(target) = target.filter(|_| self.gate_open(call)) else { return self.postpone(id, out) };
+        if !self.send(id, target, call, out) {
+            self.end(id, out);
+        } else if call == Call::Fetch && key != 0 {
+            self.fetches.insert(key, id);
+        }
+    }
+
+    /// Whether the outstanding cap and the windowed tally let one more call through.
+    fn gate_open(&mut self, call: Call) -> bool {
+        let share = if self.gate.quota_share > 0.0 { self.gate.quota_share } else { self.admitted.per_s };
+        let window = self.aim as f64 * GATE_RATE.2;
+        let tally = (share * GATE_RATE.0).max(GATE_RATE.1) * window / 1e6;
+        self.gate.roll(self.now, window as Micros);
+        let g = &self.gate;
+        let room = |count: u32, limit: f64| f64::from(count + 1) <= limit.max(1.0);
+        let open = |i: usize, part: f64| room(g.out[i], g.limit * part) && room(g.tally[i], tally * part);
+        open(0, 1.0) && (call == Call::Write || open(1, GATE_FETCHES))
+    }
+
+    /// Parks a request that a shut gate stops, for a random delay, while its answer can still earn.
+    fn postpone(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let h = &self.held[&id];
+        let aim = self.settings.classes[h.class].aim as f64;
+        let delay = (aim * (DELAY.0 + (DELAY.1 - DELAY.0) * self.rng.unit())) as Micros + 1;
+        if self.now + delay >= self.useful_until(h) {
+            return self.end(id, out);
+        }
+        if let Some(h) = self.held.get_mut(&id) {
+            h.wait += 1;
+            self.wakes.at(self.now + delay, Wake::Go(id, h.wait));
+        }
+    }
+
+    /// The one place that sends: an attempt goes out, or a rule forbids it.
+    fn send(&mut self, id: RequestId, server: ServerId, call: Call, out: &mut Vec<Action>) -> bool {
+        let (Some(h), Some(s)) = (self.held.get(&id), self.servers.get(&server)) else { return false };
+        let allowed = self.now < h.ends
+            && u32::from(h.sent) < self.settings.max_attempts
+            && s.line.condition == Condition::Ready
+            && self.may_use(h.class, s)
+            && (h.out == 0 || self.settings.may_duplicate)
+            // No effect twice: only what is safe is repeated after it may have run.
+            && (h.may_have_run == 0 || self.settings.classes[h.class].effect == Effect::Safe);
+        if !allowed {
+            return false;
+        }
+        let cold_level = self.cold_bucket(s, self.weights[h.class]).0 + 1.0;
+        let (attempt, sent, aim) = (h.sent, self.now, self.settings.classes[h.class].aim);
+        let slow_after = (aim as f64 * PATIENCE) as Micros;
+        if let (Some(h), Some(s)) = (self.held.get_mut(&id), self.servers.get_mut(&server)) {
+            (h.sent, h.out, h.may_have_run) = (h.sent + 1, h.out + 1, h.may_have_run + 1);
+            (s.in_flight, s.cold_level, s.used) = (s.in_flight + 1, cold_level, self.now);
+        }
+        if call == Call::Cache {
+            self.cache_out += 1;
+            self.wake(slow_after, Wake::Patience(id, attempt));
+        } else {
+            self.gate.enter(call);
+        }
+        self.flights.insert((id, attempt), Flight { server, call, sent, aim, slow_after });
+        out.push(Action::Send { request: id, server, give_up_after: 0 });
+        true
+    }
+
+    fn outcome(&mut self, o: Outcome, out: &mut Vec<Action>) {
+        let Some(flight) = self.flights.remove(&(o.request, o.attempt)) else { return };
+        self.learn(&flight, &o, out);
+        self.close_drained(flight.server, true, out);
+        let Some(h) = self.held.get_mut(&o.request) else { return };
+        h.out -= 1;
+        h.may_have_run -= u16::from(o.status.proves_not_run());
+        h.missed |= o.status == Status::Miss;
+        if flight.call == Call::Cache && o.status != Status::Miss {
+            h.tried.push(flight.server);
+        }
+        let (key, others_out, class) = (h.key, h.out > 0, h.class);
+        if flight.call == Call::Fetch {
+            self.fetches.remove(&key);
+        }
+        if o.over || o.status == Status::Served {
+            return self.forget(o.request);
+        }
+        if others_out && o.status != Status::Miss {
+            return; // Their outcomes decide; but what a copy found missing is fetched.
+        }
+        if flight.call != Call::Cache && o.status == Status::Full {
+            return self.postpone(o.request, out);
+        }
+        // A miss and a failed connect cost no server work, and what was called off has been paid for.
+        let free =
+            matches!(o.status, Status::Miss | Status::ConnectFailed | Status::NotSent | Status::Cancelled);
+        if !free && !self.may_retry(class, o.status == Status::Full) {
+            return self.end(o.request, out);
+        }
+        self.step(o.request, out);
+    }
+
+    /// Takes a retry from the budget, where the class allows one: of what may run, only of what is safe.
+    fn may_retry(&mut self, class: usize, not_run: bool) -> bool {
+        let allowed = not_run || self.settings.classes[class].effect == Effect::Safe;
+        let granted = allowed && self.retry_budget >= 1.0;
+        self.retry_budget -= f64::from(u8::from(granted));
+        granted
+    }
+
+    /// What an outcome tells of its server and of the strain on the fleet, or of the origin.
+    fn learn(&mut self, flight: &Flight, o: &Outcome, out: &mut Vec<Action>) {
+        let Some(s) = self.servers.get_mut(&flight.server) else { return };
+        s.in_flight = s.in_flight.saturating_sub(1);
+        s.active = self.now;
+        s.connected |= !matches!(o.status, Status::Reset | Status::ConnectFailed);
+        let not_made = o.status == Status::ConnectFailed && o.took >= self.settings.connect_timeout;
+        self.slow_connects.add(f64::from(u8::from(not_made)), 1.0);
+        if flight.call != Call::Cache {
+            return self.learn_origin(flight, o, out);
+        }
+        self.cache_out -= 1;
+        if let Some(busy) = o.load.figure(&self.settings.load_fields, LoadField::Busy) {
+            self.kinds.entry(s.line.kind).or_default().busy.add(busy, 1.0);
+        }
+        if matches!(o.status, Status::Served | Status::Miss | Status::Full) {
+            s.answered = 1.0 + s.answered_lately(self.now, flight.aim);
+            s.heard = self.now;
+        }
+        // A late answer has been counted when it became late: waiting for its end would lag the overload.
+        if self.now - flight.sent < flight.slow_after {
+            let trouble =
+                !matches!(o.status, Status::Served | Status::Miss | Status::NotSent | Status::TimedOut);
+            self.count_signs(flight.server, f64::from(u8::from(trouble)), 1.0);
+        }
+    }
+
+    /// Counts signs of a server, and as strain by the part of its keys kept: known trouble is no overload.
+    fn count_signs(&mut self, server: ServerId, cases: f64, all: f64) {
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        self.strain.add(cases * s.part, all * s.part);
+        s.signs.add(cases, all);
+    }
+
+    /// A slow, failing or refusing origin lowers the gate's limit, within a floor; good answers restore it.
+    fn learn_origin(&mut self, flight: &Flight, o: &Outcome, out: &mut Vec<Action>) {
+        let slow = self.now - flight.sent > (self.origin_aim as f64 * GATE_CUT.2) as Micros;
+        let g = &mut self.gate;
+        g.leave(flight.call);
+        let was = g.limit;
+        if o.status == Status::Served && !slow {
+            g.limit = (g.limit + 1.0 / g.limit).min(g.most_out);
+        } else if o.status != Status::NotSent && flight.sent >= g.cut_at {
+            g.cut_at = self.now; // One cut for all calls that were out together.
+            g.limit = (g.limit * GATE_CUT.0).max(g.most_out * GATE_CUT.1);
+        }
+        log_crossing(out, was, g.limit, g.most_out / 4.0, "gate lowered: origin in trouble", "gate restored");
+    }
+
+    /// Here a balancer alone is blind at full size, where it sends a server one request in seconds: servers
+    /// with more signs of trouble than most, here and at peers, lose keys to the next in order, slowly.
+    fn review_servers(&mut self, strain: Ratio, period: Micros) {
+        let worse = WORSE.0 + WORSE.1 * strain.value();
+        // When most look bad together the cause is shared: moving their keys would crowd the rest.
+        let shared = self.ready(false).map(|s| s.part - PART.2).sum::<f64>() < 0.0;
+        let heard = self.peers.signs();
+        let step = period as f64 / self.settings.warm_up.max(1) as f64;
+        let each = strain.all / self.ready(false).count().max(1) as f64;
+        for (id, s) in &mut self.servers {
+            let mut signs = s.signs;
+            signs.add(heard.get(id).copied().unwrap_or(0.0), 0.0);
+            let bad = signs.cases > worse * (each * s.part).max(signs.all) + 1.0;
+            s.part = if bad && !shared { (s.part * PART.1).max(PART.0) } else { (s.part + step).min(1.0) };
+            s.signs.fade(FADE);
+        }
+    }
+
+    /// Unequal servers: a kind of machine whose reports say that it is busier than the rest gets a smaller
+    /// weight, slowly, for reports are late. Balancers see alike of a kind, so their orders stay alike.
+    /// Harm: where a kind is busy for a cause that its load does not bring.
+    fn weigh_kinds(&mut self) {
+        let mut all = Ratio::default();
+        self.kinds.values().for_each(|k| all.add(k.busy.cases, k.busy.all));
+        for k in self.kinds.values_mut().filter(|k| k.busy.all >= 1.0) {
+            k.weight *= 1.0 + KINDS.0 * (all.value() - k.busy.value());
+            k.weight = k.weight.clamp(KINDS.1, 1.0 / KINDS.1);
+            k.busy.fade(KINDS.2);
+        }
+        self.sum_weights();
+    }
+
+    fn sum_weights(&mut self) {
+        let part = |class, s| if self.may_use(class, s) { self.weight(s) } else { 0.0 };
+        let weight = |class| self.ready(false).map(|s| part(class, s)).sum();
+        self.weights = (0..self.settings.classes.len()).map(weight).collect();
+    }
+
+    /// An attempt has had no answer for long: a sign of overload, and time to try elsewhere.
+    fn patience(&mut self, id: RequestId, attempt: u16, out: &mut Vec<Action>) {
+        let Some(&f) = self.flights.get(&(id, attempt)) else { return };
+        let (age, patience) = (self.now - f.sent, f.slow_after + 1);
+        if age >= f.aim {
+            return;
+        }
+        // Half a sign when it becomes slow, and is counted, and half when nearly late: slow is not yet lost.
+        let first = age < patience * 3 / 2;
+        self.count_signs(f.server, 0.5, f64::from(u8::from(first)));
+        self.wake(patience, Wake::Patience(id, attempt));
+        if first {
+            self.try_elsewhere(id, attempt, f.server, out);
+        }
+    }
+
+    /// Where a balancer meets a server too seldom to know it a request helps itself: an attempt long without
+    /// an answer is hedged at the next server, or called off and sent there. Holds against lost answers, dead
+    /// connections, hung, ageing and full servers. Harm: double work, within the retry budget.
+    fn try_elsewhere(&mut self, id: RequestId, attempt: u16, server: ServerId, out: &mut Vec<Action>) {
+        let Some(h) = self.held.get(&id).filter(|h| h.out == 1) else { return };
+        let copy = self.settings.may_duplicate;
+        let possible = if copy { self.level >= LEVEL.2 } else { self.settings.may_cancel };
+        if !possible || self.now >= self.useful_until(h) || !self.may_retry(h.class, false) {
+            return;
+        }
+        if !copy {
+            return out.push(Action::Cancel { request: id, attempt });
+        }
+        self.held.entry(id).and_modify(|h| h.tried.push(server));
+        if let Some(next) = self.pick(id) {
+            self.send(id, next, Call::Cache, out);
+        }
+    }
+
+    /// The one place of final answers: a refusal (no wait: it wastes work) where harmless, or else a failure.
+    fn end(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(h) = self.held.get(&id) else { return };
+        out.push(match self.settings.classes[h.class].effect == Effect::Safe || h.may_have_run == 0 {
+            true => Action::Refuse { request: id, retry_after: 0 },
+            false => Action::Fail(id),
+        });
+        self.forget(id);
+    }
+
+    fn forget(&mut self, id: RequestId) {
+        if let Some(h) = self.held.remove(&id).filter(|h| self.fetches.get(&h.key) == Some(&id)) {
+            self.fetches.remove(&h.key);
+        }
+    }
+
+    fn server_list(&mut self, kind: ListKind, lines: Vec<ServerLine>, out: &mut Vec<Action>) {
+        if kind != ListKind::Cached {
+            (self.subscribed, self.subscribe_tries) = (true, 0);
+        }
+        if kind != ListKind::Delta {
+            self.servers.values_mut().for_each(|s| s.line.condition = Condition::Gone);
+        }
+        for line in lines {
+            let s = self.servers.entry(line.id).or_insert_with(|| Server { part: 1.0, ..Server::default() });
+            s.origin = self.settings.origin_kind == Some(line.kind);
+            // A new process starts with a clean record.
+            if line.started > s.line.started {
+                s.part = 1.0;
+                // Many balancers that may each send one at once would be a burst: they begin out of step.
+                (s.cold_level, s.used) = (self.rng.unit(), self.now);
+            }
+            let id = line.id;
+            s.line = line;
+            self.close_drained(id, true, out);
+        }
+        self.sum_weights();
+    }
+
+    /// Closing on drains: idle connections to a server that is not ready are closed at the notice, after each
+    /// outcome there, and once more for one that was being opened then.
+    fn close_drained(&mut self, server: ServerId, again: bool, out: &mut Vec<Action>) {
+        let Some(time) = self.settings.drain_close else { return };
+        if self.servers.get(&server).is_some_and(|s| s.line.condition != Condition::Ready) {
+            out.push(Action::CloseIdle(server));
+            if again {
+                self.wake(time / 2, Wake::Close(server));
+            }
+        }
+    }
+
+    /// Asks for changes of the list, again when none come: not asking counts as told after a while.
+    fn subscribe(&mut self, out: &mut Vec<Action>) {
+        if self.settings.ask_discovery && !self.subscribed && self.now >= self.ask_at {
+            out.push(Action::Subscribe(true));
+            self.ask_at = self.now + self.settings.ask_within.max(self.aim);
+            self.wake(self.settings.ask_within.max(self.aim), Wake::Subscribe);
+        }
+    }
+
+    /// Discovery has little capacity: it is asked again later each time, and not by all at once.
+    fn discovery_failed(&mut self, out: &mut Vec<Action>) {
+        let base = (self.settings.ask_within / 16) << self.subscribe_tries.min(3);
+        let delay = (base as f64 * (0.5 + self.rng.unit())) as Micros;
+        self.subscribe_tries += 1;
+        (self.subscribed, self.ask_at) = (false, self.now + delay);
+        self.wake(delay, Wake::Subscribe);
+        out.push(Action::Log("discovery call failed or subscription lost: asking again".into()));
+    }
+
+    /// Moves the level that tenants are held to, by the strain seen lately, and tells peers of the traffic.
+    fn review(&mut self, out: &mut Vec<Action>) {
+        let period = (self.aim / 8).max(self.settings.tick).max(1);
+        let was = self.level;
+        let strain = self.peers.strain(&self.strain);
+        self.review_servers(strain, period);
+        self.weigh_kinds();
+        let strain = strain.value();
+        let (floor, hold) = if strain > STRAIN.1 { (LEVEL.0, false) } else { (LEVEL.1, strain > STRAIN.0) };
+        self.level = match strain > STRAIN.1 || (hold && was > LEVEL.1) {
+            true => (was * LEVEL_STEPS.0).max(floor),
+            false => (was * LEVEL_STEPS.1).min(if hold { LEVEL.1 } else { LEVEL.2 }),
+        };
+        log_crossing(out, was, self.level, LEVEL.2, "shedding over quota has begun", "shedding has ended");
+        self.strain.fade(FADE);
+        self.heat.fade(1.0 - period as f64 / (HEAT.1 * self.aim as f64));
+        self.admitted.roll(period);
+        self.senders.iter_mut().for_each(|s| s.rate.roll(period));
+        self.reviews += 1;
+        self.peers.forget_silent_since(self.now.saturating_sub(period * Micros::from(TELL.0 * TELL.1)));
+        if self.settings.may_tell_peers && self.reviews.is_multiple_of(TELL.0) {
+            self.tell(out);
+        }
+        self.close_rested(strain, out);
+        self.servers.retain(|_, s| s.line.condition != Condition::Gone || s.in_flight > 0);
+        self.wake(period, Wake::Review);
+    }
+
+    /// Connections that rest are kept: new ones cost time, work and a price. Under strain they are closed:
+    /// what is sent on one may be lost unseen, and full tables take capacity and shut others out. Not so
+    /// while new ones are not made in time. Harm: under strain of another cause many requests pay for a
+    /// connection.
+    fn close_rested(&mut self, strain: f64, out: &mut Vec<Action>) {
+        if strain > STRAIN.0 && self.slow_connects.value() < REST.1 {
+            let since = self.now.saturating_sub((self.aim as f64 * REST.0) as Micros);
+            let rests = |s: &&mut Server| s.connected && s.in_flight == 0 && s.active.max(s.used) <= since;
+            for s in self.servers.values_mut().filter(rests) {
+                s.connected = false;
+                out.push(Action::CloseIdle(s.line.id));
+            }
+        }
+        self.slow_connects.fade(REST.2);
+    }
+
+    /// Tells the next few peers of the traffic and the strain here.
+    fn tell(&mut self, out: &mut Vec<Action>) {
+        let bytes = Peers::message(&self.strain, &self.senders, &self.servers);
+        let others = self.settings.balancers.saturating_sub(1);
+        for _ in 0..others.min(TELL.2) {
+            self.last_told = self.last_told % others + 1;
+            let to = (self.settings.me + self.last_told) % (others + 1);
+            out.push(Action::Tell { to: Some(to), bytes: bytes.clone() });
+        }
+    }
+}
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,355 @@
+//! What a balancer keeps in memory: plain types, the queue of wake-ups and the hash. No decisions.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+use oorandom::Rand64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::interface::{Action, Key, Micros, RequestId, ServerId, ServerLine};
+
+/// Why an attempt is out.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Call {
+    Cache,
+    Fetch,
+    Write,
+}
+
+/// An attempt without outcome yet; it may outlive its request.
+#[derive(Clone, Copy)]
+pub struct Flight {
+    pub server: ServerId,
+    pub call: Call,
+    pub sent: Micros,
+    pub aim: Micros,
+    /// It is slow when it has been out for this long.
+    pub slow_after: Micros,
+}
+
+/// A server of the list, and what this balancer has seen of it.
+#[derive(Default)]
+pub struct Server {
+    pub line: ServerLine,
+    pub origin: bool,
+    pub in_flight: u32,
+    pub heard: Micros,
+    /// Its answers within about one aim, as a fading count.
+    pub answered: f64,
+    /// Signs of trouble in its attempts of late.
+    pub signs: Ratio,
+    /// The part of its keys that it keeps while in trouble, 1 when well.
+    pub part: f64,
+    /// When it last had an outcome.
+    pub active: Micros,
+    /// When it was last sent to, or heard to have started.
+    pub used: Micros,
+    /// Level at that time of the bucket that holds bursts at it while it is cold.
+    pub cold_level: f64,
+    /// A connection to it was made and has not been lost or closed since.
+    pub connected: bool,
+}
+
+impl Server {
+    /// Its answers as they count at a time, fading over a span.
+    pub fn answered_lately(&self, now: Micros, span: Micros) -> f64 {
+        self.answered * (-((now - self.heard) as f64) / span as f64).exp()
+    }
+}
+
+/// A request that is owed a final answer.
+#[derive(Default)]
+pub struct Held {
+    pub class: usize,
+    pub key: Key,
+    /// The key, or the part of a hot one, whose order of servers it follows.
+    pub order: Key,
+    pub write: bool,
+    pub missed: bool,
+    pub aim_at: Micros,
+    pub ends: Micros,
+    pub sent: u16,
+    pub out: u16,
+    /// How many attempts run or may have run.
+    pub may_have_run: u16,
+    pub tried: Vec<ServerId>,
+    /// Number of the wait that it is in; a wake-up for an older one finds it changed.
+    pub wait: u32,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Wake {
+    End(RequestId),
+    Go(RequestId, u32),
+    Patience(RequestId, u16),
+    Subscribe,
+    Close(ServerId),
+    Review,
+}
+
+/// The gate before the origin: calls out and calls in the present window, of all kinds and fetches alone.
+#[derive(Default)]
+pub struct Gate {
+    pub limit: f64,
+    pub most_out: f64,
+    pub out: [u32; 2],
+    pub tally: [u32; 2],
+    pub window: Micros,
+    pub cut_at: Micros,
+    /// This balancer's equal part of all quotas, 0 where there are none.
+    pub quota_share: f64,
+}
+
+impl Gate {
+    /// Raises the counters just before a call.
+    pub fn enter(&mut self, call: Call) {
+        for i in 0..=usize::from(call == Call::Fetch) {
+            self.out[i] += 1;
+            self.tally[i] += 1;
+        }
+    }
+
+    /// Begins a new tally when the window of the present one is over.
+    pub fn roll(&mut self, now: Micros, window: Micros) {
+        if now >= self.window + window {
+            (self.window, self.tally) = (now, [0, 0]);
+        }
+    }
+
+    /// Lowers the counters after any outcome of a call.
+    pub fn leave(&mut self, call: Call) {
+        for i in 0..=usize::from(call == Call::Fetch) {
+            self.out[i] -= 1;
+        }
+    }
+}
+
+/// What is known of a machine kind: the factor on its weight, and how busy its load reports say it is.
+pub struct Kind {
+    pub weight: f64,
+    pub busy: Ratio,
+}
+
+impl Default for Kind {
+    fn default() -> Self {
+        Kind { weight: 1.0, busy: Ratio::default() }
+    }
+}
+
+/// How often each key was asked for here of late; fades.
+#[derive(Default)]
+pub struct Heat {
+    counts: BTreeMap<Key, f64>,
+    all: f64,
+}
+
+impl Heat {
+    /// Counts a request for a key and gives the key's part of those before it.
+    pub fn seen(&mut self, key: Key) -> f64 {
+        let count = self.counts.entry(key).or_default();
+        let share = *count / self.all.max(1.0);
+        *count += 1.0;
+        self.all += 1.0;
+        share
+    }
+
+    /// Lets the past count for less and forgets what is long past.
+    pub fn fade(&mut self, keep: f64) {
+        self.all *= keep;
+        self.counts.retain(|_, count| {
+            *count *= keep;
+            *count > 0.1
+        });
+    }
+}
+
+/// How many cases among all of late; both fade.
+#[derive(Default, Clone, Copy)]
+pub struct Ratio {
+    pub cases: f64,
+    pub all: f64,
+}
+
+impl Ratio {
+    /// Counts cases, and among how many.
+    pub fn add(&mut self, cases: f64, all: f64) {
+        self.cases += cases;
+        self.all += all;
+    }
+
+    /// The cases as a part of all.
+    pub fn value(&self) -> f64 {
+        self.cases / self.all.max(1.0)
+    }
+
+    /// Lets the past count for less.
+    pub fn fade(&mut self, keep: f64) {
+        self.cases *= keep;
+        self.all *= keep;
+    }
+}
+
+/// Events a second, smoothed over about a second.
+#[derive(Default, Clone)]
+pub struct Rate {
+    counted: f64,
+    pub per_s: f64,
+}
+
+impl Rate {
+    /// Counts an event.
+    pub fn count(&mut self) {
+        self.counted += 1.0;
+    }
+
+    /// Takes what was counted in a period into the rate.
+    pub fn roll(&mut self, period: Micros) {
+        let seconds = period as f64 / 1e6;
+        self.per_s += (self.counted / seconds - self.per_s) * seconds.min(1.0);
+        self.counted = 0.0;
+    }
+}
+
+/// What a tenant sends to this balancer, and its unspent part of an admission.
+#[derive(Default, Clone)]
+pub struct Sender {
+    pub rate: Rate,
+    pub credit: f64,
+}
+
+/// What a balancer tells of itself: what each tenant sends there a second, and its signs of overload.
+#[derive(Default)]
+pub struct Figures {
+    pub rates: Vec<f64>,
+    pub strain: Ratio,
+    pub signs: Vec<(ServerId, f64)>,
+}
+
+/// When each peer was last heard, and what it told.
+#[derive(Default)]
+pub struct Peers(BTreeMap<u32, (Micros, Figures)>);
+
+impl Peers {
+    /// A message of at most 256 bytes in half-width floats: two figures of strain, a rate for each tenant (up
+    /// to 64), then servers with signs of trouble, 6 bytes each, the most troubled first.
+    pub fn message(strain: &Ratio, senders: &[Sender], servers: &BTreeMap<ServerId, Server>) -> Vec<u8> {
+        let half = |f: f64| (((f as f32).to_bits() >> 16) as u16).to_le_bytes();
+        let rates = senders.iter().take(64).map(|s| s.rate.per_s);
+        let mut bytes: Vec<u8> = [strain.cases, strain.all].into_iter().chain(rates).flat_map(half).collect();
+        let mut troubled: Vec<_> = servers.iter().filter(|(_, s)| s.signs.cases >= 0.25).collect();
+        troubled.sort_by(|a, b| b.1.signs.cases.total_cmp(&a.1.signs.cases));
+        for (id, s) in troubled.into_iter().take(16) {
+            bytes.extend(id.to_le_bytes());
+            bytes.extend(half(s.signs.cases));
+        }
+        bytes
+    }
+
+    /// Takes a peer's message; figures that no peer would send count as 0.
+    pub fn told(&mut self, now: Micros, from: u32, bytes: &[u8], tenants: usize) {
+        let wide = |c: &[u8]| f64::from(f32::from_bits(u32::from(u16::from_le_bytes([c[0], c[1]])) << 16));
+        let figure = |c: &[u8]| Some(wide(c)).filter(|f| f.is_finite() && *f >= 0.0).unwrap_or(0.0);
+        let (figures, servers) = bytes.split_at((4 + 2 * tenants.min(64)).min(bytes.len()));
+        let mut figures = figures.chunks_exact(2).map(figure);
+        let mut next = || figures.next().unwrap_or(0.0);
+        let strain = Ratio { cases: next(), all: next() };
+        let server = |c: &[u8]| (ServerId::from_le_bytes([c[0], c[1], c[2], c[3]]), figure(&c[4..]));
+        let signs = servers.chunks_exact(6).map(server).collect();
+        self.0.insert(from, (now, Figures { rates: figures.collect(), strain, signs }));
+    }
+
+    /// The signs of trouble that the peers heard lately saw at each server.
+    pub fn signs(&self) -> BTreeMap<ServerId, f64> {
+        let mut sums = BTreeMap::new();
+        for (server, cases) in self.0.values().flat_map(|(_, f)| &f.signs) {
+            *sums.entry(*server).or_default() += cases;
+        }
+        sums
+    }
+
+    /// What a tenant sends to the peers heard lately; `None` where none was.
+    pub fn sum(&self, tenant: usize) -> Option<f64> {
+        (!self.0.is_empty()).then(|| self.0.values().filter_map(|(_, f)| f.rates.get(tenant)).sum())
+    }
+
+    /// The signs of overload here and at the peers heard lately.
+    pub fn strain(&self, own: &Ratio) -> Ratio {
+        let mut all = *own;
+        self.0.values().for_each(|(_, f)| all.add(f.strain.cases, f.strain.all));
+        all
+    }
+
+    /// Forgets the peers that were last heard before a time.
+    pub fn forget_silent_since(&mut self, time: Micros) {
+        self.0.retain(|_, (heard, _)| *heard >= time);
+    }
+}
+
+/// Wake-ups in the order of their times; one timer of the node stands for all of them.
+#[derive(Default)]
+pub struct Wakes {
+    queue: BinaryHeap<Reverse<(Micros, Wake)>>,
+    armed: Option<Micros>,
+}
+
+impl Wakes {
+    /// Asks to be woken at a time.
+    pub fn at(&mut self, time: Micros, wake: Wake) {
+        self.queue.push(Reverse((time, wake)));
+    }
+
+    /// The timer that was set has come.
+    pub fn timer_came(&mut self) {
+        self.armed = None;
+    }
+
+    /// The next wake-up that is due; when none is, sees that a timer is set for the first to come.
+    pub fn due(&mut self, now: Micros, out: &mut Vec<Action>) -> Option<Wake> {
+        let &Reverse((time, wake)) = self.queue.peek()?;
+        if time <= now {
+            self.queue.pop();
+            return Some(wake);
+        }
+        if self.armed.is_none_or(|armed| time < armed) {
+            self.armed = Some(time);
+            out.push(Action::Timer { after: time - now, token: 0 });
+        }
+        None
+    }
+}
+
+/// Logs when a figure falls below a mark or rises to it again.
+pub fn log_crossing(out: &mut Vec<Action>, was: f64, is: f64, mark: f64, fallen: &str, risen: &str) {
+    if (was < mark) != (is < mark) {
+        out.push(Action::Log(if is < mark { fallen } else { risen }.into()));
+    }
+}
+
+/// A number between 0 and 1, fixed for a key, a server and a purpose.
+pub fn unit_hash(key: Key, server: ServerId, purpose: u64) -> f64 {
+    let mut bytes = [0u8; 12];
+    bytes[..8].copy_from_slice(&key.to_le_bytes());
+    bytes[8..].copy_from_slice(&server.to_le_bytes());
+    ((xxh3_64_with_seed(&bytes, purpose) >> 11) as f64 + 0.5) / (1u64 << 53) as f64
+}
+
+/// Random numbers that depend on the seed alone.
+pub struct Random(Rand64);
+
+impl Random {
+    /// A source with a seed.
+    pub fn new(seed: u64) -> Self {
+        Random(Rand64::new(seed.into()))
+    }
+
+    /// A number from 0 to below 1.
+    pub fn unit(&mut self) -> f64 {
+        self.0.rand_float()
+    }
+}
+
+impl Default for Random {
+    fn default() -> Self {
+        Random::new(0)
+    }
+}
