--- a/src/bin/brassrouter-drill/main.rs
+++ b/src/bin/brassrouter-drill/main.rs
@@ -1,13 +1,12 @@
 //! Hosts instances of the decision module on the simulator's wire. It translates and decides nothing.
 
 mod codec;
-mod settings;
 
 use std::collections::HashMap;
 use std::io::{self, Read, Write};
 use std::process::ExitCode;
 
-use brassrouter::{Action, Event, ListKind, Micros, Policy, ServerLine};
+use brassrouter::{Action, Event, ListKind, Micros, Policy, ServerLine, settings};
 use codec::{BATCH_HEADER, BatchHeader, Record, Reply};
 
 /// Numbered lists run from 0 to this, exclusive.
@@ -41,7 +40,7 @@
     fn record(&mut self, now: Micros, record: Record<'_>) -> Result<(), String> {
         match record {
             Record::Start { node, seed, settings } => {
-                let settings = settings::read(settings)?;
+                let settings = settings::read(settings)?.decisions;
                 let (classes, tenants) = (settings.classes.len(), settings.tenants.len());
                 let policy = Policy::new(settings, seed);
                 self.instances.insert(node, Instance { policy, classes, tenants });
--- /dev/null
+++ b/src/bin/mothpier/config.rs
@@ -0,0 +1,95 @@
+//! What the node is told at its start: the environment and the JSON file that it names.
+
+use std::net::SocketAddr;
+
+use brassrouter::settings::{self, Site};
+use serde::Deserialize;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::discovery::List;
+
+/// Everything that the node is told.
+pub struct Config {
+    pub name: String,
+    /// The one address to listen on for clients.
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    /// File descriptors that the process may hold.
+    pub sockets: usize,
+    pub memory: usize,
+    pub peer_listen: Option<SocketAddr>,
+    /// The tier's nodes by their numbers.
+    pub peers: Vec<SocketAddr>,
+    pub peers_all: Option<SocketAddr>,
+    /// The list of servers as it was last held.
+    pub known: Option<List>,
+    pub site: Site,
+}
+
+#[derive(Deserialize)]
+struct File {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    #[serde(default)]
+    seed: serde_json::Value,
+    #[serde(default)]
+    limits: Limits,
+    peer_listen: Option<String>,
+    #[serde(default)]
+    peers: Vec<String>,
+    peers_all: Option<String>,
+    known: Option<List>,
+    settings: serde_json::Value,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Limits {
+    memory_mb: f64,
+    sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { memory_mb: 192.0, sockets: 1024 }
+    }
+}
+
+/// Reads the environment and the file; the error is one plain line.
+pub fn read() -> Result<Config, String> {
+    let env = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
+    let path = env("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?;
+    let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
+    let file: File = serde_json::from_slice(&text).map_err(|e| format!("unreadable {path}: {e}"))?;
+    let site = settings::read(file.settings.to_string().as_bytes())?;
+    if site.classes.is_empty() {
+        return Err("unreadable settings: no classes".into());
+    }
+    let address = |name: &str, text: Option<String>| {
+        let text = text.ok_or_else(|| format!("no address for {name}"))?;
+        text.parse::<SocketAddr>().map_err(|_| format!("{name}: {text:?} is no address"))
+    };
+    let optional = |name, text: Option<String>| text.map(|t| address(name, Some(t))).transpose();
+    let seed = match &file.seed {
+        serde_json::Value::String(s) => u64::from_str_radix(s, 16).unwrap_or_else(|_| xxh3_64(s.as_bytes())),
+        other => other.as_u64().unwrap_or_default(),
+    };
+    if file.limits.sockets < 32 {
+        return Err(format!("limits.sockets: {} are too few to work with", file.limits.sockets));
+    }
+    Ok(Config {
+        name: env("ROUTER_NAME").or(file.name).unwrap_or_else(|| "mothpier".into()),
+        listen: address("listen", env("ROUTER_LISTEN").or(file.listen))?,
+        discovery: address("discovery", env("ROUTER_DISCOVERY").or(file.discovery))?,
+        seed,
+        sockets: file.limits.sockets,
+        memory: (file.limits.memory_mb.clamp(16.0, 1e6) * 1048576.0) as usize,
+        peer_listen: optional("peer_listen", file.peer_listen)?,
+        peers: file.peers.into_iter().map(|p| address("peers", Some(p))).collect::<Result<_, _>>()?,
+        peers_all: optional("peers_all", file.peers_all)?,
+        known: file.known,
+        site,
+    })
+}
--- /dev/null
+++ b/src/bin/mothpier/discovery.rs
@@ -0,0 +1,201 @@
+//! The list of servers: its form, the numbers behind its names, and the watch on its changes.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use brassrouter::settings::Site;
+use brassrouter::{Condition, ServerId, ServerLine};
+use bytes::Bytes;
+use http_body_util::Full;
+use serde::Deserialize;
+use tokio::sync::{mpsc, watch};
+use tokio::time::{sleep, timeout};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::http::{self, Connection};
+use crate::log;
+use crate::node::Input;
+
+/// How long a watch waits at the other side: short, so that a silent agent is noticed soon.
+const WAIT: Duration = Duration::from_millis(2000);
+/// An answer that is this late after the wait will not come.
+const LATE: Duration = Duration::from_millis(1500);
+/// Between calls after a failure; a watch goes on if the next call comes within 200 ms.
+const PAUSE: Duration = Duration::from_millis(100);
+const MAX_LIST: usize = 4 << 20;
+
+/// A list as it comes, whole or only what changed.
+#[derive(Deserialize)]
+pub struct List {
+    pub revision: u64,
+    pub complete: bool,
+    pub members: Vec<Member>,
+}
+
+/// One server in a list.
+#[derive(Deserialize)]
+pub struct Member {
+    id: String,
+    #[serde(default)]
+    host_port: String,
+    #[serde(default)]
+    locality: String,
+    #[serde(default)]
+    flavor: String,
+    #[serde(default)]
+    cell: u16,
+    phase: String,
+    size: Option<f32>,
+    #[serde(default)]
+    up_since_ms: u64,
+}
+
+/// What the node is told of the list.
+pub enum Heard {
+    List(List),
+    /// A call failed, or the watch broke.
+    Failed,
+}
+
+/// What the module asks for where discovery must be asked.
+#[derive(Clone, Copy, Default, PartialEq)]
+pub struct Wanted {
+    pub watch: bool,
+    /// Counts the calls that are asked for beside or at the start of a watch.
+    pub calls: u32,
+}
+
+/// The numbers by which the module knows servers. They are made from the ids alone, so that every node has
+/// the same and the order of servers is shared.
+#[derive(Default)]
+pub struct Numbers(HashMap<String, ServerId>, HashMap<ServerId, String>);
+
+impl Numbers {
+    fn of(&mut self, id: &str) -> ServerId {
+        if let Some(number) = self.0.get(id) {
+            return *number;
+        }
+        // Two ids of one hash must not merge: the later one takes the next hash that is free.
+        let mut seed = 0;
+        let number = loop {
+            let number = xxh3_64_with_seed(id.as_bytes(), seed) as ServerId;
+            if !self.1.contains_key(&number) {
+                break number;
+            }
+            seed += 1;
+        };
+        self.0.insert(id.into(), number);
+        self.1.insert(number, id.into());
+        number
+    }
+
+    /// Puts a list into the module's form, with the addresses beside it. Taken in the order of the ids, so
+    /// that nodes that hear the same list resolve a clash alike.
+    pub fn lines(&mut self, list: &mut List, site: &Site) -> Vec<(ServerLine, Option<SocketAddr>)> {
+        list.members.sort_by(|a, b| a.id.cmp(&b.id));
+        let mut lines = Vec::with_capacity(list.members.len());
+        for m in &list.members {
+            let condition = match m.phase.as_str() {
+                "ready" => Condition::Ready,
+                "draining" => Condition::Draining,
+                _ => Condition::Gone,
+            };
+            let address = m.host_port.parse().ok();
+            if address.is_none() && condition == Condition::Ready {
+                log(format_args!("{}: {:?} is no address: passed over", m.id, m.host_port));
+                continue;
+            }
+            let line = ServerLine {
+                id: self.of(&m.id),
+                zone: place(&site.zones, &m.locality, u8::MAX.into()) as u8,
+                cell: m.cell,
+                kind: place(&site.kinds, &m.flavor, u16::MAX.into()) as u16,
+                weight: m.size.filter(|s| s.is_finite()).unwrap_or(1.0),
+                started: m.up_since_ms.saturating_mul(1000),
+                condition,
+            };
+            lines.push((line, address));
+        }
+        lines
+    }
+}
+
+/// The place of a name in the settings; a name that they lack gets a number past them, the same at every node.
+fn place(names: &[String], name: &str, most: u64) -> u64 {
+    let hashed = || {
+        names.len() as u64
+            + xxh3_64_with_seed(name.as_bytes(), 0) % most.saturating_sub(names.len() as u64).max(1)
+    };
+    names.iter().position(|n| n == name).map_or_else(hashed, |at| at as u64)
+}
+
+/// Watches the list for as long as the node wants it.
+pub async fn run(
+    address: SocketAddr,
+    known: Option<u64>,
+    mut wanted: watch::Receiver<Wanted>,
+    events: mpsc::Sender<Input>,
+) {
+    let (mut connection, mut revision, mut calls, mut first) = (None, known, 0, true);
+    loop {
+        let now = *wanted.borrow_and_update();
+        if !now.watch && now.calls == calls {
+            if wanted.changed().await.is_err() {
+                return;
+            }
+            continue;
+        }
+        // What was held at the start may be old: the first call asks for the whole.
+        let whole = first || !now.watch;
+        calls = now.calls;
+        let heard = match call(&mut connection, address, revision.filter(|_| !whole)).await {
+            Ok(list) => {
+                first = false;
+                revision = Some(list.revision);
+                Heard::List(list)
+            }
+            Err(e) => {
+                // A silent or broken agent must not hang the watch: begin again on a new connection.
+                connection = None;
+                log(format_args!("discovery: {e}"));
+                Heard::Failed
+            }
+        };
+        let failed = matches!(heard, Heard::Failed);
+        if events.send(Input::Discovery(heard)).await.is_err() {
+            return;
+        }
+        if failed {
+            sleep(PAUSE).await;
+        }
+    }
+}
+
+async fn call(
+    open: &mut Option<Connection>,
+    address: SocketAddr,
+    after: Option<u64>,
+) -> Result<List, String> {
+    let path = match after {
+        Some(revision) => format!("/api/targets?after={revision}&wait_ms={}", WAIT.as_millis()),
+        None => "/api/targets".into(),
+    };
+    if open.as_ref().is_none_or(|c| !c.sender.is_ready()) {
+        *open = Some(http::connect(address, LATE).await.map_err(|e| format!("no connection: {e}"))?);
+    }
+    let Some(connection) = open else { return Err("no connection".into()) };
+    let request =
+        hyper::Request::get(path).header("Host", address.to_string()).body(Full::<Bytes>::default());
+    let request = request.map_err(|e| e.to_string())?;
+    let answer = timeout(WAIT + LATE, async {
+        let response = connection.sender.send_request(request).await.map_err(|e| e.to_string())?;
+        if response.status() != 200 {
+            return Err(format!("answered {}", response.status()));
+        }
+        http::body(response.into_body(), MAX_LIST).await
+    });
+    let body = answer.await.map_err(|_| "no answer")??;
+    let _ = tokio::time::timeout(PAUSE, connection.sender.ready()).await;
+    serde_json::from_slice(&body).map_err(|e| format!("unreadable list: {e}"))
+}
--- /dev/null
+++ b/src/bin/mothpier/http.rs
@@ -0,0 +1,48 @@
+//! One HTTP/1.1 connection, for the origin and for discovery. Nothing here sends a request a second time.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+/// An open connection; dropping it closes the socket, also under a request that is out.
+pub struct Connection {
+    pub sender: SendRequest<Full<Bytes>>,
+    driver: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// Opens a connection within a time.
+pub async fn connect(address: SocketAddr, within: Duration) -> std::io::Result<Connection> {
+    let stream = tokio::time::timeout(within, TcpStream::connect(address)).await??;
+    stream.set_nodelay(true)?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
+    // Driving the connection also while it is idle is what notices that the peer has closed it.
+    let driver = tokio::task::spawn_local(async move { drop(connection.await) }).abort_handle();
+    Ok(Connection { sender, driver })
+}
+
+/// Reads a body of at most `most` bytes.
+pub async fn body(mut body: Incoming, most: usize) -> Result<Bytes, String> {
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| e.to_string())?;
+        let Some(data) = frame.data_ref() else { continue };
+        if whole.len() + data.len() > most {
+            return Err(format!("a body of over {most} bytes"));
+        }
+        whole.extend_from_slice(data);
+    }
+    Ok(whole.freeze())
+}
--- /dev/null
+++ b/src/bin/mothpier/node.rs
@@ -0,0 +1,419 @@
+//! The node: the one owner of the decision module. Events go in, actions become I/O; nothing is decided here.
+
+use std::cell::Cell;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use brassrouter::settings::Site;
+use brassrouter::{
+    Action, Condition, Event, ListKind, Load, Micros, Note, Outcome, Policy, RequestId, ServerId, Status,
+};
+use bytes::Bytes;
+use redis_protocol::resp2::types::BytesFrame;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{Instant, sleep_until};
+
+use crate::clients::{Answer, Command};
+use crate::discovery::{Heard, List, Numbers, Wanted};
+use crate::origin::Origins;
+use crate::peers::Peers;
+use crate::servers::{Ended, Servers};
+use crate::{clients, log, origin, resp, servers};
+
+/// Names one attempt or probe of this node.
+pub type AttemptId = u64;
+/// A probe without answer after this time has failed.
+const PROBE_WAIT: Duration = Duration::from_millis(250);
+
+/// What comes to the node from its other parts.
+pub enum Input {
+    Client(clients::Event),
+    Server { server: ServerId, number: u64, event: servers::Event },
+    Origin { attempt: AttemptId, ended: origin::Ended },
+    Discovery(Heard),
+    Peer { from: u32, bytes: Vec<u8> },
+}
+
+/// Unix time at the start and a monotonic clock since: comparable with times of the list, and never set back.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    unix: Micros,
+}
+
+impl Clock {
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), unix: unix.as_micros() as Micros }
+    }
+
+    pub fn now(&self) -> Micros {
+        self.unix + self.start.elapsed().as_micros() as Micros
+    }
+}
+
+/// A request without its final answer.
+struct Open {
+    command: Rc<Command>,
+    answer: oneshot::Sender<Answer>,
+    ends: Instant,
+    attempts: u16,
+}
+
+/// An attempt or a probe without outcome; it may outlive its request.
+struct Flight {
+    /// The request and the attempt's number; `None` for a probe.
+    attempt: Option<(RequestId, u16)>,
+    server: ServerId,
+    sent: Instant,
+    /// Of one at the origin.
+    call: Option<origin::Call>,
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Timer(u32),
+    GiveUp(AttemptId),
+}
+
+/// The parts that the node drives.
+pub struct Parts {
+    pub servers: Servers,
+    pub origins: Origins,
+    pub peers: Option<Peers>,
+    pub wanted: watch::Sender<Wanted>,
+    pub ready: Rc<Cell<bool>>,
+}
+
+/// The node.
+pub struct Node {
+    policy: Policy,
+    site: Site,
+    clock: Clock,
+    parts: Parts,
+    numbers: Numbers,
+    origin_ids: HashSet<ServerId>,
+    open: HashMap<RequestId, Open>,
+    flights: HashMap<AttemptId, Flight>,
+    last_attempt: AttemptId,
+    due: BinaryHeap<Reverse<(Instant, Due)>>,
+    /// Events that actions gave rise to: they come after the actions before them.
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+}
+
+impl Node {
+    pub fn new(site: Site, seed: u64, clock: Clock, parts: Parts) -> Self {
+        Node {
+            policy: Policy::new(site.decisions.clone(), seed),
+            site,
+            clock,
+            parts,
+            numbers: Numbers::default(),
+            origin_ids: HashSet::new(),
+            open: HashMap::new(),
+            flights: HashMap::new(),
+            last_attempt: 0,
+            due: BinaryHeap::new(),
+            events: VecDeque::new(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Runs until every sender of inputs is gone.
+    pub async fn run(mut self, known: Option<List>, mut inputs: mpsc::Receiver<Input>) {
+        let known = known.unwrap_or(List { revision: 0, complete: true, members: Vec::new() });
+        self.list(known, ListKind::Cached);
+        self.settle();
+        loop {
+            let next = self.due.peek().map(|Reverse((time, _))| *time);
+            let idle = Instant::now() + Duration::from_secs(3600);
+            tokio::select! {
+                input = inputs.recv() => match input {
+                    Some(input) => self.input(input),
+                    None => return,
+                },
+                () = sleep_until(next.unwrap_or(idle)) => {}
+            }
+            self.fire();
+            self.settle();
+        }
+    }
+
+    fn fire(&mut self) {
+        let now = Instant::now();
+        while self.due.peek().is_some_and(|Reverse((time, _))| *time <= now) {
+            match self.due.pop() {
+                Some(Reverse((_, Due::Timer(token)))) => self.events.push_back(Event::Timer(token)),
+                Some(Reverse((_, Due::GiveUp(id)))) => self.give_up(id, Status::TimedOut),
+                None => {}
+            }
+            self.settle();
+        }
+    }
+
+    /// Hands all events to the module and carries out what it wants.
+    fn settle(&mut self) {
+        while let Some(event) = self.events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.policy.handle(self.clock.now(), event, &mut actions);
+            actions.drain(..).for_each(|action| self.act(action));
+            self.actions = actions;
+        }
+    }
+
+    fn input(&mut self, input: Input) {
+        match input {
+            Input::Client(clients::Event::Asked { request, command, answer }) => {
+                let ends = Instant::now() + Duration::from_micros(request.time_left);
+                let open = Open { command: command.into(), answer, ends, attempts: 0 };
+                self.open.insert(request.id, open);
+                self.events.push_back(Event::Request(request));
+            }
+            Input::Client(clients::Event::Gone(id)) => {
+                if self.open.remove(&id).is_some() {
+                    self.events.push_back(Event::ClientGone(id));
+                }
+            }
+            Input::Server { server, number, event } => {
+                for (attempt, ended) in self.parts.servers.event(server, number, event) {
+                    self.server_ended(attempt, ended);
+                }
+            }
+            Input::Origin { attempt, ended } => {
+                let load = self.load(&ended.load);
+                self.end(attempt, ended.status, Note::None, load, Some(ended.value));
+            }
+            Input::Discovery(Heard::List(list)) => {
+                self.parts.ready.set(true);
+                let kind = if list.complete { ListKind::Full } else { ListKind::Delta };
+                self.list(list, kind);
+            }
+            Input::Discovery(Heard::Failed) => {
+                // Only one that asks is told so; what is pushed goes on by itself.
+                if self.site.decisions.ask_discovery {
+                    self.parts.wanted.send_modify(|w| w.watch = false);
+                    self.events.push_back(Event::ServerList { kind: ListKind::Failed, servers: Vec::new() });
+                }
+            }
+            Input::Peer { from, bytes } => self.events.push_back(Event::PeerMessage { from, bytes }),
+        }
+    }
+
+    fn list(&mut self, mut list: List, kind: ListKind) {
+        let lines = self.numbers.lines(&mut list, &self.site);
+        let named: HashSet<ServerId> = lines.iter().map(|(line, _)| line.id).collect();
+        let mut unsent = Vec::new();
+        for (line, address) in &lines {
+            let ready = line.condition == Condition::Ready;
+            if Some(line.kind) == self.site.decisions.origin_kind {
+                self.origin_ids.insert(line.id);
+                self.parts.origins.listed(line.id, *address, ready);
+            } else {
+                unsent.extend(self.parts.servers.listed(line.id, *address, ready));
+            }
+        }
+        if kind != ListKind::Delta {
+            unsent.extend(self.parts.servers.unlisted(&|id| named.contains(&id)));
+            self.parts.origins.unlisted(&|id| named.contains(&id));
+        }
+        let servers = lines.into_iter().map(|(line, _)| line).collect();
+        self.events.push_back(Event::ServerList { kind, servers });
+        for attempt in unsent {
+            self.end(attempt, Status::NotSent, Note::None, Load::default(), None);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { request, server, give_up_after } => self.send(request, server, give_up_after),
+            Action::Refuse { request, retry_after } => {
+                let wait = retry_after.min(self.site.max_retry_after).div_ceil(1000);
+                self.answer(request, Answer::Busy(wait));
+            }
+            Action::Fail(request) => self.answer(request, Answer::Failed),
+            Action::Cancel { request, attempt } => {
+                let wanted = Some((request, attempt));
+                if let Some(id) = self.flights.iter().find(|(_, f)| f.attempt == wanted).map(|(id, _)| *id) {
+                    self.give_up(id, Status::Cancelled);
+                }
+            }
+            Action::Timer { after, token } => self.wake(Duration::from_micros(after), Due::Timer(token)),
+            Action::Subscribe(on) => self.parts.wanted.send_modify(|w| {
+                w.watch = on;
+                w.calls += u32::from(on);
+            }),
+            Action::FetchList => self.parts.wanted.send_modify(|w| w.calls += 1),
+            Action::Probe(server) => self.probe(server),
+            Action::CloseIdle(server) if self.origin_ids.contains(&server) => {
+                self.parts.origins.close_idle(server)
+            }
+            Action::CloseIdle(server) => self.parts.servers.close_idle(server),
+            Action::Tell { to, bytes } => {
+                if let Some(peers) = &self.parts.peers {
+                    peers.tell(to, &bytes);
+                }
+            }
+            Action::Log(text) => log(text),
+            Action::Fault(text) => log(format_args!("the decision module failed: {text}")),
+        }
+    }
+
+    fn answer(&mut self, request: RequestId, answer: Answer) {
+        if let Some(open) = self.open.remove(&request) {
+            // A client that has just gone needs none.
+            let _ = open.answer.send(answer);
+        }
+    }
+
+    fn wake(&mut self, after: Duration, due: Due) {
+        self.due.push(Reverse((Instant::now() + after, due)));
+    }
+
+    fn send(&mut self, request: RequestId, server: ServerId, give_up_after: Micros) {
+        self.last_attempt += 1;
+        let (id, sent) = (self.last_attempt, Instant::now());
+        let Some(open) = self.open.get_mut(&request) else {
+            return log(format_args!("an attempt of request {request}, which is over"));
+        };
+        let number = open.attempts;
+        open.attempts += 1;
+        let (command, left) = (open.command.clone(), open.ends.saturating_duration_since(sent));
+        let wait = if give_up_after == 0 { left } else { left.min(Duration::from_micros(give_up_after)) };
+        self.flights.insert(id, Flight { attempt: Some((request, number)), server, sent, call: None });
+        if u32::from(number) >= self.site.decisions.max_attempts || wait.is_zero() {
+            return self.end(id, Status::NotSent, Note::None, Load::default(), None);
+        }
+        let out = if self.origin_ids.contains(&server) {
+            let call = self.parts.origins.call(server, id, &command);
+            let out = call.is_some();
+            self.flights.entry(id).and_modify(|f| f.call = call);
+            out
+        } else {
+            self.parts.servers.send(server, id, command.for_server(wait))
+        };
+        if out {
+            self.wake(wait, Due::GiveUp(id));
+        } else {
+            self.end(id, Status::ConnectFailed, Note::None, Load::default(), None);
+        }
+    }
+
+    fn probe(&mut self, server: ServerId) {
+        self.last_attempt += 1;
+        let (id, sent) = (self.last_attempt, Instant::now());
+        let origin = self.origin_ids.contains(&server);
+        let call = if origin { self.parts.origins.probe(server, id) } else { None };
+        let out = call.is_some()
+            || (!origin
+                && self.parts.servers.send(server, id, resp::command(["INFO".into(), "load".into()])));
+        self.flights.insert(id, Flight { attempt: None, server, sent, call });
+        if out {
+            self.wake(PROBE_WAIT, Due::GiveUp(id));
+        } else {
+            self.end(id, Status::ConnectFailed, Note::None, Load::default(), None);
+        }
+    }
+
+    /// Stops waiting for an attempt. One that was never written whole can't have run.
+    fn give_up(&mut self, id: AttemptId, status: Status) {
+        let Some(flight) = self.flights.get_mut(&id) else { return };
+        let (server, call) = (flight.server, flight.call.take());
+        let written = match call {
+            Some(call) => call.give_up(),
+            None => self.parts.servers.give_up(server, id),
+        };
+        let status = if written { status } else { Status::NotSent };
+        self.end(id, status, Note::None, Load::default(), None);
+    }
+
+    /// Reads a cache server's answer as the protocol's table of outcomes says.
+    fn server_ended(&mut self, attempt: AttemptId, ended: Ended) {
+        let frame = match ended {
+            Ended::Reset => return self.end(attempt, Status::Reset, Note::None, Load::default(), None),
+            Ended::NotConnected => {
+                return self.end(attempt, Status::ConnectFailed, Note::None, Load::default(), None);
+            }
+            Ended::Answered(frame) => frame,
+        };
+        match frame {
+            BytesFrame::Array(parts) => {
+                let mut parts = parts.into_iter();
+                let value = match parts.next() {
+                    Some(BytesFrame::BulkString(value)) => Some(value),
+                    _ => None,
+                };
+                let note = match text(parts.next()).as_deref() {
+                    Some("hit") => Note::Hit,
+                    Some("miss") => Note::Miss,
+                    Some("pending") => Note::MissBeingFetched,
+                    _ => Note::None,
+                };
+                let load = text(parts.next()).map(|l| self.load(&l)).unwrap_or_default();
+                let status = if value.is_some() { Status::Served } else { Status::Miss };
+                self.end(attempt, status, note, load, value);
+            }
+            BytesFrame::BulkString(report) => {
+                // Only a probe is answered so; to a request it would be no answer in the agreed form.
+                let probe = self.flights.get(&attempt).is_some_and(|f| f.attempt.is_none());
+                let load = self.load(&String::from_utf8_lossy(&report));
+                self.end(attempt, if probe { Status::Served } else { Status::Error }, Note::None, load, None);
+            }
+            BytesFrame::Error(line) => {
+                let load = line.rsplit(' ').next().map(|l| self.load(l)).unwrap_or_default();
+                let busy = line.split(' ').next() == Some("BUSY");
+                if !busy && !line.starts_with("ERR failed") {
+                    log(format_args!("a cache server answers {:?}", line));
+                }
+                self.end(attempt, if busy { Status::Full } else { Status::Error }, Note::None, load, None);
+            }
+            _ => self.end(attempt, Status::Error, Note::None, Load::default(), None),
+        }
+    }
+
+    /// The end of an attempt or probe, whatever brought it; the first value served is the request's answer.
+    fn end(&mut self, id: AttemptId, status: Status, note: Note, load: Load, value: Option<Bytes>) {
+        let Some(flight) = self.flights.remove(&id) else { return };
+        let (server, took) = (flight.server, flight.sent.elapsed().as_micros() as Micros);
+        let Some((request, attempt)) = flight.attempt else {
+            return self.events.push_back(Event::Probed { server, ok: status == Status::Served, took, load });
+        };
+        if status == Status::Served {
+            self.answer(request, value.map_or(Answer::Failed, Answer::Value));
+        }
+        let over = !self.open.contains_key(&request);
+        self.events.push_back(Event::Outcome(Outcome {
+            request,
+            attempt,
+            server,
+            status,
+            over,
+            note,
+            took,
+            load,
+        }));
+    }
+
+    /// A load report: names and values, in the order that the settings give.
+    fn load(&self, report: &str) -> Load {
+        let mut load = Load::default();
+        for name in self.site.load_fields.iter().take(load.values.len()) {
+            let value = report.split(',').filter_map(|p| p.trim().split_once('=')).find(|(n, _)| n == name);
+            let Some(value) = value.and_then(|(_, v)| v.parse::<f32>().ok()) else { break };
+            load.values[usize::from(load.count)] = value;
+            load.count += 1;
+        }
+        load
+    }
+}
+
+fn text(frame: Option<BytesFrame>) -> Option<String> {
+    match frame {
+        Some(BytesFrame::BulkString(b) | BytesFrame::SimpleString(b)) => {
+            Some(String::from_utf8_lossy(&b).into_owned())
+        }
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/bin/mothpier/origin.rs
@@ -0,0 +1,191 @@
+//! Calls to the origin over HTTP/1.1, one at a time on a connection.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use brassrouter::{ServerId, Status};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request};
+use percent_encoding::{NON_ALPHANUMERIC, percent_encode};
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+use crate::clients::Command;
+use crate::http::{self, Connection};
+use crate::node::{AttemptId, Input};
+use crate::resp::MAX_VALUE;
+
+/// A connection idle for this part of the time after which it is closed is not used again.
+const FRESH: f64 = 0.7;
+/// Idle connections kept to one origin.
+const KEPT: usize = 20;
+
+/// How a call ended.
+pub struct Ended {
+    pub status: Status,
+    pub value: Bytes,
+    /// The load report, as it came.
+    pub load: String,
+}
+
+impl Ended {
+    fn with(status: Status) -> Self {
+        Ended { status, value: Bytes::new(), load: String::new() }
+    }
+}
+
+/// A call that is out.
+pub struct Call {
+    written: Rc<Cell<bool>>,
+    task: AbortHandle,
+}
+
+impl Call {
+    /// Stops waiting, which closes its connection; whether it may have run.
+    pub fn give_up(self) -> bool {
+        self.task.abort();
+        self.written.get()
+    }
+}
+
+struct Pool {
+    address: Option<SocketAddr>,
+    ready: Cell<bool>,
+    idle: RefCell<Vec<(Connection, Instant)>>,
+}
+
+/// The origins of the list.
+pub struct Origins {
+    pools: HashMap<ServerId, Rc<Pool>>,
+    idle_close: Duration,
+    connect_timeout: Duration,
+    events: mpsc::Sender<Input>,
+}
+
+impl Origins {
+    pub fn new(idle_close: Duration, connect_timeout: Duration, events: mpsc::Sender<Input>) -> Self {
+        Origins { pools: HashMap::new(), idle_close: idle_close.mul_f64(FRESH), connect_timeout, events }
+    }
+
+    /// Takes a line of the list.
+    pub fn listed(&mut self, server: ServerId, address: Option<SocketAddr>, ready: bool) {
+        let known = self.pools.get(&server).filter(|p| address.is_none() || p.address == address);
+        if let Some(pool) = known {
+            pool.ready.set(ready);
+        } else {
+            let pool = Pool { address, ready: Cell::new(ready), idle: RefCell::default() };
+            if let Some(old) = self.pools.insert(server, Rc::new(pool)) {
+                old.ready.set(false);
+            }
+        }
+    }
+
+    /// Origins that the whole list no longer names.
+    pub fn unlisted(&mut self, named: &dyn Fn(ServerId) -> bool) {
+        self.pools.iter().filter(|(id, _)| !named(**id)).for_each(|(_, p)| p.ready.set(false));
+    }
+
+    /// Calls the origin for a command; its end comes as an event.
+    pub fn call(&self, server: ServerId, attempt: AttemptId, command: &Command) -> Option<Call> {
+        let pool = self.pools.get(&server).filter(|p| p.ready.get())?.clone();
+        let address = pool.address?;
+        let method = if command.write { Method::PUT } else { Method::GET };
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("/{}", percent_encode(&command.key, NON_ALPHANUMERIC)))
+            .header("Host", address.to_string())
+            .header("X-Request-Id", command.id.as_ref())
+            .header("X-Extras", command.extras.as_ref())
+            .body(Full::new(command.value.clone().unwrap_or_default()))
+            .ok()?;
+        Some(self.spawn(pool, address, attempt, request))
+    }
+
+    /// Asks an origin for its load.
+    pub fn probe(&self, server: ServerId, attempt: AttemptId) -> Option<Call> {
+        let pool = self.pools.get(&server).filter(|p| p.ready.get())?.clone();
+        let address = pool.address?;
+        let request =
+            Request::get("/-/load").header("Host", address.to_string()).body(Full::default()).ok()?;
+        Some(self.spawn(pool, address, attempt, request))
+    }
+
+    fn spawn(
+        &self,
+        pool: Rc<Pool>,
+        address: SocketAddr,
+        attempt: AttemptId,
+        request: Request<Full<Bytes>>,
+    ) -> Call {
+        let written = Rc::new(Cell::new(false));
+        let (begun, events) = (written.clone(), self.events.clone());
+        let (fresh, within) = (self.idle_close, self.connect_timeout);
+        let task = tokio::task::spawn_local(async move {
+            let ended = exchange(&pool, address, request, fresh, within, &begun).await;
+            let _ = events.send(Input::Origin { attempt, ended }).await;
+        });
+        Call { written, task: task.abort_handle() }
+    }
+
+    /// Closes the connections to an origin that carry nothing.
+    pub fn close_idle(&self, server: ServerId) {
+        if let Some(pool) = self.pools.get(&server) {
+            pool.idle.borrow_mut().clear();
+        }
+    }
+}
+
+async fn exchange(
+    pool: &Pool,
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    fresh: Duration,
+    within: Duration,
+    begun: &Cell<bool>,
+) -> Ended {
+    let idle = {
+        let mut idle = pool.idle.borrow_mut();
+        idle.retain(|(c, since)| c.sender.is_ready() && since.elapsed() < fresh);
+        idle.pop()
+    };
+    let mut connection = match idle {
+        Some((connection, _)) => connection,
+        None => match http::connect(address, within).await {
+            Ok(connection) => connection,
+            Err(_) => return Ended::with(Status::ConnectFailed),
+        },
+    };
+    // It may have begun to drain while the connection was made: nothing new goes there then.
+    if !pool.ready.get() {
+        return Ended::with(Status::NotSent);
+    }
+    begun.set(true);
+    let response = match connection.sender.try_send_request(request).await {
+        Ok(response) => response,
+        // Given back: the connection had ended before any of it was written.
+        Err(e) if e.message().is_some() => return Ended::with(Status::ConnectFailed),
+        Err(_) => return Ended::with(Status::Reset),
+    };
+    let header = |name: &str| {
+        response.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned()
+    };
+    let load = header("X-Load");
+    let status = match response.status().as_u16() {
+        200 => Status::Served,
+        503 | 504 if header("X-Not-Run") == "1" => Status::Full,
+        _ => Status::Error,
+    };
+    let Ok(value) = http::body(response.into_body(), MAX_VALUE).await else {
+        return Ended::with(Status::Reset);
+    };
+    let mut idle = pool.idle.borrow_mut();
+    if idle.len() < KEPT {
+        idle.push((connection, Instant::now()));
+    }
+    Ended { status, value, load }
+}
--- /dev/null
+++ b/src/bin/mothpier/peers.rs
@@ -0,0 +1,63 @@
+//! Datagrams between the nodes of the tier.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+use crate::log;
+use crate::node::Input;
+
+/// The longest message that may be sent.
+const MAX_MESSAGE: usize = 256;
+
+/// The way to the other nodes.
+pub struct Peers {
+    socket: Rc<UdpSocket>,
+    /// By their numbers.
+    addresses: Vec<SocketAddr>,
+    all: Option<SocketAddr>,
+}
+
+impl Peers {
+    /// Opens the socket and begins to listen. Messages of strangers and overlong ones are dropped.
+    pub async fn open(
+        listen: SocketAddr,
+        addresses: Vec<SocketAddr>,
+        all: Option<SocketAddr>,
+        events: mpsc::Sender<Input>,
+    ) -> std::io::Result<Peers> {
+        let socket = Rc::new(UdpSocket::bind(listen).await?);
+        let (inbox, known) = (socket.clone(), addresses.clone());
+        tokio::task::spawn_local(async move {
+            let mut buffer = [0; MAX_MESSAGE + 1];
+            loop {
+                // An error here is that of an earlier datagram which found no listener.
+                let Ok((length, sender)) = inbox.recv_from(&mut buffer).await else { continue };
+                let Some(from) = known.iter().position(|a| *a == sender) else { continue };
+                if length <= MAX_MESSAGE {
+                    let bytes = buffer[..length].to_vec();
+                    // One that finds the queue full is dropped, as it might have been on its way.
+                    let _ = events.try_send(Input::Peer { from: from as u32, bytes });
+                }
+                tokio::task::yield_now().await;
+            }
+        });
+        Ok(Peers { socket, addresses, all })
+    }
+
+    /// Sends a message to one node, or to all; one that can't go at once is lost.
+    pub fn tell(&self, to: Option<u32>, bytes: &[u8]) {
+        let address = match to {
+            Some(number) => self.addresses.get(number as usize).copied(),
+            None => self.all,
+        };
+        match address {
+            Some(address) if bytes.len() <= MAX_MESSAGE => {
+                let _ = self.socket.try_send_to(bytes, address);
+            }
+            _ => log(format_args!("a message of {} bytes to {to:?} can't be sent", bytes.len())),
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/mothpier/resp.rs
@@ -0,0 +1,130 @@
+//! RESP2 frames off a buffer and onto one. The crate decodes; the scan before it bounds what it is given.
+
+use std::fmt;
+
+use bytes::{Bytes, BytesMut};
+use redis_protocol::resp2::types::BytesFrame;
+use redis_protocol::resp2::{decode, encode};
+
+/// The largest value of a key.
+pub const MAX_VALUE: usize = 64 * 1024;
+/// The longest simple string or error line.
+const MAX_LINE: usize = 1024;
+/// The longest number of a header, with its end of line.
+const MAX_NUMBER: usize = 12;
+/// Elements of one frame, nested ones too: also bounds the depth to which the decoder recurses.
+const MAX_ELEMENTS: usize = 32;
+
+/// What can't be the beginning of a frame, in words.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Malformed(pub &'static str);
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.0)
+    }
+}
+
+/// Takes the first whole frame off a buffer; `None` while it has not all come.
+pub fn take_frame(buffer: &mut BytesMut) -> Result<Option<BytesFrame>, Malformed> {
+    let Some(end) = frame_end(buffer)? else { return Ok(None) };
+    let bytes = buffer.split_to(end).freeze();
+    match decode::decode_bytes(&bytes) {
+        Ok(Some((frame, used))) if used == end => Ok(Some(frame)),
+        _ => Err(Malformed("unreadable frame")),
+    }
+}
+
+/// Where the first frame ends. Walks headers only, so that a value that comes in many parts is not decoded
+/// anew with each, and refuses what is too large or too deep before anything is kept for it.
+fn frame_end(bytes: &[u8]) -> Result<Option<usize>, Malformed> {
+    let (mut at, mut left, mut seen) = (0, 1usize, 0usize);
+    while left > 0 {
+        left -= 1;
+        seen += 1;
+        let Some(kind) = bytes.get(at) else { return Ok(None) };
+        let limit = match kind {
+            b'$' | b'*' => MAX_NUMBER,
+            b':' => MAX_NUMBER * 2,
+            b'+' | b'-' => MAX_LINE,
+            _ => return Err(Malformed("unknown frame type")),
+        };
+        let line = &bytes[at + 1..bytes.len().min(at + 1 + limit)];
+        let Some(length) = line.iter().position(|b| *b == b'\n') else {
+            return if line.len() == limit { Err(Malformed("line too long")) } else { Ok(None) };
+        };
+        let Some(text) = line[..length].strip_suffix(b"\r") else { return Err(Malformed("bad end of line")) };
+        at += 2 + length;
+        if !matches!(kind, b'$' | b'*') || text == b"-1" {
+            continue;
+        }
+        let number = std::str::from_utf8(text).ok().filter(|t| t.bytes().all(|b| b.is_ascii_digit()));
+        let number: usize = number.and_then(|t| t.parse().ok()).ok_or(Malformed("bad length"))?;
+        if *kind == b'*' {
+            if number > MAX_ELEMENTS || seen + left + number > MAX_ELEMENTS {
+                return Err(Malformed("too many elements"));
+            }
+            left += number;
+            continue;
+        }
+        if number > MAX_VALUE {
+            return Err(Malformed("value too large"));
+        }
+        at += number + 2;
+        match bytes.get(at - 2..at) {
+            None => return Ok(None),
+            Some(b"\r\n") => {}
+            Some(_) => return Err(Malformed("bad end of value")),
+        }
+    }
+    Ok(Some(at))
+}
+
+/// A frame's bytes.
+pub fn encode(frame: &BytesFrame) -> Bytes {
+    let mut out = BytesMut::new();
+    // Fails only where the buffer is too small, which the call grows first.
+    let _ = encode::extend_encode(&mut out, frame, false);
+    out.freeze()
+}
+
+/// A command's bytes: an array of bulk strings.
+pub fn command(words: impl IntoIterator<Item = Bytes>) -> Bytes {
+    encode(&BytesFrame::Array(words.into_iter().map(BytesFrame::BulkString).collect()))
+}
+
+/// An error line's bytes; the text must hold no line end.
+pub fn error(text: &str) -> Bytes {
+    encode(&BytesFrame::Error(text.into()))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_frame_is_taken_only_whole_and_bad_ones_are_told_apart() {
+        let whole = b"*2\r\n$3\r\nGET\r\n$1\r\nk\r\n";
+        for cut in 0..whole.len() {
+            assert_eq!(take_frame(&mut BytesMut::from(&whole[..cut])), Ok(None), "{cut}");
+        }
+        let mut two = BytesMut::from(&[whole.as_slice(), b"+PONG\r\n"].concat()[..]);
+        let words = ["GET", "k"].map(|w| BytesFrame::BulkString(Bytes::from(w))).to_vec();
+        assert_eq!(take_frame(&mut two), Ok(Some(BytesFrame::Array(words))));
+        assert_eq!(take_frame(&mut two), Ok(Some(BytesFrame::SimpleString("PONG".into()))));
+        assert!(two.is_empty());
+        let nested = "*1\r\n".repeat(100_000); // Would exhaust the stack of a decoder that recurses.
+        for bad in [
+            "GET k\r\n",
+            "*x\r\n",
+            "*-2\r\n",
+            "$65537\r\n",
+            "$1\r\nkk\r\n",
+            "*99\r\n",
+            "$1\n",
+            nested.as_str(),
+        ] {
+            assert!(take_frame(&mut BytesMut::from(bad)).is_err(), "{:.20}", bad);
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 
 pub mod interface;
 mod policy;
+pub mod settings;
 mod state;
 
 pub use interface::*;
--- a/src/bin/brassrouter-drill/settings.rs
+++ b/src/settings.rs
@@ -1,11 +1,37 @@
-//! The settings text of the wire, read into the module's own [`Settings`].
+//! The settings text, read into the module's own [`Settings`] and into what a node round it needs besides. The
+//! adapter and the node share this reader, so that both decide by the same figures.
 
-use brassrouter::{Class, Effect, Group, LoadField, Micros, Settings, Tenant};
+use crate::interface::{Class, Effect, Group, LoadField, Micros, Settings, Tenant};
 use serde::Deserialize;
 
-/// What of the wire's settings the module acts on. Passed over on purpose: names, this balancer's zone, probes,
-/// retry-after, prices, the goal, idle closing and multiplexing, the drain grace (nothing is sent after a notice),
-/// the fall of the origin, ordered answers, and the grace to answer (answers come before the deadline).
+/// A deployment's settings: what the module acts on, and the names and limits that only a node on sockets needs.
+#[derive(Debug, Clone)]
+pub struct Site {
+    /// What the module acts on.
+    pub decisions: Settings,
+    /// Names of the classes, in the order of [`Settings::classes`].
+    pub classes: Vec<String>,
+    /// Names of the tenants, in the order of [`Settings::tenants`].
+    pub tenants: Vec<String>,
+    /// Names of the zones; a zone's number is its place.
+    pub zones: Vec<String>,
+    /// Names of the machine kinds; a kind's number is its place.
+    pub kinds: Vec<String>,
+    /// Names of the figures in load reports, in the order of [`Settings::load_fields`].
+    pub load_fields: Vec<String>,
+    /// Attempts carried together on one connection.
+    pub multiplex: usize,
+    /// A server closes a connection that has been idle for this long.
+    pub idle_close: Micros,
+    /// Requests that a node may have open.
+    pub max_open: usize,
+    /// The longest wait that a client honours.
+    pub max_retry_after: Micros,
+}
+
+/// What is read of the settings. Passed over on purpose: this balancer's zone, whether probes and retry-after are
+/// allowed, prices, the goal, the drain grace (nothing is sent after a notice), the fall of the origin, ordered
+/// answers, and the grace to answer (answers come before the deadline).
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase", default)]
 struct Wire {
@@ -20,11 +46,14 @@
     report: Report,
     weight_source: String,
     period_us: f64,
+    zones: Vec<String>,
+    machine_types: Vec<String>,
 }
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase", default)]
 struct WireClass {
+    name: String,
     goal_time_us: f64,
     deadline_us: f64,
     gain: f64,
@@ -39,6 +68,7 @@
 #[derive(Deserialize, Default)]
 #[serde(rename_all = "camelCase", default)]
 struct WireRealm {
+    name: String,
     quota_per_s: f64,
 }
 
@@ -57,6 +87,10 @@
     may_cancel: bool,
     peers: bool,
     connect_timeout_us: f64,
+    multiplex: f64,
+    idle_close_us: f64,
+    max_open: f64,
+    max_retry_after_us: f64,
 }
 
 #[derive(Deserialize)]
@@ -91,6 +125,8 @@
             report: Report::default(),
             weight_source: "silent".into(),
             period_us: base.tick as f64,
+            zones: Vec::new(),
+            machine_types: Vec::new(),
         }
     }
 }
@@ -99,6 +135,7 @@
     fn default() -> Self {
         let base = Class::default();
         WireClass {
+            name: String::new(),
             goal_time_us: base.aim as f64,
             deadline_us: base.deadline as f64,
             gain: base.worth,
@@ -126,6 +163,10 @@
             may_cancel: false,
             peers: false,
             connect_timeout_us: Settings::default().connect_timeout as f64,
+            multiplex: 1.0,
+            idle_close_us: 15e6,
+            max_open: 20_000.0,
+            max_retry_after_us: 1e6,
         }
     }
 }
@@ -145,7 +186,7 @@
 }
 
 /// Reads a settings text; the error is one plain line.
-pub fn read(text: &[u8]) -> Result<Settings, String> {
+pub fn read(text: &[u8]) -> Result<Site, String> {
     let wire: Wire = serde_json::from_slice(text).map_err(|e| format!("unreadable settings: {e}"))?;
     let mut classes = Vec::with_capacity(wire.classes.len());
     for c in &wire.classes {
@@ -153,7 +194,7 @@
     }
     let origin = (wire.specifics.mode == "aside").then(|| u16::try_from(wire.specifics.origin_kind).ok());
     let limits = wire.limits;
-    Ok(Settings {
+    let decisions = Settings {
         balancers: wire.balancers,
         me: wire.me,
         classes,
@@ -174,6 +215,18 @@
         fall_multiple: wire.guarantees.fall_multiple,
         fall_after: micros(wire.guarantees.tip_after_us),
         drain_close: wire.guarantees.drain_release_us.filter(|t| *t > 0.0).map(micros),
+    };
+    Ok(Site {
+        decisions,
+        classes: wire.classes.into_iter().map(|c| c.name).collect(),
+        tenants: wire.realms.into_iter().map(|r| r.name).collect(),
+        zones: wire.zones,
+        kinds: wire.machine_types,
+        load_fields: wire.report.fields,
+        multiplex: limits.multiplex.max(1.0) as usize,
+        idle_close: micros(limits.idle_close_us),
+        max_open: limits.max_open.max(1.0) as usize,
+        max_retry_after: micros(limits.max_retry_after_us),
     })
 }
 
