Refusals tell when to come back; loopback tests of the node

Seen: the module refused with no wait, so clients were answered a bare -BUSY. Tests: one answer each in order, no resend of a write after a reset, drain, hung and garbage-speaking servers, bad input and configuration, descriptors running out, SIGTERM, a silent agent.

--- a/src/bin/mothpier/main.rs
+++ b/src/bin/mothpier/main.rs
@@ -100,6 +100,7 @@
     let revision = config.known.as_ref().map(|l| l.revision);
     let listener = TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    let listener_address = listener.local_addr();
     let (phase, phases) = watch::channel(Phase::Open);
     let longest: Micros = site.decisions.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
     let bounds = (descriptors, config.memory / 2);
@@ -119,7 +120,8 @@
         sleep(WITHOUT_DISCOVERY).await;
         ready.set(true);
     });
-    log(format_args!("{} listens on {}", config.name, config.listen));
+    let listening = listener_address.map_err(|e| e.to_string())?;
+    log(format_args!("{} listens on {listening}", config.name));
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -322,7 +322,7 @@
     fn postpone(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let h = &self.held[&id];
         let aim = self.settings.classes[h.class].aim as f64;
-        let delay = (aim * (DELAY.0 + (DELAY.1 - DELAY.0) * self.rng.unit())) as Micros + 1;
+        let delay = (aim * self.rng.between(DELAY)) as Micros + 1;
         if self.now + delay >= self.useful_until(h) {
             return self.end(id, out);
         }
@@ -526,13 +526,13 @@
         }
     }
 
-    /// The one place of final answers: a refusal (no wait: it wastes work) where harmless, or else a failure.
+    /// The one place of final answers: where harmless a refusal, to come back after a delay, or else a failure.
     fn end(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(h) = self.held.get(&id) else { return };
-        out.push(match self.settings.classes[h.class].effect == Effect::Safe || h.may_have_run == 0 {
-            true => Action::Refuse { request: id, retry_after: 0 },
-            false => Action::Fail(id),
-        });
+        let class = &self.settings.classes[h.class];
+        let retry_after = (class.aim as f64 * self.rng.between(DELAY)) as Micros + 1;
+        let harmless = class.effect == Effect::Safe || h.may_have_run == 0;
+        out.push(if harmless { Action::Refuse { request: id, retry_after } } else { Action::Fail(id) });
         self.forget(id);
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -346,6 +346,11 @@
     pub fn unit(&mut self) -> f64 {
         self.0.rand_float()
     }
+
+    /// A number between two.
+    pub fn between(&mut self, (low, high): (f64, f64)) -> f64 {
+        low + (high - low) * self.unit()
+    }
 }
 
 impl Default for Random {
--- /dev/null
+++ b/tests/node.rs
@@ -0,0 +1,251 @@
+//! The node as a process, over loopback sockets: what would cost a request, an effect or the node itself.
+#![allow(missing_docs)]
+
+mod world;
+
+use std::io::Read;
+use std::net::TcpListener;
+use std::process::Stdio;
+use std::sync::Mutex;
+use std::sync::mpsc::channel;
+
+use world::*;
+
+/// Something asked of a server, given on to the test.
+fn report(to: std::sync::mpsc::Sender<Vec<String>>) -> impl Fn(&[String]) + Send + Sync {
+    let to = Mutex::new(to);
+    move |asked| to.lock().unwrap().send(asked.to_vec()).unwrap_or_default()
+}
+
+#[test]
+fn a_miss_is_fetched_and_the_command_goes_on_unchanged_but_for_the_wait() {
+    let (seen, commands) = channel();
+    let (called, calls) = channel();
+    let (seen, called) = (report(seen), report(called));
+    let server = serve(command, move |asked| {
+        seen(asked);
+        miss()
+    });
+    let origin = serve(call, move |asked| {
+        called(asked);
+        http("200 OK", "value")
+    });
+    let members = [member("s-1", server, "m", "ready"), member("o-1", origin, "origin", "ready")].join(",");
+    let node = Node::start("miss", &Discovery::start(&members));
+    let mut client = node.client();
+    assert_eq!(client.ask(&["CACHE.GET", "7f3a9c21e0b4d655", "9b1f", "c=read,t=acme,d=9000,x=y"]), "$value");
+    let asked = commands.recv_timeout(HUNG).unwrap();
+    assert_eq!(asked[..3], ["CACHE.GET", "7f3a9c21e0b4d655", "9b1f"]);
+    let (wait, rest) = asked[3].strip_prefix("c=read,t=acme,d=").unwrap().split_once(',').unwrap();
+    assert!((1..=9000).contains(&wait.parse::<u32>().unwrap()), "{wait}");
+    assert_eq!(rest, "x=y");
+    let fetch = calls.recv_timeout(HUNG).unwrap();
+    assert_eq!(fetch[0], "GET /7f3a9c21e0b4d655 HTTP/1.1");
+    assert!(fetch.contains(&"x-request-id: 9b1f".to_owned()), "{fetch:?}");
+    assert!(fetch.contains(&"x-extras: c=read,t=acme,d=9000,x=y".to_owned()), "{fetch:?}");
+    assert_eq!(client.ask(&["cache.set", "k1", "a2", "c=once,t=acme,k=77", "new"]), "$value");
+    let write = calls.recv_timeout(HUNG).unwrap();
+    assert_eq!((write[0].as_str(), write.last().unwrap().as_str()), ("PUT /k1 HTTP/1.1", "new"));
+    assert!(commands.try_recv().is_err(), "a write went to a cache server");
+}
+
+#[test]
+fn pipelined_commands_get_one_answer_each_in_their_order() {
+    let server = serve(command, |asked| array(&asked[2]));
+    let node = Node::start("pipeline", &Discovery::start(&member("s-1", server, "m", "ready")));
+    let mut client = node.client();
+    // So many at once as the module takes before it has seen the server answer.
+    for batch in 0..40 {
+        let mut all = String::new();
+        for i in batch * 4..batch * 4 + 4 {
+            let (key, id) = (format!("key{}", i % 7), format!("id{i}"));
+            let (k, i) = (key.len(), id.len());
+            all += &format!("*4\r\n$9\r\nCACHE.GET\r\n${k}\r\n{key}\r\n${i}\r\n{id}\r\n");
+            all += "$20\r\nc=read,t=acme,d=9000\r\n";
+        }
+        // Cut anywhere, as a network would.
+        all.as_bytes().chunks(97).for_each(|part| client.write(part));
+        for i in batch * 4..batch * 4 + 4 {
+            assert_eq!(client.answer(), format!("$id{i}"));
+        }
+    }
+    assert_eq!(client.ask(&["PING"]), "+PONG", "an answer too many");
+}
+
+#[test]
+fn a_write_is_not_sent_again_after_a_reset() {
+    let (called, calls) = channel();
+    let called = report(called);
+    let origin = serve(call, move |asked| {
+        called(asked);
+        if asked[0].starts_with("GET /warm") { http("200 OK", "v") } else { Reaction::Reset }
+    });
+    let server = serve(command, |_| miss());
+    let members = [member("s-1", server, "m", "ready"), member("o-1", origin, "origin", "ready")].join(",");
+    let node = Node::start("reset", &Discovery::start(&members));
+    let mut client = node.client();
+    // On a connection that was used before, too: there a library might take the reset for a stale one.
+    assert_eq!(client.ask(&["CACHE.GET", "warm", "r0", "c=read,t=acme,d=9000"]), "$v");
+    for id in ["w1", "w2"] {
+        assert_eq!(client.ask(&["CACHE.SET", "k", id, "c=once,t=acme,d=9000,k=5", "v"]), "-ERR failed");
+    }
+    let all: Vec<_> = calls.try_iter().map(|c| c[0].clone()).collect();
+    assert_eq!(all, ["GET /warm HTTP/1.1", "PUT /k HTTP/1.1", "PUT /k HTTP/1.1"]);
+}
+
+#[test]
+fn what_never_ran_is_refused_with_a_time_to_come_back() {
+    let origin = serve(call, |_| {
+        Reaction::Answer(b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n".to_vec())
+    });
+    let node = Node::start("refused", &Discovery::start(&member("o-1", origin, "origin", "ready")));
+    let answer = node.client().ask(&["CACHE.SET", "k", "w1", "c=once,t=acme,d=9000", "v"]);
+    let wait = answer.strip_prefix("-BUSY ").unwrap_or_else(|| panic!("{answer}"));
+    assert!((1..=600).contains(&wait.parse::<u32>().unwrap()), "{wait}");
+}
+
+#[test]
+fn a_server_told_to_drain_gets_nothing_new() {
+    let (drained, commands) = channel();
+    let drained = report(drained);
+    let one = serve(command, move |asked| {
+        drained(asked);
+        array("one")
+    });
+    let two = serve(command, |_| array("two"));
+    let members = |phase| [member("s-1", one, "m", phase), member("s-2", two, "m", "ready")].join(",");
+    let discovery = Discovery::start(&members("ready"));
+    let node = Node::start("drain", &discovery);
+    let mut client = node.client();
+    let mut ask =
+        |i: u32| client.ask(&["CACHE.GET", &format!("k{i}"), &format!("i{i}"), "c=read,t=acme,d=9000"]);
+    assert!((0..50).map(&mut ask).any(|a| a == "$one"), "no key belongs to the first server");
+    discovery.change(2, &members("draining"));
+    discovery.watched_after(2);
+    let before = commands.try_iter().count();
+    assert!(before > 0);
+    assert!((50..100).map(&mut ask).all(|a| a == "$two"));
+    assert_eq!(commands.try_iter().count(), 0);
+}
+
+#[test]
+fn an_attempt_given_up_does_not_break_others_and_a_hung_server_costs_a_refusal() {
+    let server =
+        serve(command, |asked| if asked[1] == "hung" { Reaction::Silence } else { array(&asked[2]) });
+    let node = Node::start("hung", &Discovery::start(&member("s-1", server, "m", "ready")));
+    let mut client = node.client();
+    client.send(&["CACHE.GET", "hung", "i1", "c=brief,t=acme,d=300"]);
+    let mut other = node.client();
+    assert_eq!(other.ask(&["CACHE.GET", "good", "i2", "c=read,t=acme,d=9000"]), "$i2");
+    assert!(client.answer().starts_with("-BUSY"));
+    assert_eq!(other.ask(&["CACHE.GET", "good", "i3", "c=read,t=acme,d=9000"]), "$i3");
+}
+
+#[test]
+fn garbage_from_a_server_ends_its_connection_only() {
+    let bad = serve(command, |_| Reaction::Answer(b"HTTP/1.1 400 what\r\n\r\n".to_vec()));
+    let node = Node::start("garbage", &Discovery::start(&member("s-1", bad, "m", "ready")));
+    let mut client = node.client();
+    for i in ["1", "2"] {
+        let answer = client.ask(&["CACHE.GET", "k", i, "c=brief,t=acme,d=300"]);
+        assert!(answer.starts_with('-'), "{answer}");
+    }
+    assert_eq!(client.ask(&["PING"]), "+PONG");
+}
+
+#[test]
+fn bad_input_is_answered_and_ends_at_most_its_connection() {
+    let node = Node::start("input", &Discovery::start(""));
+    let mut client = node.client();
+    for words in [
+        &["NO.SUCH", "k"][..],
+        &["CACHE.GET", "k", "i", "c=nothing,t=acme,d=9"],
+        &["CACHE.GET", "k", "i", "c=read,t=nobody,d=9"],
+        &["CACHE.GET", "k", "i", "c=read,t=acme,d=soon"],
+        &["CACHE.GET", "k", "i", "c=read,t=acme\r\nX: y"],
+        &["CACHE.GET", "k"],
+        &["CACHE.SET", "k", "i", "c=once,t=acme,d=9"],
+    ] {
+        assert!(client.ask(words).starts_with("-ERR"), "{words:?}");
+    }
+    assert_eq!(client.ask(&["ping"]), "+PONG");
+    for bytes in [
+        "GET / HTTP/1.1\r\n\r\n".to_owned(),
+        "*5\r\n$70000\r\n".into(),
+        "*1\r\n".repeat(1000),
+        "+OK\r\n".into(),
+    ] {
+        let mut client = node.client();
+        client.write(&bytes);
+        assert!(client.answer().starts_with("-ERR"), "{bytes:.20}");
+        assert_eq!(client.answer(), "end", "{bytes:.20}");
+    }
+    assert_eq!(node.client().ask(&["PING"]), "+PONG");
+}
+
+#[test]
+fn bad_configuration_is_one_plain_line() {
+    let nowhere = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let mut command = node_command("config", nowhere, 3, "");
+    let ended = command.stderr(Stdio::piped()).spawn().unwrap().wait_with_output().unwrap();
+    assert!(!ended.status.success());
+    assert_eq!(String::from_utf8_lossy(&ended.stderr).lines().count(), 1);
+    let ended = command.env("ROUTER_CONFIG", "/nowhere").spawn().unwrap().wait_with_output().unwrap();
+    assert!(!ended.status.success());
+    assert_eq!(String::from_utf8_lossy(&ended.stderr).lines().count(), 1);
+}
+
+#[test]
+fn idle_clients_give_way_at_the_limit_and_when_descriptors_run_out() {
+    for (name, sockets, before) in [("limit", 64, ""), ("emfile", 1024, "ulimit -n 40;")] {
+        let mut node = Node::start_with(name, &Discovery::start(""), sockets, before);
+        let mut clients: Vec<Client> = Vec::new();
+        for _ in 0..120 {
+            let mut client = node.client();
+            assert_eq!(client.ask(&["PING"]), "+PONG", "{name}: {} before it", clients.len());
+            clients.push(client);
+        }
+        assert_eq!(clients[0].answer(), "end", "{name}: the longest idle one is closed");
+        assert!(node.child.try_wait().unwrap().is_none());
+    }
+}
+
+#[test]
+fn sigterm_lets_it_finish_what_it_took() {
+    let (arrived, commands) = channel();
+    let (go, wait) = channel::<()>();
+    let (arrived, wait) = (report(arrived), Mutex::new(wait));
+    let server = serve(command, move |asked| {
+        arrived(asked);
+        let _ = wait.lock().unwrap().recv();
+        array("late")
+    });
+    let mut node = Node::start("sigterm", &Discovery::start(&member("s-1", server, "m", "ready")));
+    let (mut idle, mut client) = (node.client(), node.client());
+    assert_eq!(idle.ask(&["PING"]), "+PONG");
+    client.send(&["CACHE.GET", "k", "i1", "c=read,t=acme,d=9000"]);
+    commands.recv_timeout(HUNG).unwrap();
+    node.terminate();
+    // Clients go on coming for a while, and may use what they have.
+    assert_eq!(node.client().ask(&["PING"]), "+PONG");
+    assert_eq!(idle.answer(), "end", "closed between requests");
+    go.send(()).unwrap();
+    assert_eq!(client.answer(), "$late");
+    assert_eq!(client.answer(), "end");
+    assert!(node.ended().success());
+}
+
+#[test]
+fn a_silent_agent_does_not_hang_the_watch() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut child = node_command("silent", address, 1024, "").stderr(Stdio::null()).spawn().unwrap();
+    // The first connection stays open and silent: the node must come with another.
+    let (mut first, _) = listener.accept().unwrap();
+    let _second = listener.accept().unwrap();
+    let mut asked = Vec::new();
+    first.read_to_end(&mut asked).unwrap();
+    assert!(asked.starts_with(b"GET /api/targets"), "the first call was given up, and its connection closed");
+    child.kill().unwrap();
+    child.wait().unwrap();
+}
--- /dev/null
+++ b/tests/world/mod.rs
@@ -0,0 +1,262 @@
+//! What stands round a node under test: cache servers, an origin, discovery and clients, on loopback sockets.
+#![allow(dead_code, missing_docs)]
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::Duration;
+
+/// Only what has hung waits for so long; nothing is measured by it.
+pub const HUNG: Duration = Duration::from_secs(30);
+
+pub const SETTINGS: &str = r#"{"balancers":1,"me":0,"classes":[
+ {"name":"read","deadlineUs":20000000,"goalTimeUs":2000000,"lateValue":1.0,"gain":1.0,
+ "effect":"pure"},
+ {"name":"once","deadlineUs":20000000,"goalTimeUs":1000000,"gain":8.0,"effect":"side_effect"},
+ {"name":"brief","deadlineUs":400000,"goalTimeUs":400000,"gain":1.0,"effect":"pure"}],
+ "realms":[{"name":"acme","quotaPerS":1000}],"discovery":"push","zones":["a"],"machineTypes":["m","origin"],
+ "specifics":{"mode":"aside","originKind":1},"report":{"fields":["lat_ms","busy"]},
+ "limits":{"maxAttempts":3,"mayDuplicate":true,"mayCancel":true,"multiplex":32,"idleCloseUs":60000000,
+ "connectTimeoutUs":5000000,"maxOpen":1000,"maxRetryAfterUs":600000,"peers":true},
+ "guarantees":{"coldUs":10000000,"drainGraceUs":500000},"periodUs":1000}"#;
+
+/// What a server does with a command or call.
+pub enum Reaction {
+    Answer(Vec<u8>),
+    Reset,
+    Silence,
+}
+
+pub fn array(value: &str) -> Reaction {
+    Reaction::Answer(
+        format!("*3\r\n${}\r\n{value}\r\n$3\r\nhit\r\n$17\r\nlat_ms=5,busy=0.1\r\n", value.len())
+            .into_bytes(),
+    )
+}
+
+pub fn miss() -> Reaction {
+    Reaction::Answer(b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n".to_vec())
+}
+
+pub fn http(status: &str, body: &str) -> Reaction {
+    let length = body.len();
+    Reaction::Answer(format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\n\r\n{body}").into_bytes())
+}
+
+/// Reads a command; `None` at the end of the connection.
+pub fn command(from: &mut impl BufRead) -> Option<Vec<String>> {
+    let mut line = String::new();
+    from.read_line(&mut line).ok().filter(|n| *n > 0)?;
+    let count: usize = line.strip_prefix('*')?.trim_end().parse().ok()?;
+    (0..count).map(|_| bulk(from)).collect()
+}
+
+fn bulk(from: &mut impl BufRead) -> Option<String> {
+    let mut line = String::new();
+    from.read_line(&mut line).ok().filter(|n| *n > 0)?;
+    let length: usize = line.strip_prefix('$')?.trim_end().parse().ok()?;
+    let mut bytes = vec![0; length + 2];
+    from.read_exact(&mut bytes).ok()?;
+    bytes.truncate(length);
+    String::from_utf8(bytes).ok()
+}
+
+/// Reads an HTTP request: its first line, its headers as they came, and its body.
+pub fn call(from: &mut impl BufRead) -> Option<Vec<String>> {
+    let (mut lines, mut length) = (Vec::new(), 0);
+    loop {
+        let mut line = String::new();
+        from.read_line(&mut line).ok().filter(|n| *n > 0)?;
+        let line = line.trim_end().to_owned();
+        if line.is_empty() {
+            break;
+        }
+        if let Some(n) = line.to_ascii_lowercase().strip_prefix("content-length:") {
+            length = n.trim().parse().ok()?;
+        }
+        lines.push(line);
+    }
+    let mut body = vec![0; length];
+    from.read_exact(&mut body).ok()?;
+    lines.push(String::from_utf8(body).ok()?);
+    Some(lines)
+}
+
+type Reader = fn(&mut BufReader<TcpStream>) -> Option<Vec<String>>;
+
+/// A server: each thing asked is given to `react`, whose answer goes back. Returns where it listens.
+pub fn serve(read: Reader, react: impl Fn(&[String]) -> Reaction + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let react = Arc::new(react);
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let react = react.clone();
+            thread::spawn(move || {
+                let mut reader = BufReader::new(stream.try_clone().unwrap());
+                let mut stream = stream;
+                while let Some(asked) = read(&mut reader) {
+                    match react(&asked) {
+                        Reaction::Answer(bytes) if stream.write_all(&bytes).is_ok() => {}
+                        Reaction::Silence => {}
+                        _ => return,
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+/// A list of servers that can be changed, and word of the calls that the node makes for it.
+pub struct Discovery {
+    pub address: SocketAddr,
+    state: Arc<(Mutex<(u64, String)>, Condvar)>,
+    calls: Receiver<String>,
+}
+
+impl Discovery {
+    pub fn start(members: &str) -> Self {
+        let state = Arc::new((Mutex::new((1, members.to_owned())), Condvar::new()));
+        let (told, calls) = channel();
+        let (held, told) = (state.clone(), Mutex::new(told));
+        let address = serve(call, move |asked| {
+            let told: Sender<String> = told.lock().unwrap().clone();
+            let _ = told.send(asked[0].clone());
+            let after =
+                asked[0].split("after=").nth(1).and_then(|a| a.split('&').next()).map(|a| a.parse().unwrap());
+            let (lock, changed) = &*held;
+            let mut list = lock.lock().unwrap();
+            // A watch waits for something newer; it does not mind how long.
+            while after.is_some_and(|after: u64| after >= list.0) {
+                list = changed.wait(list).unwrap();
+            }
+            http("200 OK", &format!(r#"{{"revision":{},"complete":true,"members":[{}]}}"#, list.0, list.1))
+        });
+        Discovery { address, state, calls }
+    }
+
+    /// Waits until the node watches for what comes after a revision: it has taken in that revision then.
+    pub fn watched_after(&self, revision: u64) {
+        let wanted = format!("after={revision}&");
+        while !self.calls.recv_timeout(HUNG).expect("no call to discovery").contains(&wanted) {}
+    }
+
+    pub fn change(&self, revision: u64, members: &str) {
+        *self.state.0.lock().unwrap() = (revision, members.to_owned());
+        self.state.1.notify_all();
+    }
+}
+
+pub fn member(id: &str, address: SocketAddr, kind: &str, phase: &str) -> String {
+    format!(
+        r#"{{"id":"{id}","host_port":"{address}","locality":"a","flavor":"{kind}","cell":0,"phase":"{phase}",
+        "size":1.0,"up_since_ms":0}}"#
+    )
+}
+
+/// A node under test; killed at the end of the test.
+pub struct Node {
+    pub child: Child,
+    pub address: SocketAddr,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A configuration file in the folder that Cargo keeps for tests, and a command that starts a node with it.
+pub fn node_command(name: &str, discovery: SocketAddr, sockets: usize, before: &str) -> Command {
+    let path = format!("{}/{name}.json", env!("CARGO_TARGET_TMPDIR"));
+    let config = format!(
+        r#"{{"name":"{name}","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"settings":{SETTINGS}}}"#
+    );
+    std::fs::write(&path, config).unwrap();
+    let mut command = Command::new("/bin/sh");
+    command.arg("-c").arg(format!("{before} exec \"$0\"")).arg(env!("CARGO_BIN_EXE_mothpier"));
+    command.env("ROUTER_CONFIG", path).env_remove("ROUTER_LISTEN").env_remove("ROUTER_DISCOVERY");
+    command
+}
+
+impl Node {
+    pub fn start(name: &str, discovery: &Discovery) -> Self {
+        Node::start_with(name, discovery, 1024, "")
+    }
+
+    /// Starts a node and waits until it holds the first list.
+    pub fn start_with(name: &str, discovery: &Discovery, sockets: usize, before: &str) -> Self {
+        let mut command = node_command(name, discovery.address, sockets, before);
+        let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let address = loop {
+            let mut line = String::new();
+            assert!(log.read_line(&mut line).unwrap() > 0, "the node ended at its start");
+            if let Some((_, address)) = line.trim_end().split_once(" listens on ") {
+                break address.parse().unwrap();
+            }
+        };
+        thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+        discovery.watched_after(1);
+        Node { child, address }
+    }
+
+    pub fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    }
+
+    pub fn ended(&mut self) -> ExitStatus {
+        self.child.wait().unwrap()
+    }
+
+    pub fn client(&self) -> Client {
+        let stream = TcpStream::connect(self.address).unwrap();
+        stream.set_read_timeout(Some(HUNG)).unwrap();
+        Client(BufReader::new(stream))
+    }
+}
+
+pub struct Client(BufReader<TcpStream>);
+
+impl Client {
+    pub fn write(&mut self, bytes: impl AsRef<[u8]>) {
+        self.0.get_mut().write_all(bytes.as_ref()).unwrap();
+    }
+
+    pub fn send(&mut self, words: &[&str]) {
+        let mut bytes = format!("*{}\r\n", words.len());
+        words.iter().for_each(|w| bytes += &format!("${}\r\n{w}\r\n", w.len()));
+        self.write(bytes);
+    }
+
+    /// The next answer: an error or simple line, or a bulk string behind `$`; `end` at the end.
+    pub fn answer(&mut self) -> String {
+        let mut line = String::new();
+        match self.0.read_line(&mut line) {
+            Ok(0) => return "end".into(),
+            Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => return "end".into(),
+            other => other.unwrap(),
+        };
+        let line = line.trim_end().to_owned();
+        match line.strip_prefix('$').map(|n| n.parse::<usize>()) {
+            Some(Ok(length)) => {
+                let mut value = vec![0; length + 2];
+                self.0.read_exact(&mut value).unwrap();
+                format!("${}", String::from_utf8_lossy(&value[..length]))
+            }
+            _ => line,
+        }
+    }
+
+    pub fn ask(&mut self, words: &[&str]) -> String {
+        self.send(words);
+        self.answer()
+    }
+}
