Clients that never end a command give way at the limit

A client's d is cut to its class's deadline, so that what is kept for a request ends with it. Tests of peers added.

--- a/src/bin/mothpier/clients.rs
+++ b/src/bin/mothpier/clients.rs
@@ -100,8 +100,10 @@
 }
 
 struct Entry {
-    /// Since when it has had nothing to do; `None` while it has.
+    /// Since when nothing is owed to it; `None` while something is.
     idle: Option<Instant>,
+    /// It has sent a part of a command.
+    partial: bool,
     evict: Rc<Notify>,
 }
 
@@ -178,9 +180,10 @@
         }
     }
 
+    /// Those that sent half a command give way too, or clients that never end one would keep all others out.
     fn evict(&self) {
         let open = self.open.borrow();
-        let longest = open.values().filter(|e| e.idle.is_some()).min_by_key(|e| e.idle);
+        let longest = open.values().filter(|e| e.idle.is_some()).min_by_key(|e| (e.partial, e.idle));
         if let Some(entry) = longest {
             entry.evict.notify_one();
         }
@@ -188,7 +191,7 @@
 
     fn start(self: Rc<Self>, stream: TcpStream, number: u64) {
         let evict = Rc::new(Notify::new());
-        let entry = Entry { idle: Some(Instant::now()), evict: evict.clone() };
+        let entry = Entry { idle: Some(Instant::now()), partial: false, evict: evict.clone() };
         self.open.borrow_mut().insert(number, entry);
         tokio::task::spawn_local(async move {
             let _ = stream.set_nodelay(true);
@@ -237,8 +240,9 @@
             _ if self.site.tenants.is_empty() => Some(0),
             tenant => tenant.and_then(|t| self.site.tenants.iter().position(|n| n == t)),
         };
+        // No longer than the class allows: what is kept for a request must not stay for as long as anyone says.
         let deadline = self.site.decisions.classes[class].deadline;
-        let time_left = figure("d")?.map_or(deadline, |ms| (ms * 1000.0).min(600e6) as Micros);
+        let time_left = figure("d")?.map_or(deadline, |ms| ((ms * 1000.0) as Micros).min(deadline));
         let request = Request {
             id: self.next_request.replace(self.next_request.get() + 1),
             class,
@@ -301,17 +305,18 @@
                     }
                 }
             }
-            let between = self.pending.is_empty() && buffer.is_empty();
-            if let Some(entry) = clients.open.borrow_mut().get_mut(&self.number)
-                && between != entry.idle.is_some()
-            {
-                entry.idle = between.then(Instant::now);
+            let idle = self.pending.is_empty();
+            if let Some(entry) = clients.open.borrow_mut().get_mut(&self.number) {
+                entry.partial = !buffer.is_empty();
+                if idle != entry.idle.is_some() {
+                    entry.idle = idle.then(Instant::now);
+                }
             }
             if self.ended && self.pending.is_empty() {
                 return;
             }
             let closing = *phase.borrow_and_update() == Phase::Closing;
-            if closing && between {
+            if closing && idle && buffer.is_empty() {
                 return;
             }
             let may_read = !self.ended && self.pending.len() < MAX_PIPELINE && buffer.len() < MAX_BUFFER;
@@ -329,7 +334,7 @@
                     Ok(0) | Err(_) => return,
                     Ok(_) => came = (clients.now)(),
                 },
-                () = evict.notified(), if between => return,
+                () = evict.notified(), if idle => return,
                 _ = phase.changed(), if !closing => {}
             }
         }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -4,7 +4,7 @@
 mod world;
 
 use std::io::Read;
-use std::net::TcpListener;
+use std::net::{TcpListener, UdpSocket};
 use std::process::Stdio;
 use std::sync::Mutex;
 use std::sync::mpsc::channel;
@@ -249,3 +249,42 @@
     child.kill().unwrap();
     child.wait().unwrap();
 }
+
+#[test]
+fn clients_that_never_end_a_command_do_not_keep_others_out() {
+    let node = Node::start_with("partial", &Discovery::start(""), 64, "");
+    let mut held = Vec::new();
+    for _ in 0..60 {
+        let mut client = node.client();
+        client.write("*4\r\n$9\r\nCACHE");
+        held.push(client);
+    }
+    assert_eq!(node.client().ask(&["PING"]), "+PONG");
+    assert_eq!(held[0].answer(), "end");
+}
+
+#[test]
+fn peers_are_told_and_garbage_from_them_is_harmless() {
+    let peer = UdpSocket::bind("127.0.0.1:0").unwrap();
+    peer.set_read_timeout(Some(HUNG)).unwrap();
+    let discovery = Discovery::start("");
+    let mut command = node_command("peers", discovery.address, 1024, "");
+    let text = config("peers", discovery.address, 1024).replace("\"balancers\":1", "\"balancers\":2");
+    let own =
+        format!(r#""peer_listen":"127.0.0.1:0","peers":["127.0.0.1:1","{}"],"#, peer.local_addr().unwrap());
+    let path = format!("{}/peers.json", env!("CARGO_TARGET_TMPDIR"));
+    std::fs::write(path, text.replacen('{', &format!("{{{own}"), 1)).unwrap();
+    command.stdin(Stdio::null());
+    let node = Node::run(command, &discovery);
+    let mut message = [0; 2000];
+    let (length, sender) = peer.recv_from(&mut message).unwrap();
+    assert!((1..=256).contains(&length), "{length}");
+    let stranger = UdpSocket::bind("127.0.0.1:0").unwrap();
+    for bytes in [&[0xff; 1][..], &[0xff; 255], &[0xff; 2000], &[]] {
+        peer.send_to(bytes, sender).unwrap();
+        stranger.send_to(bytes, sender).unwrap();
+    }
+    // It goes on to speak, and to serve.
+    peer.recv_from(&mut message).unwrap();
+    assert_eq!(node.client().ask(&["PING"]), "+PONG");
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -171,14 +171,17 @@
     }
 }
 
+pub fn config(name: &str, discovery: SocketAddr, sockets: usize) -> String {
+    format!(
+        r#"{{"name":"{name}","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"settings":{SETTINGS}}}"#
+    )
+}
+
 /// A configuration file in the folder that Cargo keeps for tests, and a command that starts a node with it.
 pub fn node_command(name: &str, discovery: SocketAddr, sockets: usize, before: &str) -> Command {
     let path = format!("{}/{name}.json", env!("CARGO_TARGET_TMPDIR"));
-    let config = format!(
-        r#"{{"name":"{name}","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
-        "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"settings":{SETTINGS}}}"#
-    );
-    std::fs::write(&path, config).unwrap();
+    std::fs::write(&path, config(name, discovery, sockets)).unwrap();
     let mut command = Command::new("/bin/sh");
     command.arg("-c").arg(format!("{before} exec \"$0\"")).arg(env!("CARGO_BIN_EXE_mothpier"));
     command.env("ROUTER_CONFIG", path).env_remove("ROUTER_LISTEN").env_remove("ROUTER_DISCOVERY");
@@ -192,7 +195,10 @@
 
     /// Starts a node and waits until it holds the first list.
     pub fn start_with(name: &str, discovery: &Discovery, sockets: usize, before: &str) -> Self {
-        let mut command = node_command(name, discovery.address, sockets, before);
+        Node::run(node_command(name, discovery.address, sockets, before), discovery)
+    }
+
+    pub fn run(mut command: Command, discovery: &Discovery) -> Self {
         let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let address = loop {
