Connections to the origin keep to their part of the descriptors

A permit now goes with each connection. Keys go into the path as they are where a path segment can hold them: encoded dashes and dots would reach an origin that does not decode.

--- a/src/bin/mothpier/main.rs
+++ b/src/bin/mothpier/main.rs
@@ -92,7 +92,7 @@
     let ready = Rc::new(Cell::new(false));
     let parts = Parts {
         servers: servers::Servers::new(limits, events.clone()),
-        origins: origin::Origins::new(idle_close, connect_timeout, events.clone()),
+        origins: origin::Origins::new(idle_close, connect_timeout, descriptors / 4, events.clone()),
         peers,
         wanted,
         ready: ready.clone(),
--- a/src/bin/mothpier/origin.rs
+++ b/src/bin/mothpier/origin.rs
@@ -4,14 +4,15 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use brassrouter::{ServerId, Status};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request};
-use percent_encoding::{NON_ALPHANUMERIC, percent_encode};
-use tokio::sync::mpsc;
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, percent_encode};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
@@ -22,8 +23,25 @@
 
 /// A connection idle for this part of the time after which it is closed is not used again.
 const FRESH: f64 = 0.7;
-/// Idle connections kept to one origin.
-const KEPT: usize = 20;
+/// What of a key stands in a path as something else: all that a path segment can't hold as it is.
+const ENCODED: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'-')
+    .remove(b'.')
+    .remove(b'_')
+    .remove(b'~')
+    .remove(b':')
+    .remove(b'@')
+    .remove(b'!')
+    .remove(b'$')
+    .remove(b'&')
+    .remove(b'\'')
+    .remove(b'(')
+    .remove(b')')
+    .remove(b'*')
+    .remove(b'+')
+    .remove(b',')
+    .remove(b';')
+    .remove(b'=');
 
 /// How a call ended.
 pub struct Ended {
@@ -56,20 +74,32 @@
 struct Pool {
     address: Option<SocketAddr>,
     ready: Cell<bool>,
-    idle: RefCell<Vec<(Connection, Instant)>>,
+    idle: RefCell<Vec<Idle>>,
 }
 
+/// A connection with its part of the descriptors, and since when it has been idle.
+struct Idle(Connection, OwnedSemaphorePermit, Instant);
+
 /// The origins of the list.
 pub struct Origins {
     pools: HashMap<ServerId, Rc<Pool>>,
     idle_close: Duration,
     connect_timeout: Duration,
+    /// Connections that may be open to all together.
+    descriptors: Arc<Semaphore>,
     events: mpsc::Sender<Input>,
 }
 
 impl Origins {
-    pub fn new(idle_close: Duration, connect_timeout: Duration, events: mpsc::Sender<Input>) -> Self {
-        Origins { pools: HashMap::new(), idle_close: idle_close.mul_f64(FRESH), connect_timeout, events }
+    pub fn new(
+        idle_close: Duration,
+        connect_timeout: Duration,
+        descriptors: usize,
+        events: mpsc::Sender<Input>,
+    ) -> Self {
+        let descriptors = Arc::new(Semaphore::new(descriptors.max(1)));
+        let idle_close = idle_close.mul_f64(FRESH);
+        Origins { pools: HashMap::new(), idle_close, connect_timeout, descriptors, events }
     }
 
     /// Takes a line of the list.
@@ -87,7 +117,11 @@
 
     /// Origins that the whole list no longer names.
     pub fn unlisted(&mut self, named: &dyn Fn(ServerId) -> bool) {
-        self.pools.iter().filter(|(id, _)| !named(**id)).for_each(|(_, p)| p.ready.set(false));
+        self.pools.retain(|id, pool| {
+            // A call that is under way holds its pool: it must find that nothing new is wanted.
+            pool.ready.set(pool.ready.get() && named(*id));
+            named(*id)
+        });
     }
 
     /// Calls the origin for a command; its end comes as an event.
@@ -97,7 +131,7 @@
         let method = if command.write { Method::PUT } else { Method::GET };
         let request = Request::builder()
             .method(method)
-            .uri(format!("/{}", percent_encode(&command.key, NON_ALPHANUMERIC)))
+            .uri(format!("/{}", percent_encode(&command.key, ENCODED)))
             .header("Host", address.to_string())
             .header("X-Request-Id", command.id.as_ref())
             .header("X-Extras", command.extras.as_ref())
@@ -124,9 +158,9 @@
     ) -> Call {
         let written = Rc::new(Cell::new(false));
         let (begun, events) = (written.clone(), self.events.clone());
-        let (fresh, within) = (self.idle_close, self.connect_timeout);
+        let (fresh, within, descriptors) = (self.idle_close, self.connect_timeout, self.descriptors.clone());
         let task = tokio::task::spawn_local(async move {
-            let ended = exchange(&pool, address, request, fresh, within, &begun).await;
+            let ended = exchange(&pool, address, request, (fresh, within), descriptors, &begun).await;
             let _ = events.send(Input::Origin { attempt, ended }).await;
         });
         Call { written, task: task.abort_handle() }
@@ -144,21 +178,22 @@
     pool: &Pool,
     address: SocketAddr,
     request: Request<Full<Bytes>>,
-    fresh: Duration,
-    within: Duration,
+    (fresh, within): (Duration, Duration),
+    descriptors: Arc<Semaphore>,
     begun: &Cell<bool>,
 ) -> Ended {
     let idle = {
         let mut idle = pool.idle.borrow_mut();
-        idle.retain(|(c, since)| c.sender.is_ready() && since.elapsed() < fresh);
+        idle.retain(|Idle(c, _, since)| c.sender.is_ready() && since.elapsed() < fresh);
         idle.pop()
     };
-    let mut connection = match idle {
-        Some((connection, _)) => connection,
-        None => match http::connect(address, within).await {
-            Ok(connection) => connection,
+    let (mut connection, permit) = match (idle, descriptors.try_acquire_owned()) {
+        (Some(Idle(connection, permit, _)), _) => (connection, permit),
+        (None, Ok(permit)) => match http::connect(address, within).await {
+            Ok(connection) => (connection, permit),
             Err(_) => return Ended::with(Status::ConnectFailed),
         },
+        (None, Err(_)) => return Ended::with(Status::ConnectFailed),
     };
     // It may have begun to drain while the connection was made: nothing new goes there then.
     if !pool.ready.get() {
@@ -183,9 +218,6 @@
     let Ok(value) = http::body(response.into_body(), MAX_VALUE).await else {
         return Ended::with(Status::Reset);
     };
-    let mut idle = pool.idle.borrow_mut();
-    if idle.len() < KEPT {
-        idle.push((connection, Instant::now()));
-    }
+    pool.idle.borrow_mut().push(Idle(connection, permit, Instant::now()));
     Ended { status, value, load }
 }
