--- a/src/bin/mothpier/discovery.rs
+++ b/src/bin/mothpier/discovery.rs
@@ -137,7 +137,10 @@
     mut wanted: watch::Receiver<Wanted>,
     events: mpsc::Sender<Input>,
 ) {
-    let (mut connection, mut revision, mut calls, mut first) = (None, known, 0, true);
+    let (mut connection, mut revision, mut calls, mut failing) = (None, known, 0, false);
+    // What was held at the start may be old. An agent gives the whole list at no cost; where discovery is one
+    // service for all, only what changed since is asked for.
+    let mut first = wanted.borrow().watch;
     loop {
         let now = *wanted.borrow_and_update();
         if !now.watch && now.calls == calls {
@@ -146,27 +149,28 @@
             }
             continue;
         }
-        // What was held at the start may be old: the first call asks for the whole.
         let whole = first || !now.watch;
         calls = now.calls;
         let heard = match call(&mut connection, address, revision.filter(|_| !whole)).await {
             Ok(list) => {
-                first = false;
+                (first, failing) = (false, false);
                 revision = Some(list.revision);
                 Heard::List(list)
             }
             Err(e) => {
                 // A silent or broken agent must not hang the watch: begin again on a new connection.
                 connection = None;
-                log(format_args!("discovery: {e}"));
+                if !failing {
+                    log(format_args!("discovery: {e}; trying again until it answers"));
+                }
+                failing = true;
                 Heard::Failed
             }
         };
-        let failed = matches!(heard, Heard::Failed);
         if events.send(Input::Discovery(heard)).await.is_err() {
             return;
         }
-        if failed {
+        if failing {
             sleep(PAUSE).await;
         }
     }
