--- a/src/bin/mothpier/servers.rs
+++ b/src/bin/mothpier/servers.rs
@@ -153,14 +153,16 @@
     pub fn unlisted(&mut self, named: &dyn Fn(ServerId) -> bool) -> Vec<AttemptId> {
         let gone: Vec<ServerId> =
             self.pools.iter().filter(|(id, p)| p.ready && !named(**id)).map(|(id, _)| *id).collect();
-        gone.into_iter().flat_map(|id| self.listed(id, None, false)).collect()
+        let unsent = gone.into_iter().flat_map(|id| self.listed(id, None, false)).collect();
+        self.pools.retain(|_, pool| pool.ready || !pool.connections.is_empty());
+        unsent
     }
 
     /// Sends an attempt on an idle connection, or a new one within this node's part, or behind others on the
     /// one with the fewest. `false` where there is none: it was not written.
     pub fn send(&mut self, server: ServerId, attempt: AttemptId, command: Bytes) -> bool {
         let all: usize = self.pools.values().map(|p| p.connections.len()).sum();
-        let known = self.pools.len().max(1);
+        let known = self.pools.values().filter(|p| p.ready).count().max(1);
         let Some(pool) = self.pools.get_mut(&server).filter(|p| p.ready) else { return false };
         let fresh = self.limits.idle_close.mul_f64(FRESH);
         pool.connections.retain(|c| {
@@ -369,3 +371,39 @@
     tokio::select! { biased; () = reader => {}, () = writer => {} }
     false
 }
+
+#[cfg(test)]
+mod tests {
+    use std::io::Read;
+
+    use super::*;
+
+    /// A rule of drains: what still waits for its connection when the notice comes is never written.
+    #[test]
+    fn what_waits_for_a_connection_is_not_sent_after_the_notice_of_a_drain() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let (events, mut inputs) = mpsc::channel(8);
+            let limits = Limits {
+                balancers: 1,
+                multiplex: 32,
+                idle_close: Duration::from_secs(60),
+                connect_timeout: Duration::from_secs(30),
+                descriptors: 8,
+            };
+            let mut servers = Servers::new(limits, events);
+            assert!(servers.listed(7, Some(address), true).is_empty());
+            assert!(servers.send(7, 1, resp::command(["PING".into()])));
+            assert!(matches!(inputs.recv().await, Some(Input::Server { event: Event::Up, .. })));
+            // Up, but the node has not been told yet: the attempt still waits.
+            assert_eq!(servers.listed(7, Some(address), false), [1]);
+            assert!(!servers.send(7, 2, resp::command(["PING".into()])), "taken for a server that drains");
+            assert!(servers.event(7, 1, Event::Up).is_empty());
+        });
+        let mut written = Vec::new();
+        listener.accept().unwrap().0.read_to_end(&mut written).unwrap();
+        assert_eq!(written, b"");
+    }
+}
