A client that has only just come is not the one that gives way at the limit

At fault: evict in clients.rs, which closed the newest connection, since only that one had sent nothing yet. Now the one that rested longest goes, and none that was heard within 20 ms.

--- a/src/bin/mothpier/clients.rs
+++ b/src/bin/mothpier/clients.rs
@@ -28,7 +28,7 @@
 const MAX_BUFFER: usize = 2 * MAX_VALUE;
 /// A client that takes none of its answer for this long is cut off.
 const SLOW_READER: Duration = Duration::from_secs(10);
-/// Between tries to accept while there are no descriptors.
+/// Between tries to accept while there is no room; a connection has rested when it was idle for so long.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// When a request that finds the node's memory full may come back, milliseconds.
 const FULL_RETRY_MS: u64 = 100;
@@ -100,10 +100,8 @@
 }
 
 struct Entry {
-    /// Since when nothing is owed to it; `None` while something is.
+    /// When it last sent something or was answered; `None` while an answer is owed to it.
     idle: Option<Instant>,
-    /// It has sent a part of a command.
-    partial: bool,
     evict: Rc<Notify>,
 }
 
@@ -150,6 +148,7 @@
                 self.evict();
                 tokio::select! {
                     () = self.closed.notified() => {}
+                    () = sleep(ACCEPT_PAUSE) => {}
                     _ = phase.wait_for(|p| *p == Phase::Closing) => return,
                 }
                 continue;
@@ -180,10 +179,12 @@
         }
     }
 
-    /// Those that sent half a command give way too, or clients that never end one would keep all others out.
+    /// Those that sent half a command give way too, or clients that never end one would keep all others out;
+    /// not one that has only just come: where all others are busy it would go before it could ask.
     fn evict(&self) {
         let open = self.open.borrow();
-        let longest = open.values().filter(|e| e.idle.is_some()).min_by_key(|e| (e.partial, e.idle));
+        let rests = |e: &&Entry| e.idle.is_some_and(|since| since.elapsed() >= ACCEPT_PAUSE);
+        let longest = open.values().filter(rests).min_by_key(|e| e.idle);
         if let Some(entry) = longest {
             entry.evict.notify_one();
         }
@@ -191,7 +192,7 @@
 
     fn start(self: Rc<Self>, stream: TcpStream, number: u64) {
         let evict = Rc::new(Notify::new());
-        let entry = Entry { idle: Some(Instant::now()), partial: false, evict: evict.clone() };
+        let entry = Entry { idle: Some(Instant::now()), evict: evict.clone() };
         self.open.borrow_mut().insert(number, entry);
         tokio::task::spawn_local(async move {
             let _ = stream.set_nodelay(true);
@@ -305,12 +306,10 @@
                     }
                 }
             }
+            // Something was sent, answered, or begins to wait: each time round here.
             let idle = self.pending.is_empty();
             if let Some(entry) = clients.open.borrow_mut().get_mut(&self.number) {
-                entry.partial = !buffer.is_empty();
-                if idle != entry.idle.is_some() {
-                    entry.idle = idle.then(Instant::now);
-                }
+                entry.idle = idle.then(Instant::now);
             }
             if self.ended && self.pending.is_empty() {
                 return;
