A close that has come in is read before anything is written

Found by reading: on one thread a request could be written to a connection whose end lay unread in the kernel, and end as a reset; a write that must not run twice would have failed for nothing. The writer goes once round the runtime first (servers.rs, origin.rs). Test: an origin that closes after each answer, 20 writes, each served.

--- a/src/bin/mothpier/origin.rs
+++ b/src/bin/mothpier/origin.rs
@@ -182,6 +182,9 @@
     descriptors: Arc<Semaphore>,
     begun: &Cell<bool>,
 ) -> Ended {
+    // Once round the runtime: a close that has come in is noticed before a connection is chosen, or a write that
+    // must not run twice would be lost on it.
+    tokio::task::yield_now().await;
     let idle = {
         let mut idle = pool.idle.borrow_mut();
         idle.retain(|Idle(c, _, since)| c.sender.is_ready() && since.elapsed() < fresh);
--- a/src/bin/mothpier/servers.rs
+++ b/src/bin/mothpier/servers.rs
@@ -352,11 +352,13 @@
     };
     let writer = async {
         loop {
-            let next = shared.line.borrow_mut().unsent.pop_front();
-            let Some((attempt, command)) = next else {
+            if shared.line.borrow().unsent.is_empty() {
                 shared.wake.notified().await;
-                continue;
-            };
+            }
+            // Once round the runtime: a close that has come in is read before anything more is written.
+            tokio::task::yield_now().await;
+            let next = shared.line.borrow_mut().unsent.pop_front();
+            let Some((attempt, command)) = next else { continue };
             shared.line.borrow_mut().writing = Some(attempt);
             if writing.write_all(&command).await.is_err() {
                 return;
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -288,3 +288,20 @@
     peer.recv_from(&mut message).unwrap();
     assert_eq!(node.client().ask(&["PING"]), "+PONG");
 }
+
+#[test]
+fn a_connection_that_the_origin_has_closed_is_not_used_again() {
+    let (closed, ended) = channel();
+    let closed = Mutex::new(closed);
+    let origin = serve(call, move |_| {
+        let Reaction::Answer(bytes) = http("200 OK", "done") else { unreachable!() };
+        Reaction::AnswerAndClose(bytes, Mutex::new(closed.lock().unwrap().clone()))
+    });
+    let node = Node::start("closed", &Discovery::start(&member("o-1", origin, "origin", "ready")));
+    let mut client = node.client();
+    for i in 0..20 {
+        let id = format!("w{i}");
+        assert_eq!(client.ask(&["CACHE.SET", "k", &id, "c=once,t=acme,d=9000,k=5", "v"]), "$done", "{id}");
+        ended.recv_timeout(HUNG).unwrap();
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -26,6 +26,8 @@
 /// What a server does with a command or call.
 pub enum Reaction {
     Answer(Vec<u8>),
+    /// Answers, closes, and only then tells the test.
+    AnswerAndClose(Vec<u8>, Mutex<Sender<()>>),
     Reset,
     Silence,
 }
@@ -102,6 +104,12 @@
                     match react(&asked) {
                         Reaction::Answer(bytes) if stream.write_all(&bytes).is_ok() => {}
                         Reaction::Silence => {}
+                        Reaction::AnswerAndClose(bytes, closed) => {
+                            stream.write_all(&bytes).unwrap();
+                            stream.shutdown(std::net::Shutdown::Both).unwrap();
+                            let _ = closed.lock().unwrap().send(());
+                            return;
+                        }
                         _ => return,
                     }
                 }
