--- a/src/policy.rs
+++ b/src/policy.rs
@@ -526,7 +526,7 @@
         }
     }
 
-    /// The one place of final answers: where harmless a refusal, to come back after a delay, or else a failure.
+    /// The one place of final answers: where harmless a refusal, to come back after a delay, else a failure.
     fn end(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(h) = self.held.get(&id) else { return };
         let class = &self.settings.classes[h.class];
