SIGHUP takes the configuration anew and goes over to the discovery that it names

At fault: main.rs knew SIGTERM and SIGINT only, and discovery::run held its address for good.

Now main.rs reads the file again on SIGHUP, where the file's discovery wins over the environment; what can't be read is one line of the log and changes nothing. discovery.rs leaves the old address at once, also in the middle of a watch, and asks the new one for the whole list, for its revisions may begin anew.

Test: good files and a bad one, twice in a row, with an agent that is left in mid-watch; it fails on the old code, which ends.

--- a/src/bin/mothpier/config.rs
+++ b/src/bin/mothpier/config.rs
@@ -57,8 +57,17 @@
     }
 }
 
+/// What has the last word on the address of discovery.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Precedence {
+    /// At the start: the environment.
+    Environment,
+    /// At a reload: the file, since a process can't be given a new environment.
+    File,
+}
+
 /// Reads the environment and the file; the error is one plain line.
-pub fn read() -> Result<Config, String> {
+pub fn read(precedence: Precedence) -> Result<Config, String> {
     let env = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
     let path = env("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?;
     let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
@@ -76,13 +85,18 @@
         serde_json::Value::String(s) => u64::from_str_radix(s, 16).unwrap_or_else(|_| xxh3_64(s.as_bytes())),
         other => other.as_u64().unwrap_or_default(),
     };
+    let told = env("ROUTER_DISCOVERY");
+    let discovery = match precedence {
+        Precedence::Environment => told.or(file.discovery),
+        Precedence::File => file.discovery.or(told),
+    };
     if file.limits.sockets < 32 {
         return Err(format!("limits.sockets: {} are too few to work with", file.limits.sockets));
     }
     Ok(Config {
         name: env("ROUTER_NAME").or(file.name).unwrap_or_else(|| "mothpier".into()),
         listen: address("listen", env("ROUTER_LISTEN").or(file.listen))?,
-        discovery: address("discovery", env("ROUTER_DISCOVERY").or(file.discovery))?,
+        discovery: address("discovery", discovery)?,
         seed,
         sockets: file.limits.sockets,
         memory: (file.limits.memory_mb.clamp(16.0, 1e6) * 1048576.0) as usize,
--- a/src/bin/mothpier/discovery.rs
+++ b/src/bin/mothpier/discovery.rs
@@ -130,9 +130,9 @@
     names.iter().position(|n| n == name).map_or_else(hashed, |at| at as u64)
 }
 
-/// Watches the list for as long as the node wants it.
+/// Watches the list for as long as the node wants it, at the address that holds at the time.
 pub async fn run(
-    address: SocketAddr,
+    mut addresses: watch::Receiver<SocketAddr>,
     known: Option<u64>,
     mut wanted: watch::Receiver<Wanted>,
     events: mpsc::Sender<Input>,
@@ -141,17 +141,37 @@
     // What was held at the start may be old. An agent gives the whole list at no cost; where discovery is one
     // service for all, only what changed since is asked for.
     let mut first = wanted.borrow().watch;
+    let mut moved = false;
     loop {
         let now = *wanted.borrow_and_update();
-        if !now.watch && now.calls == calls {
-            if wanted.changed().await.is_err() {
-                return;
+        if addresses.has_changed().unwrap_or(false) {
+            moved = true;
+        }
+        let address = *addresses.borrow_and_update();
+        if moved {
+            // Another service: its revisions have nothing to do with the old ones, so the whole list is asked for,
+            // and what the old one has still to say is not waited for.
+            (connection, revision, failing) = (None, None, false);
+        }
+        if !now.watch && now.calls == calls && !moved {
+            tokio::select! {
+                changed = wanted.changed() => if changed.is_err() { return },
+                Ok(()) = addresses.changed() => moved = true,
             }
             continue;
         }
         let whole = first || !now.watch;
         calls = now.calls;
-        let heard = match call(&mut connection, address, revision.filter(|_| !whole)).await {
+        let answer = tokio::select! {
+            biased;
+            Ok(()) = addresses.changed() => {
+                moved = true;
+                continue;
+            }
+            answer = call(&mut connection, address, revision.filter(|_| !whole)) => answer,
+        };
+        moved = false;
+        let heard = match answer {
             Ok(list) => {
                 (first, failing) = (false, false);
                 revision = Some(list.revision);
@@ -192,7 +212,9 @@
     let request =
         hyper::Request::get(path).header("Host", address.to_string()).body(Full::<Bytes>::default());
     let request = request.map_err(|e| e.to_string())?;
-    let answer = timeout(WAIT + LATE, async {
+    // A whole list is owed at once: to wait longer for it would take up the time in which a move must be done.
+    let within = if after.is_some() { WAIT + LATE } else { LATE };
+    let answer = timeout(within, async {
         let response = connection.sender.send_request(request).await.map_err(|e| e.to_string())?;
         if response.status() != 200 {
             return Err(format!("answered {}", response.status()));
--- a/src/bin/mothpier/main.rs
+++ b/src/bin/mothpier/main.rs
@@ -13,6 +13,7 @@
 use std::cell::Cell;
 use std::fmt::Display;
 use std::io::Write;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -25,7 +26,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use clients::{Clients, Phase};
-use config::Config;
+use config::{Config, Precedence};
 use node::{Clock, Node, Parts};
 
 /// Inputs that wait for the node; who brings more waits in turn.
@@ -43,7 +44,7 @@
 }
 
 fn main() -> ExitCode {
-    let config = match config::read() {
+    let config = match config::read(Precedence::Environment) {
         Ok(config) => config,
         Err(e) => {
             log(e);
@@ -64,6 +65,8 @@
 async fn run(config: Config) -> Result<(), String> {
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| e.to_string())?;
+    // Taken from the start on: unhandled, this signal would end the node.
+    let mut hangup = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
     let clock = Clock::start();
     let (events, inputs) = mpsc::channel(QUEUE);
     let site = config.site;
@@ -114,7 +117,8 @@
     );
     let node = Node::new(site, config.seed, clock, parts);
     let mut node = spawn_local(node.run(config.known, inputs));
-    spawn_local(discovery::run(config.discovery, revision, wishes, events));
+    let (discovery, addresses) = watch::channel(config.discovery);
+    spawn_local(discovery::run(addresses, revision, wishes, events));
     let accepting = spawn_local(clients.clone().accept(listener));
     spawn_local(async move {
         sleep(WITHOUT_DISCOVERY).await;
@@ -122,10 +126,13 @@
     });
     let listening = listener_address.map_err(|e| e.to_string())?;
     log(format_args!("{} listens on {listening}", config.name));
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-        ended = &mut node => return Err(format!("the node ended: {ended:?}")),
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            Some(()) = hangup.recv() => reload(&discovery),
+            ended = &mut node => return Err(format!("the node ended: {ended:?}")),
+        }
     }
     log("stopping");
     let kill = Instant::now() + Duration::from_micros(longest) + KEEP_ACCEPTING;
@@ -142,3 +149,17 @@
     }
     Ok(())
 }
+
+/// Reads the configuration again and goes over to the discovery that it names. All else is fixed at the start.
+/// A file that can't be read must not cost the node what it has.
+fn reload(discovery: &watch::Sender<SocketAddr>) {
+    match config::read(Precedence::File) {
+        Ok(config) => {
+            let moved =
+                discovery.send_if_modified(|a| std::mem::replace(a, config.discovery) != config.discovery);
+            let what = if moved { "now" } else { "still" };
+            log(format_args!("configuration read again: discovery is {what} at {}", config.discovery));
+        }
+        Err(e) => log(format_args!("the configuration stays as it was: {e}")),
+    }
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -3,7 +3,7 @@
 
 mod world;
 
-use std::io::Read;
+use std::io::{BufReader, Read, Write};
 use std::net::{TcpListener, UdpSocket};
 use std::process::Stdio;
 use std::sync::Mutex;
@@ -225,7 +225,7 @@
     assert_eq!(idle.ask(&["PING"]), "+PONG");
     client.send(&["CACHE.GET", "k", "i1", "c=read,t=acme,d=9000"]);
     commands.recv_timeout(HUNG).unwrap();
-    node.terminate();
+    node.signal("TERM");
     // Clients go on coming for a while, and may use what they have.
     assert_eq!(node.client().ask(&["PING"]), "+PONG");
     assert_eq!(idle.answer(), "end", "closed between requests");
@@ -305,3 +305,49 @@
         ended.recv_timeout(HUNG).unwrap();
     }
 }
+
+#[test]
+fn at_sighup_it_goes_over_to_the_discovery_of_the_file_and_a_bad_file_changes_nothing() {
+    let names = ["old", "second", "third"];
+    let [old, second, third] = names.map(|n| serve(command, move |_| array(n)));
+    let list = |server| member("s-1", server, "m", "ready");
+    // The first agent answers once and leaves the watch open: the node must leave it in the middle of that.
+    let agent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let first = agent.local_addr().unwrap();
+    let mut started = node_command("reload", first, 1024, "");
+    started.env("ROUTER_DISCOVERY", first.to_string());
+    let node = Node::spawn(started);
+    let mut watch = BufReader::new(agent.accept().unwrap().0);
+    call(&mut watch).unwrap();
+    let Reaction::Answer(answer) =
+        http("200 OK", &format!(r#"{{"revision":900,"complete":true,"members":[{}]}}"#, list(old)))
+    else {
+        unreachable!()
+    };
+    watch.get_mut().write_all(&answer).unwrap();
+    assert!(call(&mut watch).unwrap()[0].contains("after=900&"));
+    let mut client = node.client();
+    let mut ask = |id: &str| client.ask(&["CACHE.GET", "k", id, "c=read,t=acme,d=9000"]);
+    assert_eq!(ask("i1"), "$old");
+
+    let path = format!("{}/reload.json", env!("CARGO_TARGET_TMPDIR"));
+    std::fs::write(&path, "{\"discovery\":").unwrap();
+    node.signal("HUP");
+    node.logged("stays as it was");
+    assert_eq!(ask("i2"), "$old");
+
+    // Reloads in a row, at services whose revisions begin anew.
+    let mut left = Vec::new();
+    for (i, server) in [second, third].into_iter().enumerate() {
+        let next = Discovery::start(&list(server));
+        std::fs::write(&path, config("reload", next.address, 1024)).unwrap();
+        node.signal("HUP");
+        node.logged(&next.address.to_string());
+        next.watched_after(1);
+        assert_eq!(ask(&format!("r{i}")), format!("${}", names[i + 1]));
+        if i == 0 {
+            watch.read_to_end(&mut left).unwrap();
+            assert_eq!(left, b"", "the old address is left in the middle of the watch");
+        }
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -170,6 +170,8 @@
 pub struct Node {
     pub child: Child,
     pub address: SocketAddr,
+    /// What it logs after its start.
+    log: Receiver<String>,
 }
 
 impl Drop for Node {
@@ -206,7 +208,14 @@
         Node::run(node_command(name, discovery.address, sockets, before), discovery)
     }
 
-    pub fn run(mut command: Command, discovery: &Discovery) -> Self {
+    pub fn run(command: Command, discovery: &Discovery) -> Self {
+        let node = Node::spawn(command);
+        discovery.watched_after(1);
+        node
+    }
+
+    /// Starts a node and waits until it listens.
+    pub fn spawn(mut command: Command) -> Self {
         let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let address = loop {
@@ -216,14 +225,25 @@
                 break address.parse().unwrap();
             }
         };
-        thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        discovery.watched_after(1);
-        Node { child, address }
+        let (logged, lines) = channel();
+        thread::spawn(move || log.lines().map_while(Result::ok).try_for_each(|line| logged.send(line)));
+        Node { child, address, log: lines }
     }
 
-    pub fn terminate(&self) {
+    /// Sends it a signal by its name.
+    pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+        assert!(Command::new("kill").args([&format!("-{name}"), &pid]).status().unwrap().success());
+    }
+
+    /// Waits for a line of the log that holds a text.
+    pub fn logged(&self, text: &str) -> String {
+        loop {
+            let line = self.log.recv_timeout(HUNG).unwrap_or_else(|_| panic!("nothing logged of {text:?}"));
+            if line.contains(text) {
+                return line;
+            }
+        }
     }
 
     pub fn ended(&mut self) -> ExitStatus {
