Clients: an id that is open, commands out of form, silence and hundreds of commands at once get their error or close

Seen in the sources, confirmed by tests that fail on the old code (an_id_that_is_open, what_a_cache_server_cannot_read, silence_and_half_commands, of_too_many_commands): a second request with an open id went on to a server; extras such as "d=900,d=soon" or "d=1e3" and commands without d went on as well; half a command and a silent connection stayed for ever; of 400 commands at once those past 64 were not read until others had ended.

clients.rs: ids of open requests are held and given back with the command; the form is checked as the protocol gives it, no stricter; a first command and the rest of one begun have 2 s, an idle connection 10 s; before any close the socket is read once more; 128 requests of a connection are open at most, those beyond are refused at once, and past 1,024 waiting answers the client is cut off. At the limit those that never sent a whole command go first. Buffers of idle connections are given up, and what is kept of a command is a copy. A read counts 32 KB of half the memory: 512 open requests at 32 MB instead of 128. Answers that are ready together go out in one write.

--- a/src/bin/mothpier/clients.rs
+++ b/src/bin/mothpier/clients.rs
@@ -1,10 +1,12 @@
 //! The listener and RESP2 from clients. Answers go out in the order of the commands on a connection.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::future::poll_fn;
+use std::io::ErrorKind;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::Poll;
 use std::time::Duration;
 
@@ -12,28 +14,39 @@
 use brassrouter::{Micros, Request, RequestId};
 use bytes::{Bytes, BytesMut};
 use redis_protocol::resp2::types::BytesFrame;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::log;
 use crate::node::Input;
-use crate::resp::{self, MAX_VALUE};
+use crate::resp::{self, MAX_VALUE, Malformed};
 
-/// Commands of one connection that may wait for their answers; what comes beyond is not read yet.
-const MAX_PIPELINE: usize = 64;
-/// Bytes of one connection that are read ahead.
-const MAX_BUFFER: usize = 2 * MAX_VALUE;
+/// Requests of one connection that may be open; those beyond are refused.
+const MAX_PIPELINE: usize = 128;
+/// Answers of one connection that may wait, refusals and errors too; a client that goes on beyond is cut off.
+const MAX_WAITING: usize = 1024;
+/// Read from a connection at once.
+const READ: usize = 4096;
+/// Answers that are ready are put into one write up to about this size.
+const WRITE: usize = 64 * 1024;
 /// A client that takes none of its answer for this long is cut off.
 const SLOW_READER: Duration = Duration::from_secs(10);
+/// A first command, and the rest of one that has begun, must come within this time: bad clients are owed an
+/// error or a close within 3 s.
+const HALF: Duration = Duration::from_secs(2);
+/// A connection that asks nothing for so long is closed: some clients keep theirs for good.
+const IDLE: Duration = Duration::from_secs(10);
 /// Between tries to accept while there is no room; a connection has rested when it was idle for so long.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// When a request that finds the node's memory full may come back, milliseconds.
 const FULL_RETRY_MS: u64 = 100;
-/// Memory that an open request may hold: its value, and that of its answer.
-const REQUEST_KB: u32 = (2 * MAX_VALUE / 1024) as u32;
+/// Memory that an open request counts for until its answer is written, beside its own value: half of the largest
+/// answer, for few are large.
+const REQUEST_KB: usize = MAX_VALUE / 2 / 1024;
 
 /// A client's command as it came; what goes on to servers is made of it.
 #[derive(Debug)]
@@ -44,6 +57,27 @@
     pub extras: Bytes,
     pub value: Option<Bytes>,
     pub write: bool,
+    /// Given back with the command: no other request may bear its id meanwhile.
+    _claim: Claim,
+}
+
+/// The ids of all open requests.
+type Ids = Rc<RefCell<HashSet<Bytes>>>;
+
+/// An id in use.
+#[derive(Debug)]
+struct Claim(Ids, Bytes);
+
+impl Claim {
+    fn of(ids: &Ids, id: &Bytes) -> Option<Claim> {
+        ids.borrow_mut().insert(id.clone()).then(|| Claim(ids.clone(), id.clone()))
+    }
+}
+
+impl Drop for Claim {
+    fn drop(&mut self) {
+        self.0.borrow_mut().remove(&self.1);
+    }
 }
 
 impl Command {
@@ -91,7 +125,9 @@
     now: Box<dyn Fn() -> Micros>,
     ready: Rc<Cell<bool>>,
     next_request: Cell<RequestId>,
-    memory: std::sync::Arc<Semaphore>,
+    ids: Ids,
+    /// Permits of a KB.
+    memory: Arc<Semaphore>,
     most: usize,
     phase: watch::Receiver<Phase>,
     events: mpsc::Sender<Input>,
@@ -102,6 +138,8 @@
 struct Entry {
     /// When it last sent something or was answered; `None` while an answer is owed to it.
     idle: Option<Instant>,
+    /// It has sent a command in the agreed form.
+    known: bool,
     evict: Rc<Notify>,
 }
 
@@ -114,13 +152,13 @@
         phase: watch::Receiver<Phase>,
         events: mpsc::Sender<Input>,
     ) -> Rc<Self> {
-        let requests = (memory / 1024 / REQUEST_KB as usize).clamp(1, site.max_open);
         Rc::new(Clients {
             site,
             now,
             ready,
             next_request: Cell::new(1),
-            memory: std::sync::Arc::new(Semaphore::new(requests)),
+            ids: Ids::default(),
+            memory: Arc::new(Semaphore::new(memory / 1024)),
             most,
             phase,
             events,
@@ -179,12 +217,12 @@
         }
     }
 
-    /// Those that sent half a command give way too, or clients that never end one would keep all others out;
-    /// not one that has only just come: where all others are busy it would go before it could ask.
+    /// Those that sent no whole command go first, or clients that never end one, or never begin, would keep all
+    /// others out; not one that has only just come: where all others are busy it would go before it could ask.
     fn evict(&self) {
         let open = self.open.borrow();
         let rests = |e: &&Entry| e.idle.is_some_and(|since| since.elapsed() >= ACCEPT_PAUSE);
-        let longest = open.values().filter(rests).min_by_key(|e| e.idle);
+        let longest = open.values().filter(rests).min_by_key(|e| (e.known, e.idle));
         if let Some(entry) = longest {
             entry.evict.notify_one();
         }
@@ -192,12 +230,13 @@
 
     fn start(self: Rc<Self>, stream: TcpStream, number: u64) {
         let evict = Rc::new(Notify::new());
-        let entry = Entry { idle: Some(Instant::now()), evict: evict.clone() };
+        let entry = Entry { idle: Some(Instant::now()), known: false, evict: evict.clone() };
         self.open.borrow_mut().insert(number, entry);
         tokio::task::spawn_local(async move {
             let _ = stream.set_nodelay(true);
+            let pending = VecDeque::new();
             let mut session =
-                Session { clients: self.clone(), number, pending: VecDeque::new(), ended: false };
+                Session { clients: self.clone(), number, pending, asked: 0, known: false, ended: false };
             session.run(stream, evict).await;
             for slot in &session.pending {
                 if let Wait::Node(id, _) = slot.wait {
@@ -215,24 +254,33 @@
         let [name, key, id, extras, value @ ..] = words else {
             return Err("wrong number of arguments".into());
         };
-        let write = name.eq_ignore_ascii_case(b"CACHE.SET");
+        let write = name.as_ref() == b"CACHE.SET";
         if value.len() != usize::from(write) {
             return Err("wrong number of arguments".into());
         }
         if key.is_empty() || id.is_empty() || key.len() > 1024 || id.len() > 1024 || extras.len() > 4096 {
             return Err("key, id or extras of a wrong length".into());
         }
-        // They go into headers at the origin.
+        // They go into headers at the origin, and what a cache server can't read costs all that wait there.
         if !id.iter().chain(extras.iter()).all(|b| b.is_ascii_graphic()) {
             return Err("id and extras must be printable".into());
         }
         let text = String::from_utf8_lossy(extras);
-        let extra = |name: &str| {
-            text.split(',').filter_map(|p| p.split_once('=')).find(|(n, _)| *n == name).map(|(_, v)| v)
-        };
-        let figure = |name: &str| match extra(name).map(str::parse::<f64>) {
+        let mut names = Vec::new();
+        for part in text.split(',') {
+            // A name that comes twice would mean one thing here and another at a server.
+            match part.split_once('=') {
+                Some((name, value)) if !name.is_empty() && !names.iter().any(|(n, _)| *n == name) => {
+                    names.push((name, value));
+                }
+                _ => return Err("extras are names and values, each name once".into()),
+            }
+        }
+        let extra = |name: &str| names.iter().find(|(n, _)| *n == name).map(|(_, v)| *v);
+        let digits = |v: &str| v.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+        let figure = |name: &str| match extra(name).map(|v| v.parse::<f64>().ok().filter(|_| digits(v))) {
             None => Ok(None),
-            Some(Ok(f)) if f.is_finite() && f >= 0.0 => Ok(Some(f)),
+            Some(Some(f)) if f.is_finite() => Ok(Some(f)),
             Some(_) => Err(format!("{name} is no figure")),
         };
         let class = extra("c").and_then(|c| self.site.classes.iter().position(|n| n == c));
@@ -241,9 +289,10 @@
             _ if self.site.tenants.is_empty() => Some(0),
             tenant => tenant.and_then(|t| self.site.tenants.iter().position(|n| n == t)),
         };
+        let asked_for = figure("d")?.ok_or("no d: how long the answer is waited for")?;
         // No longer than the class allows: what is kept for a request must not stay for as long as anyone says.
         let deadline = self.site.decisions.classes[class].deadline;
-        let time_left = figure("d")?.map_or(deadline, |ms| ((ms * 1000.0) as Micros).min(deadline));
+        let time_left = ((asked_for * 1000.0) as Micros).min(deadline);
         let request = Request {
             id: self.next_request.replace(self.next_request.get() + 1),
             class,
@@ -256,13 +305,18 @@
             cost: figure("h")?.map(|us| us as Micros),
             size: figure("size")?.unwrap_or_default() as f32,
         };
+        // Two open requests of one id could not be told apart by servers; the first one stays as it is.
+        let claim =
+            Claim::of(&self.ids, &Bytes::copy_from_slice(id)).ok_or("a request of this id is open")?;
+        // Copies: a slice would keep all that was read at once for as long as the request is open.
         let command = Command {
-            name: name.clone(),
-            key: key.clone(),
-            id: id.clone(),
-            extras: extras.clone(),
-            value: value.first().cloned(),
+            name: Bytes::from_static(if write { b"CACHE.SET" } else { b"CACHE.GET" }),
+            key: Bytes::copy_from_slice(key),
+            id: claim.1.clone(),
+            extras: Bytes::copy_from_slice(extras),
+            value: value.first().map(|v| Bytes::copy_from_slice(v)),
             write,
+            _claim: claim,
         };
         Ok((request, command))
     }
@@ -275,8 +329,8 @@
 
 struct Slot {
     wait: Wait,
-    /// Held until the answer is written.
-    _memory: Option<OwnedSemaphorePermit>,
+    /// Held until the answer is written; only requests that went on have it.
+    memory: Option<OwnedSemaphorePermit>,
 }
 
 struct Session {
@@ -284,6 +338,10 @@
     number: u64,
     /// In the order of the commands.
     pending: VecDeque<Slot>,
+    /// How many of them are requests that went on.
+    asked: usize,
+    /// It has sent a command in the agreed form.
+    known: bool,
     /// No more commands are read: the last answer closes.
     ended: bool,
 }
@@ -292,55 +350,100 @@
     async fn run(&mut self, stream: TcpStream, evict: Rc<Notify>) {
         let clients = self.clients.clone();
         let mut phase = clients.phase.clone();
-        let (mut reading, mut writing) = stream.into_split();
+        let (reading, mut writing) = stream.into_split();
         let mut buffer = BytesMut::new();
         let mut came = (clients.now)();
+        let connected = Instant::now();
+        // When the command that has not all come yet began to.
+        let mut begun = None;
         loop {
-            while !self.ended && self.pending.len() < MAX_PIPELINE {
+            while !self.ended && !buffer.is_empty() {
                 match resp::take_frame(&mut buffer) {
-                    Ok(Some(frame)) => self.command(frame, came).await,
-                    Ok(None) => break,
-                    Err(e) => {
-                        self.answer(resp::error(&format!("ERR protocol: {e}")));
-                        self.ended = true;
+                    Ok(Some(frame)) => {
+                        begun = None;
+                        self.command(frame, came).await;
                     }
+                    Ok(None) => break,
+                    Err(e) => self.protocol_error(e),
+                }
+                if self.pending.len() > MAX_WAITING {
+                    self.protocol_error(Malformed("too many commands at once"));
                 }
             }
+            if self.ended || buffer.is_empty() {
+                // An idle connection must not keep the room that its largest command took.
+                buffer = BytesMut::new();
+            } else {
+                begun.get_or_insert_with(Instant::now);
+            }
             // Something was sent, answered, or begins to wait: each time round here.
             let idle = self.pending.is_empty();
+            let now = Instant::now();
             if let Some(entry) = clients.open.borrow_mut().get_mut(&self.number) {
-                entry.idle = idle.then(Instant::now);
+                (entry.idle, entry.known) = (idle.then_some(now), self.known);
             }
-            if self.ended && self.pending.is_empty() {
+            if self.ended && idle {
                 return;
             }
             let closing = *phase.borrow_and_update() == Phase::Closing;
-            if closing && idle && buffer.is_empty() {
-                return;
-            }
-            let may_read = !self.ended && self.pending.len() < MAX_PIPELINE && buffer.len() < MAX_BUFFER;
+            let first = (!self.known && idle).then_some(connected + HALF);
+            let half = begun.filter(|_| !self.ended).map(|since| since + HALF);
+            let rest = idle.then_some(if closing && begun.is_none() { now } else { now + IDLE });
+            let limit = [first, half, rest].into_iter().flatten().min();
             tokio::select! {
                 biased;
-                bytes = next_answer(&mut self.pending), if !self.pending.is_empty() => {
+                ready = ready_answers(&mut self.pending), if !idle => {
+                    let bytes = self.take_answers(ready);
                     let whole = timeout(SLOW_READER, writing.write_all(&bytes)).await;
-                    self.pending.pop_front();
+                    self.pending.drain(..ready);
                     if !matches!(whole, Ok(Ok(()))) {
                         return;
                     }
                 }
-                read = reading.read_buf(&mut buffer), if may_read => match read {
+                more = read(&reading, &mut buffer), if !self.ended => {
                     // A client that closes has gone away: what it asked for is not wanted any more.
-                    Ok(0) | Err(_) => return,
-                    Ok(_) => came = (clients.now)(),
-                },
-                () = evict.notified(), if idle => return,
+                    if !more {
+                        return;
+                    }
+                    came = (clients.now)();
+                }
+                () = evict.notified(), if idle => if quiet(&reading, &mut buffer).await { return },
+                () = sleep_until(limit.unwrap_or(now)), if limit.is_some() => {
+                    if !quiet(&reading, &mut buffer).await {
+                        came = (clients.now)();
+                    } else if half.is_some_and(|half| half <= Instant::now()) {
+                        self.protocol_error(Malformed("the rest of the command has not come"));
+                    } else {
+                        return;
+                    }
+                }
                 _ = phase.changed(), if !closing => {}
             }
         }
     }
 
+    /// Marks the answers as taken and gives their bytes.
+    fn take_answers(&mut self, ready: usize) -> Bytes {
+        let mut all = BytesMut::new();
+        for slot in self.pending.iter().take(ready) {
+            self.asked -= usize::from(slot.memory.is_some());
+            match &slot.wait {
+                Wait::Ready(bytes) if ready == 1 => return bytes.clone(),
+                Wait::Ready(bytes) => all.extend_from_slice(bytes),
+                Wait::Node(..) => {}
+            }
+        }
+        all.freeze()
+    }
+
+    /// Says what is wrong, behind the answers that are owed, and reads no more.
+    fn protocol_error(&mut self, error: Malformed) {
+        self.ended = true;
+        self.answer(resp::error(&format!("ERR protocol: {error}")));
+    }
+
     fn answer(&mut self, bytes: Bytes) {
-        self.pending.push_back(Slot { wait: Wait::Ready(bytes), _memory: None });
+        self.pending.push_back(Slot { wait: Wait::Ready(bytes), memory: None });
     }
 
     async fn command(&mut self, frame: BytesFrame, came: Micros) {
@@ -353,27 +456,42 @@
             _ => None,
         };
         let Some(words) = words.filter(|w| !w.is_empty()) else {
-            self.ended = true;
-            return self.answer(resp::error("ERR protocol: a command is an array of bulk strings"));
+            return self.protocol_error(Malformed("a command is an array of bulk strings"));
         };
-        match words[0].to_ascii_uppercase().as_slice() {
-            b"PING" if self.clients.ready.get() => self.answer(Bytes::from_static(b"+PONG\r\n")),
-            b"PING" => self.answer(resp::error("ERR not ready: no list of servers yet")),
-            b"QUIT" => {
-                self.ended = true;
-                self.answer(Bytes::from_static(b"+OK\r\n"));
-            }
+        match words[0].as_ref() {
             b"CACHE.GET" | b"CACHE.SET" => match self.clients.parse(&words, came) {
-                Ok((request, command)) => self.ask(request, Box::new(command)).await,
+                Ok((request, command)) => {
+                    self.known = true;
+                    self.ask(request, Box::new(command)).await;
+                }
                 Err(e) => self.answer(resp::error(&format!("ERR {e}"))),
             },
+            name if name.eq_ignore_ascii_case(b"PING") => {
+                self.known = true;
+                self.answer(match self.clients.ready.get() {
+                    true => Bytes::from_static(b"+PONG\r\n"),
+                    false => resp::error("ERR not ready: no list of servers yet"),
+                });
+            }
+            name if name.eq_ignore_ascii_case(b"QUIT") => {
+                self.ended = true;
+                self.answer(Bytes::from_static(b"+OK\r\n"));
+            }
             _ => self.answer(resp::error("ERR unknown command")),
         }
     }
 
     async fn ask(&mut self, request: Request, command: Box<Command>) {
-        // Memory is bounded by what open requests may hold; one beyond that never runs.
-        let Ok(memory) = self.clients.memory.clone().try_acquire_owned() else {
+        // Memory is bounded by what open requests may hold, and one connection by its own part of them; what is
+        // beyond never runs, and is told so instead of being left unread.
+        let holds = REQUEST_KB + command.value.as_ref().map_or(0, Bytes::len).div_ceil(1024);
+        let memory = match self.asked < MAX_PIPELINE
+            && self.clients.ids.borrow().len() <= self.clients.site.max_open
+        {
+            true => self.clients.memory.clone().try_acquire_many_owned(holds as u32).ok(),
+            false => None,
+        };
+        let Some(memory) = memory else {
             return self.answer(resp::error(&format!("BUSY {FULL_RETRY_MS}")));
         };
         let (answer, receiver) = oneshot::channel();
@@ -381,23 +499,57 @@
         if self.clients.events.send(Input::Client(Event::Asked { request, command, answer })).await.is_err() {
             return self.answer(resp::error("ERR stopping"));
         }
-        self.pending.push_back(Slot { wait: Wait::Node(id, receiver), _memory: Some(memory) });
+        self.asked += 1;
+        self.pending.push_back(Slot { wait: Wait::Node(id, receiver), memory: Some(memory) });
+    }
+}
+
+/// Reads what has come; whether the client is still there. Room is made only once something is there. Safe to drop
+/// and call again.
+async fn read(reading: &OwnedReadHalf, buffer: &mut BytesMut) -> bool {
+    loop {
+        if reading.readable().await.is_err() {
+            return false;
+        }
+        buffer.reserve(READ);
+        match reading.try_read_buf(buffer) {
+            Ok(read) => return read > 0,
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+            Err(_) => return false,
+        }
     }
 }
 
-/// The answer to the first of the commands, when there is one. Safe to drop and call again.
-async fn next_answer(pending: &mut VecDeque<Slot>) -> Bytes {
+/// Whether nothing has come in that is not read yet: a connection is closed only then, or a request would be lost
+/// with it.
+async fn quiet(reading: &OwnedReadHalf, buffer: &mut BytesMut) -> bool {
+    // Once round the runtime, which looks at the sockets then.
+    tokio::task::yield_now().await;
+    buffer.reserve(READ);
+    !matches!(reading.try_read_buf(buffer), Ok(read) if read > 0)
+}
+
+/// How many answers are ready at the front, once one is. Safe to drop and call again.
+async fn ready_answers(pending: &mut VecDeque<Slot>) -> usize {
     poll_fn(|cx| {
-        let Some(slot) = pending.front_mut() else { return Poll::Pending };
-        match &mut slot.wait {
-            Wait::Ready(bytes) => Poll::Ready(bytes.clone()),
-            Wait::Node(_, receiver) => Pin::new(receiver).poll(cx).map(|answer| match answer {
-                Ok(Answer::Value(value)) => resp::encode(&BytesFrame::BulkString(value)),
-                Ok(Answer::Busy(0)) => resp::error("BUSY"),
-                Ok(Answer::Busy(ms)) => resp::error(&format!("BUSY {ms}")),
-                Ok(Answer::Failed) | Err(_) => resp::error("ERR failed"),
-            }),
+        let (mut ready, mut size) = (0, 0);
+        for slot in pending.iter_mut() {
+            if let Wait::Node(_, receiver) = &mut slot.wait {
+                let Poll::Ready(answer) = Pin::new(receiver).poll(cx) else { break };
+                slot.wait = Wait::Ready(match answer {
+                    Ok(Answer::Value(value)) => resp::encode(&BytesFrame::BulkString(value)),
+                    Ok(Answer::Busy(0)) => resp::error("BUSY"),
+                    Ok(Answer::Busy(ms)) => resp::error(&format!("BUSY {ms}")),
+                    Ok(Answer::Failed) | Err(_) => resp::error("ERR failed"),
+                });
+            }
+            let Wait::Ready(bytes) = &slot.wait else { break };
+            (ready, size) = (ready + 1, size + bytes.len());
+            if size >= WRITE {
+                break;
+            }
         }
+        if ready > 0 { Poll::Ready(ready) } else { Poll::Pending }
     })
     .await
 }
