Cache servers: a spoilt answer ends its connection, and a server that has left or moved leaves nothing behind

Seen in the sources, confirmed by tests that fail on the old code: half a frame behind a good answer began the next one; an array of the wrong shape counted as a miss and was fetched, a line or number as an error, and the connection stayed in use; an answer that began and never ended was waited for until its request ended; a busy connection to an address that a server had left took new requests; pools, numbers and the ids of origins were kept for good after a change "gone"; load figures NaN, infinite and negative reached the module's averages. Checked at the origin: hyper passes over 1xx, drops connections with bytes behind a body, and fails wrong lengths; bodies past 64 KB already ended. Added there: a body has 250 ms after its head, a head 64 KB, and idle connections close when the origin drains.

servers.rs: what lies behind an answer that nothing waits behind closes the connection before the node hears of the answer; the shape is checked where the connection is, strictly but for the load report; a begun answer has 250 ms; moved connections are retired; pools live as long as they are ready or owe answers; connections and ready servers are counted as they come and go instead of with each send. discovery.rs, node.rs: numbers are forgotten with their servers, and come back the same from the id.

--- a/src/bin/mothpier/discovery.rs
+++ b/src/bin/mothpier/discovery.rs
@@ -1,6 +1,6 @@
 //! The list of servers: its form, the numbers behind its names, and the watch on its changes.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -69,7 +69,7 @@
 /// The numbers by which the module knows servers. They are made from the ids alone, so that every node has
 /// the same and the order of servers is shared.
 #[derive(Default)]
-pub struct Numbers(HashMap<String, ServerId>, HashMap<ServerId, String>);
+pub struct Numbers(HashMap<String, ServerId>, HashSet<ServerId>);
 
 impl Numbers {
     fn of(&mut self, id: &str) -> ServerId {
@@ -80,16 +80,29 @@
         let mut seed = 0;
         let number = loop {
             let number = xxh3_64_with_seed(id.as_bytes(), seed) as ServerId;
-            if !self.1.contains_key(&number) {
+            if !self.1.contains(&number) {
                 break number;
             }
             seed += 1;
         };
         self.0.insert(id.into(), number);
-        self.1.insert(number, id.into());
+        self.1.insert(number);
         number
     }
 
+    /// How many are kept.
+    #[cfg(test)]
+    pub fn len(&self) -> usize {
+        self.0.len().max(self.1.len())
+    }
+
+    /// Forgets the numbers of servers that have left. One that comes back gets the same again, for it is made from
+    /// the id.
+    pub fn forget(&mut self, left: impl Fn(ServerId) -> bool) {
+        self.0.retain(|_, number| !left(*number));
+        self.1.retain(|number| !left(*number));
+    }
+
     /// Puts a list into the module's form, with the addresses beside it. Taken in the order of the ids, so
     /// that nodes that hear the same list resolve a clash alike.
     pub fn lines(&mut self, list: &mut List, site: &Site) -> Vec<(ServerLine, Option<SocketAddr>)> {
--- a/src/bin/mothpier/http.rs
+++ b/src/bin/mothpier/http.rs
@@ -11,6 +11,9 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+/// Read ahead of one connection; a head without end goes no further.
+const MAX_HEAD: usize = 64 * 1024;
+
 /// An open connection; dropping it closes the socket, also under a request that is out.
 pub struct Connection {
     pub sender: SendRequest<Full<Bytes>>,
@@ -27,7 +30,8 @@
 pub async fn connect(address: SocketAddr, within: Duration) -> std::io::Result<Connection> {
     let stream = tokio::time::timeout(within, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
+    let handshake = http1::Builder::new().max_buf_size(MAX_HEAD).handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.map_err(std::io::Error::other)?;
     // Driving the connection also while it is idle is what notices that the peer has closed it.
     let driver = tokio::task::spawn_local(async move { drop(connection.await) }).abort_handle();
     Ok(Connection { sender, driver })
--- a/src/bin/mothpier/node.rs
+++ b/src/bin/mothpier/node.rs
@@ -8,7 +8,8 @@
 
 use brassrouter::settings::Site;
 use brassrouter::{
-    Action, Condition, Event, ListKind, Load, Micros, Note, Outcome, Policy, RequestId, ServerId, Status,
+    Action, Condition, Event, ListKind, Load, LoadField, Micros, Note, Outcome, Policy, RequestId, ServerId,
+    Status,
 };
 use bytes::Bytes;
 use redis_protocol::resp2::types::BytesFrame;
@@ -27,6 +28,10 @@
 /// A probe without answer after this time has failed.
 const PROBE_WAIT: Duration = Duration::from_millis(250);
 
+/// The largest figures of a load report that can be meant: of cores in use, and of the rest (a minute in
+/// milliseconds).
+const MOST_LOAD: (f32, f32) = (8.0, 60_000.0);
+
 /// What comes to the node from its other parts.
 pub enum Input {
     Client(clients::Event),
@@ -183,7 +188,7 @@
                 }
             }
             Input::Origin { attempt, ended } => {
-                let load = self.load(&ended.load);
+                let load = load(&self.site, &ended.load);
                 self.end(attempt, ended.status, Note::None, load, Some(ended.value));
             }
             Input::Discovery(Heard::List(list)) => {
@@ -205,10 +210,15 @@
     fn list(&mut self, mut list: List, kind: ListKind) {
         let lines = self.numbers.lines(&mut list, &self.site);
         let named: HashSet<ServerId> = lines.iter().map(|(line, _)| line.id).collect();
+        let gone = lines.iter().map(|(line, _)| line).filter(|line| line.condition == Condition::Gone);
+        let gone: HashSet<ServerId> = gone.map(|line| line.id).collect();
         let mut unsent = Vec::new();
         for (line, address) in &lines {
             let ready = line.condition == Condition::Ready;
-            if Some(line.kind) == self.site.decisions.origin_kind {
+            let origin = Some(line.kind) == self.site.decisions.origin_kind;
+            if line.condition == Condition::Gone && self.origin_ids.remove(&line.id) {
+                self.parts.origins.gone(line.id);
+            } else if origin && line.condition != Condition::Gone {
                 self.origin_ids.insert(line.id);
                 self.parts.origins.listed(line.id, *address, ready);
             } else {
@@ -217,7 +227,14 @@
         }
         if kind != ListKind::Delta {
             unsent.extend(self.parts.servers.unlisted(&|id| named.contains(&id)));
-            self.parts.origins.unlisted(&|id| named.contains(&id));
+            for id in self.origin_ids.extract_if(|id| !named.contains(id)) {
+                self.parts.origins.gone(id);
+            }
+        }
+        // Ids are ever new: what the list has no longer is not kept.
+        match kind {
+            ListKind::Delta => self.numbers.forget(|id| gone.contains(&id)),
+            _ => self.numbers.forget(|id| !named.contains(&id) || gone.contains(&id)),
         }
         let servers = lines.into_iter().map(|(line, _)| line).collect();
         self.events.push_back(Event::ServerList { kind, servers });
@@ -292,7 +309,8 @@
             self.flights.entry(id).and_modify(|f| f.call = call);
             out
         } else {
-            self.parts.servers.send(server, id, command.for_server(wait))
+            let bytes = command.for_server(wait);
+            self.parts.servers.send(server, servers::Command { attempt: id, bytes, probe: false })
         };
         if out {
             self.wake(wait, Due::GiveUp(id));
@@ -306,9 +324,9 @@
         let (id, sent) = (self.last_attempt, Instant::now());
         let origin = self.origin_ids.contains(&server);
         let call = if origin { self.parts.origins.probe(server, id) } else { None };
-        let out = call.is_some()
-            || (!origin
-                && self.parts.servers.send(server, id, resp::command(["INFO".into(), "load".into()])));
+        let bytes = resp::command(["INFO".into(), "load".into()]);
+        let command = servers::Command { attempt: id, bytes, probe: true };
+        let out = call.is_some() || (!origin && self.parts.servers.send(server, command));
         self.flights.insert(id, Flight { attempt: None, server, sent, call });
         if out {
             self.wake(PROBE_WAIT, Due::GiveUp(id));
@@ -336,6 +354,8 @@
             Ended::NotConnected => {
                 return self.end(attempt, Status::ConnectFailed, Note::None, Load::default(), None);
             }
+            // It has run, whatever it was that came back.
+            Ended::Spoilt => return self.end(attempt, Status::Error, Note::None, Load::default(), None),
             Ended::Answered(frame) => frame,
         };
         match frame {
@@ -351,18 +371,17 @@
                     Some("pending") => Note::MissBeingFetched,
                     _ => Note::None,
                 };
-                let load = text(parts.next()).map(|l| self.load(&l)).unwrap_or_default();
+                let load = text(parts.next()).map(|l| load(&self.site, &l)).unwrap_or_default();
                 let status = if value.is_some() { Status::Served } else { Status::Miss };
                 self.end(attempt, status, note, load, value);
             }
+            // Only to a probe: servers.rs lets nothing else through.
             BytesFrame::BulkString(report) => {
-                // Only a probe is answered so; to a request it would be no answer in the agreed form.
-                let probe = self.flights.get(&attempt).is_some_and(|f| f.attempt.is_none());
-                let load = self.load(&String::from_utf8_lossy(&report));
-                self.end(attempt, if probe { Status::Served } else { Status::Error }, Note::None, load, None);
+                let load = load(&self.site, &String::from_utf8_lossy(&report));
+                self.end(attempt, Status::Served, Note::None, load, None);
             }
             BytesFrame::Error(line) => {
-                let load = line.rsplit(' ').next().map(|l| self.load(l)).unwrap_or_default();
+                let load = line.rsplit(' ').next().map(|l| load(&self.site, l)).unwrap_or_default();
                 let busy = line.split(' ').next() == Some("BUSY");
                 if !busy && !line.starts_with("ERR failed") {
                     log(format_args!("a cache server answers {:?}", line));
@@ -395,18 +414,21 @@
             load,
         }));
     }
+}
 
-    /// A load report: names and values, in the order that the settings give.
-    fn load(&self, report: &str) -> Load {
-        let mut load = Load::default();
-        for name in self.site.load_fields.iter().take(load.values.len()) {
-            let value = report.split(',').filter_map(|p| p.trim().split_once('=')).find(|(n, _)| n == name);
-            let Some(value) = value.and_then(|(_, v)| v.parse::<f32>().ok()) else { break };
-            load.values[usize::from(load.count)] = value;
-            load.count += 1;
-        }
-        load
+/// A load report: names and values, in the order that the settings give.
+fn load(site: &Site, report: &str) -> Load {
+    let mut load = Load::default();
+    for (name, field) in site.load_fields.iter().zip(&site.decisions.load_fields).take(load.values.len()) {
+        let most = if *field == LoadField::Busy { MOST_LOAD.0 } else { MOST_LOAD.1 };
+        let value = report.split(',').filter_map(|p| p.trim().split_once('=')).find(|(n, _)| n == name);
+        // Reports come spoilt, too: a figure that no load can have must not reach the module's averages.
+        let value = value.and_then(|(_, v)| v.parse::<f32>().ok()).filter(|v| (0.0..=most).contains(v));
+        let Some(value) = value else { return Load::default() };
+        load.values[usize::from(load.count)] = value;
+        load.count += 1;
     }
+    load
 }
 
 fn text(frame: Option<BytesFrame>) -> Option<String> {
@@ -417,3 +439,76 @@
         _ => None,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::net::SocketAddr;
+
+    use super::*;
+
+    const SITE: &str = r#"{"classes":[{"name":"read"}],"machineTypes":["m","origin"],"zones":["a"],
+        "specifics":{"mode":"aside","originKind":1},"report":{"fields":["lat_ms","busy"]}}"#;
+
+    #[test]
+    fn figures_that_no_load_can_have_are_dropped_with_their_report() {
+        let site = brassrouter::settings::read(SITE.as_bytes()).unwrap();
+        assert_eq!(load(&site, "lat_ms=5,busy=0.5").values[..2], [5.0, 0.5]);
+        for bad in
+            ["lat_ms=5,busy=NaN", "lat_ms=inf,busy=0.5", "lat_ms=5,busy=-1", "busy=1e30,lat_ms=1", "x", ""]
+        {
+            assert_eq!(load(&site, bad), Load::default(), "{bad}");
+        }
+    }
+
+    /// Ids are ever new: what the list no longer names must leave nothing behind, and come back as it was.
+    #[test]
+    fn servers_that_have_left_leave_nothing_behind() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let (events, _inputs) = mpsc::channel(8);
+            let limits = servers::Limits {
+                balancers: 1,
+                multiplex: 32,
+                idle_close: Duration::from_secs(60),
+                connect_timeout: Duration::from_secs(30),
+                descriptors: 8,
+            };
+            let parts = Parts {
+                servers: Servers::new(limits, events.clone()),
+                origins: Origins::new(Duration::from_secs(60), Duration::from_secs(30), 8, events),
+                peers: None,
+                wanted: watch::channel(Wanted::default()).0,
+                ready: Rc::default(),
+            };
+            let site = brassrouter::settings::read(SITE.as_bytes()).unwrap();
+            let mut node = Node::new(site, 1, Clock::start(), parts);
+            let address = SocketAddr::from(([127, 0, 0, 1], 9));
+            let mut told = |id: u32, kind, phase, list| {
+                let member = format!(
+                    r#"{{"id":"s-{id}","host_port":"{address}","flavor":"{kind}","phase":"{phase}"}}"#
+                );
+                let text =
+                    format!(r#"{{"revision":1,"complete":{},"members":[{member}]}}"#, list == ListKind::Full);
+                node.list(serde_json::from_str(&text).unwrap(), list);
+                node.settle();
+                (
+                    node.numbers.len(),
+                    node.origin_ids.len(),
+                    node.parts.servers.len(),
+                    node.parts.origins.len(),
+                )
+            };
+            for id in 0..100 {
+                // By a change, and by a whole list that names it no longer.
+                for (kind, here) in [("m", (1, 0, 1, 0)), ("origin", (1, 1, 0, 1))] {
+                    assert_eq!(told(id, kind, "ready", ListKind::Delta), here);
+                    told(id, kind, "draining", ListKind::Delta);
+                    assert_eq!(told(id, kind, "gone", ListKind::Delta), (0, 0, 0, 0));
+                    assert_eq!(told(id, kind, "ready", ListKind::Full), here);
+                    assert_eq!(told(1000 + id, kind, "ready", ListKind::Full), here);
+                    assert_eq!(told(1000 + id, kind, "gone", ListKind::Full), (0, 0, 0, 0));
+                }
+            }
+        });
+    }
+}
--- a/src/bin/mothpier/origin.rs
+++ b/src/bin/mothpier/origin.rs
@@ -14,7 +14,7 @@
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, percent_encode};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::task::AbortHandle;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 use crate::clients::Command;
 use crate::http::{self, Connection};
@@ -23,6 +23,8 @@
 
 /// A connection idle for this part of the time after which it is closed is not used again.
 const FRESH: f64 = 0.7;
+/// After its head an answer's body comes within this time.
+const BEGUN: Duration = Duration::from_millis(250);
 /// What of a key stands in a path as something else: all that a path segment can't hold as it is.
 const ENCODED: &AsciiSet = &NON_ALPHANUMERIC
     .remove(b'-')
@@ -102,11 +104,14 @@
         Origins { pools: HashMap::new(), idle_close, connect_timeout, descriptors, events }
     }
 
-    /// Takes a line of the list.
+    /// Takes a line of the list of one that is not gone.
     pub fn listed(&mut self, server: ServerId, address: Option<SocketAddr>, ready: bool) {
         let known = self.pools.get(&server).filter(|p| address.is_none() || p.address == address);
         if let Some(pool) = known {
             pool.ready.set(ready);
+            if !ready {
+                pool.idle.borrow_mut().clear();
+            }
         } else {
             let pool = Pool { address, ready: Cell::new(ready), idle: RefCell::default() };
             if let Some(old) = self.pools.insert(server, Rc::new(pool)) {
@@ -115,13 +120,18 @@
         }
     }
 
-    /// Origins that the whole list no longer names.
-    pub fn unlisted(&mut self, named: &dyn Fn(ServerId) -> bool) {
-        self.pools.retain(|id, pool| {
+    /// How many are kept.
+    #[cfg(test)]
+    pub fn len(&self) -> usize {
+        self.pools.len()
+    }
+
+    /// Forgets an origin that the list names no longer.
+    pub fn gone(&mut self, server: ServerId) {
+        if let Some(pool) = self.pools.remove(&server) {
             // A call that is under way holds its pool: it must find that nothing new is wanted.
-            pool.ready.set(pool.ready.get() && named(*id));
-            named(*id)
-        });
+            pool.ready.set(false);
+        }
     }
 
     /// Calls the origin for a command; its end comes as an event.
@@ -218,9 +228,12 @@
         503 | 504 if header("X-Not-Run") == "1" => Status::Full,
         _ => Status::Error,
     };
-    let Ok(value) = http::body(response.into_body(), MAX_VALUE).await else {
+    // A body that doesn't end, or is too long, is no answer; its connection goes with it.
+    let Ok(Ok(value)) = timeout(BEGUN, http::body(response.into_body(), MAX_VALUE)).await else {
         return Ended::with(Status::Reset);
     };
-    pool.idle.borrow_mut().push(Idle(connection, permit, Instant::now()));
+    if pool.ready.get() {
+        pool.idle.borrow_mut().push(Idle(connection, permit, Instant::now()));
+    }
     Ended { status, value, load }
 }
--- a/src/bin/mothpier/servers.rs
+++ b/src/bin/mothpier/servers.rs
@@ -1,7 +1,8 @@
 //! Connections to the cache servers, and which of them carries an attempt. RESP2, answers in order.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,11 +10,11 @@
 use brassrouter::ServerId;
 use bytes::{Bytes, BytesMut};
 use redis_protocol::resp2::types::BytesFrame;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc};
 use tokio::task::AbortHandle;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::log;
 use crate::node::{AttemptId, Input};
@@ -29,10 +30,19 @@
 /// After a refused connection none beside those that work is opened for this long.
 const REFUSED_PAUSE: Duration = Duration::from_secs(2);
 
+/// An answer that has begun comes whole within this time: values are small and the servers near. One that does
+/// not is spoilt, and what waits behind it waits in vain.
+const BEGUN: Duration = Duration::from_millis(250);
+
+/// Read from a connection at once.
+const READ: usize = 4096;
+
 /// How an attempt at a cache server ended.
 pub enum Ended {
-    /// A frame came back for it.
+    /// A frame of the agreed form came back for it.
     Answered(BytesFrame),
+    /// What came back can't be an answer to it. It has run; the connection is closed.
+    Spoilt,
     /// The connection ended after its last byte was written.
     Reset,
     /// Its last byte was never written: it cannot have run.
@@ -43,6 +53,8 @@
 pub enum Event {
     Up,
     Answer(AttemptId, BytesFrame),
+    /// What came for this attempt can't be its answer; the end of the connection follows.
+    Spoilt(AttemptId),
     /// The connection is no more; the attempts written whole, and those not.
     Down {
         refused: bool,
@@ -62,14 +74,32 @@
     pub descriptors: usize,
 }
 
+/// A command that is to be written.
+pub struct Command {
+    pub attempt: AttemptId,
+    pub bytes: Bytes,
+    /// It asks for the load only, which has another answer.
+    pub probe: bool,
+}
+
+/// A command that was written whole.
+struct Sent {
+    attempt: AttemptId,
+    probe: bool,
+    /// The node waits for it no longer.
+    given_up: bool,
+}
+
 #[derive(Default)]
 struct Line {
     up: bool,
-    unsent: VecDeque<(AttemptId, Bytes)>,
+    /// What came last makes it useless: it is about to end.
+    ending: bool,
+    unsent: VecDeque<Command>,
     /// Begun to be written.
     writing: Option<AttemptId>,
-    /// Written whole, in order; with whether the node has given it up.
-    sent: VecDeque<(AttemptId, bool)>,
+    /// In order.
+    sent: VecDeque<Sent>,
 }
 
 impl Line {
@@ -79,7 +109,7 @@
 
     /// Whether something given up is ahead: what is written behind it may wait for ever.
     fn stalled(&self) -> bool {
-        self.sent.iter().any(|(_, given_up)| *given_up)
+        self.sent.iter().any(|s| s.given_up)
     }
 }
 
@@ -94,21 +124,48 @@
     shared: Rc<Shared>,
     task: AbortHandle,
     used: Instant,
+    /// It leads to an address that its server has left: it ends what it carries and gets nothing new.
+    retired: bool,
+    /// How many connections there are to all servers.
+    all: Rc<Cell<usize>>,
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
+        self.all.set(self.all.get() - 1);
         self.task.abort();
     }
 }
 
+impl Connection {
+    fn load(&self) -> usize {
+        self.shared.line.borrow().load()
+    }
+
+    fn up(&self) -> bool {
+        self.shared.line.borrow().up
+    }
+
+    /// Whether a command could be answered on it at once.
+    fn free(&self) -> bool {
+        self.up() && self.load() == 0 && !self.retired && !self.shared.line.borrow().ending
+    }
+
+    fn push(&mut self, command: Command) {
+        self.used = Instant::now();
+        self.shared.line.borrow_mut().unsent.push_back(command);
+        self.shared.wake.notify_one();
+    }
+}
+
+/// A server that takes new requests, or that still owes answers: others are forgotten.
 struct Pool {
     address: Option<SocketAddr>,
     /// Whether the list says that it takes new requests.
     ready: bool,
     connections: Vec<Connection>,
     /// Attempts for which a connection is being made.
-    waiting: VecDeque<(AttemptId, Bytes)>,
+    waiting: VecDeque<Command>,
     alone_until: Instant,
 }
 
@@ -118,16 +175,22 @@
     limits: Limits,
     events: mpsc::Sender<Input>,
     numbers: u64,
+    /// Connections to all servers, and how many servers take new requests: asked with every attempt.
+    all: Rc<Cell<usize>>,
+    ready: usize,
 }
 
 impl Servers {
     pub fn new(limits: Limits, events: mpsc::Sender<Input>) -> Self {
-        Servers { pools: HashMap::new(), limits, events, numbers: 0 }
+        Servers { pools: HashMap::new(), limits, events, numbers: 0, all: Rc::default(), ready: 0 }
     }
 
     /// Takes a line of the list. Returns the attempts that were not begun to be written to a server that now
     /// wants none: after the grace not one byte of a new attempt may go there, so none is left to be sent.
     pub fn listed(&mut self, server: ServerId, address: Option<SocketAddr>, ready: bool) -> Vec<AttemptId> {
+        if !ready && !self.pools.contains_key(&server) {
+            return Vec::new();
+        }
         let pool = self.pools.entry(server).or_insert_with(|| Pool {
             address,
             ready,
@@ -138,59 +201,70 @@
         let moved = address.is_some() && address != pool.address;
         pool.ready = ready;
         pool.address = address.or(pool.address);
-        if ready && !moved {
-            return Vec::new();
-        }
-        let mut unsent: Vec<AttemptId> = pool.waiting.drain(..).map(|(id, _)| id).collect();
-        for c in &pool.connections {
-            unsent.extend(c.shared.line.borrow_mut().unsent.drain(..).map(|(id, _)| id));
+        let mut unsent = Vec::new();
+        if !ready || moved {
+            unsent.extend(pool.waiting.drain(..).map(|c| c.attempt));
+            for c in &mut pool.connections {
+                c.retired = true;
+                unsent.extend(c.shared.line.borrow_mut().unsent.drain(..).map(|c| c.attempt));
+            }
+            pool.connections.retain(|c| c.load() > 0);
         }
-        pool.connections.retain(|c| c.shared.line.borrow().load() > 0);
+        self.tidy(server);
+        self.ready = self.pools.values().filter(|p| p.ready).count();
         unsent
     }
 
+    /// How many are kept.
+    #[cfg(test)]
+    pub fn len(&self) -> usize {
+        self.pools.len()
+    }
+
     /// Servers that the whole list no longer names.
     pub fn unlisted(&mut self, named: &dyn Fn(ServerId) -> bool) -> Vec<AttemptId> {
         let gone: Vec<ServerId> =
             self.pools.iter().filter(|(id, p)| p.ready && !named(**id)).map(|(id, _)| *id).collect();
-        let unsent = gone.into_iter().flat_map(|id| self.listed(id, None, false)).collect();
-        self.pools.retain(|_, pool| pool.ready || !pool.connections.is_empty());
-        unsent
+        gone.into_iter().flat_map(|id| self.listed(id, None, false)).collect()
+    }
+
+    /// Closes what leads to an address that was left once it is done, and forgets a server that wants nothing more
+    /// and owes nothing: ids are ever new, so what is kept for one must go with it.
+    fn tidy(&mut self, server: ServerId) {
+        let Some(pool) = self.pools.get_mut(&server) else { return };
+        pool.connections.retain(|c| !c.retired || c.load() > 0);
+        if !pool.ready && pool.connections.is_empty() {
+            self.pools.remove(&server);
+        }
     }
 
     /// Sends an attempt on an idle connection, or a new one within this node's part, or behind others on the
     /// one with the fewest. `false` where there is none: it was not written.
-    pub fn send(&mut self, server: ServerId, attempt: AttemptId, command: Bytes) -> bool {
-        let all: usize = self.pools.values().map(|p| p.connections.len()).sum();
-        let known = self.pools.values().filter(|p| p.ready).count().max(1);
+    pub fn send(&mut self, server: ServerId, command: Command) -> bool {
         let Some(pool) = self.pools.get_mut(&server).filter(|p| p.ready) else { return false };
         let fresh = self.limits.idle_close.mul_f64(FRESH);
-        pool.connections.retain(|c| {
-            c.shared.line.borrow().load() > 0 || !c.shared.line.borrow().up || c.used.elapsed() < fresh
-        });
-        if let Some(idle) = pool
-            .connections
-            .iter_mut()
-            .find(|c| c.shared.line.borrow().up && c.shared.line.borrow().load() == 0)
-        {
-            idle.push(attempt, command);
+        pool.connections.retain(|c| c.load() > 0 || !c.up() || c.used.elapsed() < fresh);
+        if let Some(idle) = pool.connections.iter_mut().find(|c| c.free()) {
+            idle.push(command);
             return true;
         }
         let part = (TIER_CONNECTIONS / self.limits.balancers.max(1)).clamp(1, MOST_CONNECTIONS);
-        let part = part.min((self.limits.descriptors / known).max(1));
-        let open = pool.connections.len();
+        let part = part.min((self.limits.descriptors / self.ready.max(1)).max(1));
+        let open = pool.connections.iter().filter(|c| !c.retired).count();
         // A connection that is held up by what was given up does not count: it may never move again.
-        let moving = pool.connections.iter().filter(|c| !c.shared.line.borrow().stalled()).count();
+        let moving =
+            pool.connections.iter().filter(|c| !c.shared.line.borrow().stalled() && !c.retired).count();
         let may_open = (moving == 0 || Instant::now() >= pool.alone_until) && open < MOST_CONNECTIONS;
         if let Some(address) =
-            pool.address.filter(|_| moving < part && may_open && all < self.limits.descriptors)
+            pool.address.filter(|_| moving < part && may_open && self.all.get() < self.limits.descriptors)
         {
             self.numbers += 1;
-            pool.open(server, self.numbers, address, &self.limits, &self.events);
-            pool.waiting.push_back((attempt, command));
+            self.all.set(self.all.get() + 1);
+            pool.open(server, self.numbers, address, &self.limits, &self.events, self.all.clone());
+            pool.waiting.push_back(command);
             return true;
         }
-        pool.append(attempt, command, self.limits.multiplex)
+        pool.append(command, self.limits.multiplex)
     }
 
     /// Takes what a connection tells and returns the attempts that this ends.
@@ -205,6 +279,7 @@
                 }
                 ended.push((attempt, Ended::Answered(frame)));
             }
+            Event::Spoilt(attempt) => ended.push((attempt, Ended::Spoilt)),
             Event::Down { refused, written, unwritten } => {
                 pool.connections.retain(|c| c.number != number);
                 if refused {
@@ -215,6 +290,7 @@
             }
         }
         pool.pump(self.limits.multiplex, &mut ended);
+        self.tidy(server);
         ended
     }
 
@@ -222,36 +298,29 @@
     /// only when nothing else is left on it.
     pub fn give_up(&mut self, server: ServerId, attempt: AttemptId) -> bool {
         let Some(pool) = self.pools.get_mut(&server) else { return false };
-        pool.waiting.retain(|(id, _)| *id != attempt);
+        pool.waiting.retain(|c| c.attempt != attempt);
         let mut written = false;
         pool.connections.retain(|c| {
             let mut line = c.shared.line.borrow_mut();
-            line.unsent.retain(|(id, _)| *id != attempt);
-            let here = line.sent.iter_mut().find(|(id, _)| *id == attempt);
-            let was_sent = here.map(|(_, given_up)| *given_up = true).is_some();
+            line.unsent.retain(|c| c.attempt != attempt);
+            let here = line.sent.iter_mut().find(|s| s.attempt == attempt);
+            let was_sent = here.map(|s| s.given_up = true).is_some();
             written |= was_sent || line.writing == Some(attempt);
             let idle = line.unsent.is_empty() && line.writing.is_none();
-            !(was_sent && idle && line.sent.iter().all(|(_, given_up)| *given_up))
+            !(was_sent && idle && line.sent.iter().all(|s| s.given_up))
         });
+        self.tidy(server);
         written
     }
 
     /// Closes the connections to a server that carry nothing.
     pub fn close_idle(&mut self, server: ServerId) {
         if let Some(pool) = self.pools.get_mut(&server) {
-            pool.connections.retain(|c| !c.shared.line.borrow().up || c.shared.line.borrow().load() > 0);
+            pool.connections.retain(|c| !c.up() || c.load() > 0);
         }
     }
 }
 
-impl Connection {
-    fn push(&mut self, attempt: AttemptId, command: Bytes) {
-        self.used = Instant::now();
-        self.shared.line.borrow_mut().unsent.push_back((attempt, command));
-        self.shared.wake.notify_one();
-    }
-}
-
 impl Pool {
     fn open(
         &mut self,
@@ -260,35 +329,38 @@
         address: SocketAddr,
         limits: &Limits,
         events: &mpsc::Sender<Input>,
+        all: Rc<Cell<usize>>,
     ) {
         let shared = Rc::new(Shared::default());
         let (line, events, within) = (shared.clone(), events.clone(), limits.connect_timeout);
         let task = tokio::task::spawn_local(async move {
             let refused = drive(server, number, address, within, &line, &events).await;
             let mut state = std::mem::take(&mut *line.line.borrow_mut());
-            let written = state.sent.drain(..).map(|(id, _)| id).collect();
+            let written = state.sent.drain(..).map(|s| s.attempt).collect();
             let unwritten =
-                state.writing.take().into_iter().chain(state.unsent.drain(..).map(|(id, _)| id)).collect();
+                state.writing.take().into_iter().chain(state.unsent.drain(..).map(|c| c.attempt)).collect();
             let event = Event::Down { refused, written, unwritten };
             let _ = events.send(Input::Server { server, number, event }).await;
         });
-        self.connections.push(Connection { number, shared, task: task.abort_handle(), used: Instant::now() });
+        let (task, used) = (task.abort_handle(), Instant::now());
+        self.connections.push(Connection { number, shared, task, used, retired: false, all });
     }
 
     /// Puts an attempt behind others on the connection with the fewest that is not held up.
-    fn append(&mut self, attempt: AttemptId, command: Bytes, multiplex: usize) -> bool {
+    fn append(&mut self, command: Command, multiplex: usize) -> bool {
         let line = |c: &Connection| {
             let line = c.shared.line.borrow();
-            (line.up && !line.stalled() && line.load() < multiplex).then(|| line.load())
+            (line.up && !line.ending && !c.retired && !line.stalled() && line.load() < multiplex)
+                .then(|| line.load())
         };
         if let Some(c) = self.connections.iter_mut().filter(|c| line(c).is_some()).min_by_key(|c| line(c)) {
-            c.push(attempt, command);
+            c.push(command);
             return true;
         }
-        let coming = self.connections.iter().filter(|c| !c.shared.line.borrow().up).count();
+        let coming = self.connections.iter().filter(|c| !c.up() && !c.retired).count();
         let room = self.waiting.len() < coming * multiplex;
         if room {
-            self.waiting.push_back((attempt, command));
+            self.waiting.push_back(command);
         }
         room
     }
@@ -296,19 +368,34 @@
     /// Gives waiting attempts the connections that have become free; once none is being made any more those
     /// left go behind others, or have found no connection.
     fn pump(&mut self, multiplex: usize, ended: &mut Vec<(AttemptId, Ended)>) {
-        while let Some((attempt, command)) = self.waiting.pop_front() {
-            let idle = |c: &&mut Connection| c.shared.line.borrow().up && c.shared.line.borrow().load() == 0;
-            if let Some(c) = self.connections.iter_mut().find(idle) {
-                c.push(attempt, command);
-            } else if self.connections.iter().any(|c| !c.shared.line.borrow().up) {
-                return self.waiting.push_front((attempt, command));
-            } else if !self.append(attempt, command, multiplex) {
+        while let Some(command) = self.waiting.pop_front() {
+            let attempt = command.attempt;
+            if let Some(c) = self.connections.iter_mut().find(|c| c.free()) {
+                c.push(command);
+            } else if self.connections.iter().any(|c| !c.up() && !c.retired) {
+                return self.waiting.push_front(command);
+            } else if !self.append(command, multiplex) {
                 ended.push((attempt, Ended::NotConnected));
             }
         }
     }
 }
 
+/// Whether a frame can be the answer to a command: an array of the value or null, how it went and the load report,
+/// whose form matters to nobody but the module; or an error line. A probe is answered with the report alone.
+fn fits(frame: &BytesFrame, probe: bool) -> bool {
+    match frame {
+        BytesFrame::Error(_) => true,
+        BytesFrame::BulkString(_) => probe,
+        BytesFrame::Array(parts) if !probe => {
+            let [value, how, _report] = parts.as_slice() else { return false };
+            matches!(value, BytesFrame::BulkString(_) | BytesFrame::Null)
+                && matches!(how, BytesFrame::BulkString(_) | BytesFrame::SimpleString(_) | BytesFrame::Null)
+        }
+        _ => false,
+    }
+}
+
 /// Makes a connection and carries its commands until it ends; whether it was refused.
 async fn drive(
     server: ServerId,
@@ -328,25 +415,53 @@
     if events.send(Input::Server { server, number, event: Event::Up }).await.is_err() {
         return false;
     }
-    let (mut reading, mut writing) = stream.into_split();
+    let (reading, mut writing) = stream.into_split();
     let reader = async {
-        let mut buffer = BytesMut::with_capacity(4096);
+        let mut buffer = BytesMut::new();
+        // When the answer that has not all come yet began to.
+        let mut begun = None;
         loop {
-            match resp::take_frame(&mut buffer) {
-                Ok(Some(frame)) => {
-                    let Some((attempt, _)) = shared.line.borrow_mut().sent.pop_front() else {
-                        return log(format_args!("{address}: an answer that nothing asked for"));
-                    };
-                    let event = Event::Answer(attempt, frame);
-                    if events.send(Input::Server { server, number, event }).await.is_err() {
-                        return;
-                    }
+            // What lies behind an answer that nothing waits behind belongs to no command, and would be taken for the
+            // beginning of the next answer: the connection is closed before anything more is written.
+            if !buffer.is_empty() && shared.line.borrow().sent.is_empty() {
+                return log(format_args!("{address}: more than was asked for"));
+            }
+            let taken = resp::take_frame(&mut buffer);
+            if let Ok(None) = taken {
+                if buffer.is_empty() {
+                    (buffer, begun) = (BytesMut::new(), None);
                 }
-                Ok(None) => match reading.read_buf(&mut buffer).await {
-                    Ok(n) if n > 0 => {}
+                let until = (!buffer.is_empty()).then(|| *begun.get_or_insert_with(Instant::now) + BEGUN);
+                let read = async {
+                    reading.readable().await?;
+                    buffer.reserve(READ);
+                    reading.try_read_buf(&mut buffer)
+                };
+                let read = match until {
+                    None => read.await,
+                    Some(until) => {
+                        timeout_at(until, read).await.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()))
+                    }
+                };
+                match read {
+                    Ok(n) if n > 0 => continue,
+                    Err(e) if e.kind() == ErrorKind::WouldBlock => continue,
+                    Err(e) if e.kind() == ErrorKind::TimedOut && until.is_some() => {}
                     _ => return,
-                },
-                Err(e) => return log(format_args!("{address}: {e}")),
+                }
+            }
+            begun = None;
+            let Some(sent) = shared.line.borrow_mut().sent.pop_front() else { return };
+            let (event, good) = match taken {
+                Ok(Some(frame)) if fits(&frame, sent.probe) => (Event::Answer(sent.attempt, frame), true),
+                _ => (Event::Spoilt(sent.attempt), false),
+            };
+            // Before the node hears of it, which may have something more to write.
+            let waits = !shared.line.borrow().sent.is_empty();
+            shared.line.borrow_mut().ending = !good || !(buffer.is_empty() || waits);
+            let told = events.send(Input::Server { server, number, event }).await;
+            if told.is_err() || !good {
+                return log(format_args!("{address}: an answer that can't be read"));
             }
         }
     };
@@ -358,15 +473,15 @@
             // Once round the runtime: a close that has come in is read before anything more is written.
             tokio::task::yield_now().await;
             let next = shared.line.borrow_mut().unsent.pop_front();
-            let Some((attempt, command)) = next else { continue };
+            let Some(Command { attempt, bytes, probe }) = next else { continue };
             shared.line.borrow_mut().writing = Some(attempt);
-            if writing.write_all(&command).await.is_err() {
+            if writing.write_all(&bytes).await.is_err() {
                 return;
             }
             // No await since the last byte was written: it is on record before an answer can be read.
             let mut line = shared.line.borrow_mut();
             line.writing = None;
-            line.sent.push_back((attempt, false));
+            line.sent.push_back(Sent { attempt, probe, given_up: false });
         }
     };
     // The reader first: a close by the server is noticed before anything more is written to it.
@@ -396,12 +511,13 @@
                 descriptors: 8,
             };
             let mut servers = Servers::new(limits, events);
+            let ping = |attempt| Command { attempt, bytes: resp::command(["PING".into()]), probe: true };
             assert!(servers.listed(7, Some(address), true).is_empty());
-            assert!(servers.send(7, 1, resp::command(["PING".into()])));
+            assert!(servers.send(7, ping(1)));
             assert!(matches!(inputs.recv().await, Some(Input::Server { event: Event::Up, .. })));
             // Up, but the node has not been told yet: the attempt still waits.
             assert_eq!(servers.listed(7, Some(address), false), [1]);
-            assert!(!servers.send(7, 2, resp::command(["PING".into()])), "taken for a server that drains");
+            assert!(!servers.send(7, ping(2)), "taken for a server that drains");
             assert!(servers.event(7, 1, Event::Up).is_empty());
         });
         let mut written = Vec::new();
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -464,3 +464,99 @@
     assert_eq!(ask(400), 400);
     assert!(ask(3000) < 3000);
 }
+
+/// A connection to a cache server on which a test speaks for itself.
+fn accept(server: &TcpListener) -> BufReader<std::net::TcpStream> {
+    let (stream, _) = server.accept().unwrap();
+    stream.set_read_timeout(Some(std::time::Duration::from_secs(8))).unwrap();
+    BufReader::new(stream)
+}
+
+#[test]
+fn a_spoilt_answer_fails_its_attempt_and_ends_its_connection() {
+    let server = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (called, calls) = channel();
+    let called = report(called);
+    let origin = serve(call, move |asked| {
+        called(asked);
+        http("200 OK", "fetched")
+    });
+    let address = server.local_addr().unwrap();
+    let members = [member("s-1", address, "m", "ready"), member("o-1", origin, "origin", "ready")].join(",");
+    let node = Node::start("spoilt", &Discovery::start(&members));
+    let mut client = node.client();
+    for (i, spoilt) in [
+        "+OK\r\n",
+        ":1\r\n",
+        "$1\r\nv\r\n",
+        "*0\r\n",
+        "*1\r\n$1\r\nv\r\n",
+        "*3\r\n:1\r\n$3\r\nhit\r\n$-1\r\n",
+        "*3\r\n$1\r\nv\r\n:1\r\n$-1\r\n",
+        "*3\r\n$3000000000\r\nxxxx",
+        "\0\0noise",
+        // It begins, and nothing more comes.
+        "*3\r\n$500\r\nv\r\n$3\r\nhit\r\n$-1\r\n",
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        client.send(&["CACHE.GET", "k", &format!("i{i}"), "c=read,t=acme,d=19000"]);
+        let mut connection = accept(&server);
+        command(&mut connection).unwrap();
+        connection.get_mut().write_all(spoilt.as_bytes()).unwrap();
+        assert_eq!(command(&mut connection), None, "the connection goes on after {spoilt:?}");
+        let answer = client.answer();
+        assert!(answer.starts_with("-BUSY"), "{spoilt:?}: {answer}");
+    }
+    assert_eq!(calls.try_iter().count(), 0, "a spoilt answer was taken for a miss");
+}
+
+#[test]
+fn what_stands_behind_a_good_answer_does_not_spoil_the_next() {
+    let good = |id: &str| format!("*3\r\n${}\r\n{id}\r\n$3\r\nhit\r\n$17\r\nlat_ms=5,busy=0.1\r\n", id.len());
+    let server = serve(command, move |asked| {
+        let more = match asked[1].as_str() {
+            "copy" => good(&asked[2]),
+            "half" => "*3\r\n$2\r\n".into(),
+            "noise" => "*".into(),
+            _ => String::new(),
+        };
+        // A report that can't be read takes nothing from the value.
+        let answer = if asked[1] == "report" {
+            good(&asked[2]).replace("$17\r\nlat_ms=5,busy=0.1", ":7")
+        } else {
+            good(&asked[2])
+        };
+        Reaction::Answer((answer + &more).into_bytes())
+    });
+    let node = Node::start("behind", &Discovery::start(&member("s-1", server, "m", "ready")));
+    let mut client = node.client();
+    for (i, key) in ["copy", "half", "noise", "report", "plain"].into_iter().cycle().take(25).enumerate() {
+        let id = format!("{:02}", i);
+        assert_eq!(client.ask(&["CACHE.GET", key, &id, "c=read,t=acme,d=9000"]), format!("${id}"), "{key}");
+    }
+}
+
+#[test]
+fn a_server_that_has_moved_gets_nothing_new_at_its_old_address() {
+    let (arrived, commands) = channel();
+    let (go, wait) = channel::<()>();
+    let (arrived, wait) = (report(arrived), Mutex::new(wait));
+    let old = serve(command, move |asked| {
+        arrived(asked);
+        let _ = wait.lock().unwrap().recv();
+        array("old")
+    });
+    let new = serve(command, |_| array("new"));
+    let discovery = Discovery::start(&member("s-1", old, "m", "ready"));
+    let node = Node::start("moved", &discovery);
+    let mut client = node.client();
+    client.send(&["CACHE.GET", "k", "i0", "c=read,t=acme,d=9000"]);
+    commands.recv_timeout(HUNG).unwrap();
+    discovery.change(2, &member("s-1", new, "m", "ready"));
+    discovery.watched_after(2);
+    go.send(()).unwrap();
+    assert_eq!(client.answer(), "$old");
+    assert_eq!(client.ask(&["CACHE.GET", "k", "i1", "c=read,t=acme,d=9000"]), "$new");
+}
