Connections that clients keep for good give way before they keep the rest out

A log of why connections ended: the node stood at its 184 connections, 183 of them idle, and exactly 128 known ones, the third of the descriptors that clients may hold. At fault: evict in clients.rs, which worked only at the node's own limit, above the clients' one, and closed silent connections first, which are not the ones that clients lack.

Test: 20 connections of at most 24, the first closes at once and not after 10 s.

--- a/src/bin/mothpier/clients.rs
+++ b/src/bin/mothpier/clients.rs
@@ -38,8 +38,11 @@
 /// A first command, and the rest of one that has begun, must come within this time: bad clients are owed an
 /// error or a close within 3 s.
 const HALF: Duration = Duration::from_secs(2);
-/// A connection that asks nothing for so long is closed: some clients keep theirs for good.
-const IDLE: Duration = Duration::from_secs(10);
+/// A connection that asks nothing for so long is closed: some clients keep theirs for good. The shorter time holds
+/// once half of the connections that there may be are open, for clients can hold only so many and those that are
+/// kept keep others out.
+const IDLE: (Duration, Duration) = (Duration::from_secs(10), Duration::from_millis(2100));
+const IDLE_LOOK: Duration = Duration::from_millis(250);
 /// Between tries to accept while there is no room; a connection has rested when it was idle for so long.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// When a request that finds the node's memory full may come back, milliseconds.
@@ -172,6 +175,11 @@
         self.open.borrow().len()
     }
 
+    /// Whether half of the connections that there may be are open.
+    fn crowded(&self) -> bool {
+        self.count() * 2 >= self.most
+    }
+
     /// Waits until a connection has closed.
     pub async fn one_closed(&self) {
         self.closed.notified().await;
@@ -197,7 +205,16 @@
             };
             number += 1;
             match accepted {
-                Ok((stream, _)) => self.clone().start(stream, number),
+                Ok((stream, _)) => {
+                    self.clone().start(stream, number);
+                    // For each that comes while many are open one that rested longest goes, and another until they
+                    // are fewer: clients may hold fewer than the node could, and those who find all theirs kept by
+                    // others can't even ask.
+                    if self.crowded() {
+                        self.evict();
+                        self.evict();
+                    }
+                }
                 Err(e) => {
                     // Out of descriptors (EMFILE) or the like: it passes, and the listener must outlive it.
                     log(format_args!("accepting failed: {e}"));
@@ -220,10 +237,12 @@
     /// Those that sent no whole command go first, or clients that never end one, or never begin, would keep all
     /// others out; not one that has only just come: where all others are busy it would go before it could ask.
     fn evict(&self) {
-        let open = self.open.borrow();
-        let rests = |e: &&Entry| e.idle.is_some_and(|since| since.elapsed() >= ACCEPT_PAUSE);
-        let longest = open.values().filter(rests).min_by_key(|e| (e.known, e.idle));
+        let mut open = self.open.borrow_mut();
+        let rests = |e: &&mut Entry| e.idle.is_some_and(|since| since.elapsed() >= ACCEPT_PAUSE);
+        let longest = open.values_mut().filter(rests).min_by_key(|e| (e.known, e.idle));
         if let Some(entry) = longest {
+            // Not chosen again while it closes: the next one that comes needs another's place.
+            entry.idle = None;
             entry.evict.notify_one();
         }
     }
@@ -356,6 +375,8 @@
         let connected = Instant::now();
         // When the command that has not all come yet began to.
         let mut begun = None;
+        // Since when nothing was asked and nothing owed.
+        let mut rests = connected;
         loop {
             while !self.ended && !buffer.is_empty() {
                 match resp::take_frame(&mut buffer) {
@@ -376,11 +397,10 @@
             } else {
                 begun.get_or_insert_with(Instant::now);
             }
-            // Something was sent, answered, or begins to wait: each time round here.
             let idle = self.pending.is_empty();
             let now = Instant::now();
             if let Some(entry) = clients.open.borrow_mut().get_mut(&self.number) {
-                (entry.idle, entry.known) = (idle.then_some(now), self.known);
+                (entry.idle, entry.known) = (idle.then_some(rests), self.known);
             }
             if self.ended && idle {
                 return;
@@ -388,13 +408,21 @@
             let closing = *phase.borrow_and_update() == Phase::Closing;
             let first = (!self.known && idle).then_some(connected + HALF);
             let half = begun.filter(|_| !self.ended).map(|since| since + HALF);
-            let rest = idle.then_some(if closing && begun.is_none() { now } else { now + IDLE });
+            let rest = idle.then_some(if closing && begun.is_none() {
+                now
+            } else if rests + IDLE.1 > now || clients.crowded() {
+                rests + IDLE.1
+            } else {
+                // Looked at again meanwhile: others may have come.
+                (now + IDLE_LOOK).min(rests + IDLE.0)
+            });
             let limit = [first, half, rest].into_iter().flatten().min();
             tokio::select! {
                 biased;
                 ready = ready_answers(&mut self.pending), if !idle => {
                     let bytes = self.take_answers(ready);
                     let whole = timeout(SLOW_READER, writing.write_all(&bytes)).await;
+                    rests = Instant::now();
                     self.pending.drain(..ready);
                     if !matches!(whole, Ok(Ok(()))) {
                         return;
@@ -405,15 +433,20 @@
                     if !more {
                         return;
                     }
-                    came = (clients.now)();
+                    (came, rests) = ((clients.now)(), Instant::now());
+                }
+                () = evict.notified(), if idle => {
+                    if quiet(&reading, &mut buffer).await {
+                        return;
+                    }
+                    (came, rests) = ((clients.now)(), Instant::now());
                 }
-                () = evict.notified(), if idle => if quiet(&reading, &mut buffer).await { return },
                 () = sleep_until(limit.unwrap_or(now)), if limit.is_some() => {
                     if !quiet(&reading, &mut buffer).await {
-                        came = (clients.now)();
+                        (came, rests) = ((clients.now)(), Instant::now());
                     } else if half.is_some_and(|half| half <= Instant::now()) {
                         self.protocol_error(Malformed("the rest of the command has not come"));
-                    } else {
+                    } else if !self.known || closing || clients.crowded() || rests.elapsed() >= IDLE.0 {
                         return;
                     }
                 }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -560,3 +560,20 @@
     assert_eq!(client.answer(), "$old");
     assert_eq!(client.ask(&["CACHE.GET", "k", "i1", "c=read,t=acme,d=9000"]), "$new");
 }
+
+/// Clients can hold only so many connections: those that some keep for good must not keep the rest out.
+#[test]
+fn kept_connections_are_closed_sooner_where_many_are_open() {
+    let node = Node::start_with("kept", &Discovery::start(""), 64, "");
+    let since = std::time::Instant::now();
+    let mut kept = Vec::new();
+    // Of 24 that there may be.
+    for _ in 0..20 {
+        let mut client = node.client();
+        assert_eq!(client.ask(&["PING"]), "+PONG");
+        kept.push(client);
+    }
+    assert_eq!(kept[0].answer(), "end");
+    // Without need they have 10 s.
+    assert!(since.elapsed().as_secs() < 8, "{:?}", since.elapsed());
+}
