--- a/tests/node.rs
+++ b/tests/node.rs
@@ -4,10 +4,10 @@
 mod world;
 
 use std::io::{BufReader, Read, Write};
-use std::net::{TcpListener, UdpSocket};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::process::Stdio;
 use std::sync::Mutex;
-use std::sync::mpsc::channel;
+use std::sync::mpsc::{Receiver, Sender, channel};
 
 use world::*;
 
@@ -17,6 +17,22 @@
     move |asked| to.lock().unwrap().send(asked.to_vec()).unwrap_or_default()
 }
 
+/// A cache server that answers a command only when the test lets it: its address, the commands that have come, and
+/// the word to go on.
+fn held(
+    value: impl Fn(&[String]) -> String + Send + Sync + 'static,
+) -> (SocketAddr, Receiver<Vec<String>>, Sender<()>) {
+    let (arrived, commands) = channel();
+    let (go, wait) = channel::<()>();
+    let (arrived, wait) = (report(arrived), Mutex::new(wait));
+    let server = serve(command, move |asked| {
+        arrived(asked);
+        let _ = wait.lock().unwrap().recv();
+        array(&value(asked))
+    });
+    (server, commands, go)
+}
+
 #[test]
 fn a_miss_is_fetched_and_the_command_goes_on_unchanged_but_for_the_wait() {
     let (seen, commands) = channel();
@@ -212,14 +228,7 @@
 
 #[test]
 fn sigterm_lets_it_finish_what_it_took() {
-    let (arrived, commands) = channel();
-    let (go, wait) = channel::<()>();
-    let (arrived, wait) = (report(arrived), Mutex::new(wait));
-    let server = serve(command, move |asked| {
-        arrived(asked);
-        let _ = wait.lock().unwrap().recv();
-        array("late")
-    });
+    let (server, commands, go) = held(|_| "late".into());
     let mut node = Node::start("sigterm", &Discovery::start(&member("s-1", server, "m", "ready")));
     let (mut idle, mut client) = (node.client(), node.client());
     assert_eq!(idle.ask(&["PING"]), "+PONG");
@@ -355,14 +364,7 @@
 
 #[test]
 fn an_id_that_is_open_is_an_error_and_leaves_the_first_request_unharmed() {
-    let (arrived, commands) = channel();
-    let (go, wait) = channel::<()>();
-    let (arrived, wait) = (report(arrived), Mutex::new(wait));
-    let server = serve(command, move |asked| {
-        arrived(asked);
-        let _ = wait.lock().unwrap().recv();
-        array(&asked[1])
-    });
+    let (server, commands, go) = held(|asked| asked[1].clone());
     let node = Node::start("ids", &Discovery::start(&member("s-1", server, "m", "ready")));
     let (mut first, mut second) = (node.client(), node.client());
     first.send(&["CACHE.GET", "mine", "i1", "c=read,t=acme,d=9000"]);
@@ -417,14 +419,7 @@
 
 #[test]
 fn silence_and_half_commands_end_but_not_requests_behind_which_a_client_waits() {
-    let (arrived, commands) = channel();
-    let (go, wait) = channel::<()>();
-    let (arrived, wait) = (report(arrived), Mutex::new(wait));
-    let server = serve(command, move |asked| {
-        arrived(asked);
-        let _ = wait.lock().unwrap().recv();
-        array("late")
-    });
+    let (server, commands, go) = held(|_| "late".into());
     let node = Node::start("silence", &Discovery::start(&member("s-1", server, "m", "ready")));
     let [mut silent, mut half, mut behind, mut once] = [0; 4].map(|_| node.client());
     half.write("*4\r\n$9\r\nCACHE");
@@ -540,14 +535,7 @@
 
 #[test]
 fn a_server_that_has_moved_gets_nothing_new_at_its_old_address() {
-    let (arrived, commands) = channel();
-    let (go, wait) = channel::<()>();
-    let (arrived, wait) = (report(arrived), Mutex::new(wait));
-    let old = serve(command, move |asked| {
-        arrived(asked);
-        let _ = wait.lock().unwrap().recv();
-        array("old")
-    });
+    let (old, commands, go) = held(|_| "old".into());
     let new = serve(command, |_| array("new"));
     let discovery = Discovery::start(&member("s-1", old, "m", "ready"));
     let node = Node::start("moved", &discovery);
