--- a/src/bin/mothpier/clients.rs
+++ b/src/bin/mothpier/clients.rs
@@ -42,6 +42,7 @@
 /// once half of the connections that there may be are open, for clients can hold only so many and those that are
 /// kept keep others out.
 const IDLE: (Duration, Duration) = (Duration::from_secs(10), Duration::from_millis(2100));
+/// How often an idle connection looks whether many have become open meanwhile.
 const IDLE_LOOK: Duration = Duration::from_millis(250);
 /// Between tries to accept while there is no room; a connection has rested when it was idle for so long.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
