Simulated time and faults: the node's own code judged by the four rules, seed by seed

Need: failures that overlap at a chosen instant could not be caused, and nobody could say what a node does then.

Commands: run, replay, plants, scenarios, shrink, plan.

The node now takes back what has not begun (node.rs, withdraw). - Equal seeds gave unequal traces: tokio's watch wakes those who wait in an order drawn at random. Clients are told of the stop by a Notify (clients.rs, Stopping).

--- /dev/null
+++ b/crates/mothpier-sim/src/main.rs
@@ -0,0 +1,282 @@
+//! `mothpier-sim`: plays the node's own network code on a virtual clock against faults drawn from seeds, and judges
+//! the four rules from outside.
+
+mod exec;
+mod many;
+mod net;
+mod oracle;
+mod plan;
+mod play;
+mod scenarios;
+mod shrink;
+
+use std::io::Write;
+use std::ops::Range;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::thread;
+
+use clap::{Parser, Subcommand};
+use mothpier::Plant;
+
+use many::Job;
+use shrink::{Kept, plant_name, plant_named};
+
+/// Plays the node's own network code in virtual time against faults drawn from seeds.
+///
+/// Exit codes: 0 when no rule broke (for `plants`: when every planted mistake was found), 1 when one did, 2 when the
+/// command could not be carried out.
+#[derive(Parser)]
+#[command(version, max_term_width = 100)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Plays many seeds on all cores. The last line is "N seeds, N broken".
+    Run {
+        /// The first seed and the one behind the last.
+        #[arg(long, value_name = "FROM..TO", value_parser = seeds)]
+        seeds: Range<u64>,
+        /// Threads; as many as cores when not told.
+        #[arg(long)]
+        jobs: Option<usize>,
+        /// Plants a mistake in the nodes.
+        #[arg(long, value_name = "NAME", value_parser = plant_named)]
+        plant: Option<Plant>,
+        /// Keeps the run in a file; the same command goes on from there after a stop.
+        #[arg(long, value_name = "FILE")]
+        state: Option<PathBuf>,
+        /// No progress on standard error.
+        #[arg(long, short)]
+        quiet: bool,
+    },
+    /// Plays one seed, or a run from a file. The last line is "trace HASH".
+    Replay {
+        /// A seed, or a file as `shrink` writes it.
+        run: String,
+        /// Prints the trace: seconds since the start, then what happened.
+        #[arg(long)]
+        trace: bool,
+        /// Plants a mistake in the nodes.
+        #[arg(long, value_name = "NAME", value_parser = plant_named)]
+        plant: Option<Plant>,
+    },
+    /// Plays every planted mistake until it is found: in seeds first, then in the directed cases.
+    Plants {
+        /// Seeds to play for each at the most.
+        #[arg(long, default_value_t = 300)]
+        seeds: u64,
+    },
+    /// Plays the directed cases.
+    Scenarios {
+        /// Only those whose names hold this.
+        name: Option<String>,
+        /// Plants a mistake in the nodes.
+        #[arg(long, value_name = "NAME", value_parser = plant_named)]
+        plant: Option<Plant>,
+        /// Prints the trace of one run of each, by its number from 0.
+        #[arg(long, value_name = "RUN")]
+        trace: Option<usize>,
+    },
+    /// Cuts a failing run down to the fewest faults that still break the same rule.
+    Shrink {
+        /// A seed, or a file.
+        run: String,
+        /// Plants a mistake in the nodes.
+        #[arg(long, value_name = "NAME", value_parser = plant_named)]
+        plant: Option<Plant>,
+        /// Writes the run there, not to standard output.
+        #[arg(long, short, value_name = "FILE")]
+        output: Option<PathBuf>,
+    },
+    /// Prints a seed's faults, in the form that `replay` takes.
+    Plan {
+        /// The seed.
+        seed: u64,
+    },
+}
+
+fn seeds(text: &str) -> Result<Range<u64>, String> {
+    let bad = || format!("{text:?} is no range; write FROM..TO, as in 0..300");
+    let (from, to) = text.split_once("..").ok_or_else(bad)?;
+    let range = from.parse().map_err(|_| bad())?..to.parse().map_err(|_| bad())?;
+    if range.is_empty() { Err(format!("{text:?} holds no seed")) } else { Ok(range) }
+}
+
+fn kept(run: &str, plant: Option<Plant>) -> Result<Kept, String> {
+    let kept = match run.parse() {
+        Ok(seed) => Kept { seed, ..Kept::default() },
+        Err(_) => Kept::read(run.as_ref())?,
+    };
+    Ok(Kept { plant: plant.or(kept.plant), ..kept })
+}
+
+fn main() -> ExitCode {
+    // A panic in a run is a finding, told with its seed; the usual lines of it would only bury that.
+    std::panic::set_hook(Box::new(|_| {}));
+    let result = match Cli::parse().command {
+        Command::Run { seeds, jobs, plant, state, quiet } => run(seeds, jobs, plant, state, quiet),
+        Command::Replay { run, trace, plant } => replay(&run, trace, plant),
+        Command::Plants { seeds } => plants(seeds),
+        Command::Scenarios { name, plant, trace } => scenarios(name.as_deref(), plant, trace),
+        Command::Shrink { run, plant, output } => shrink(&run, plant, output),
+        Command::Plan { seed } => {
+            let kept = Kept { seed, plant: None, faults: Some(plan::draw(seed)) };
+            say(&kept.text(""));
+            Ok(true)
+        }
+    };
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(e) => {
+            let _ = writeln!(std::io::stderr(), "mothpier-sim: {e}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// Writes to standard output; one that is closed must not end the run.
+fn say(text: &str) {
+    let _ = std::io::stdout().write_all(text.as_bytes());
+}
+
+fn cores() -> usize {
+    thread::available_parallelism().map_or(1, usize::from)
+}
+
+fn run(
+    seeds: Range<u64>,
+    jobs: Option<usize>,
+    plant: Option<Plant>,
+    state: Option<PathBuf>,
+    quiet: bool,
+) -> Result<bool, String> {
+    let jobs = jobs.unwrap_or_else(cores);
+    let seeds = (seeds.start, seeds.end);
+    let sum = many::run(&Job { seeds, jobs, plant, first: false, state, progress: !quiet })?;
+    for (seed, b) in &sum.broken {
+        say(&format!("seed {seed}: rule {} broken at {} ms: {}\n", b.rule.name(), b.at_ms, b.what));
+        say(&format!("  to see it: mothpier-sim replay {seed} --trace; to cut it down: shrink {seed}\n"));
+    }
+    let faults: Vec<String> = sum.faults.iter().map(|(k, n)| format!("{} {n}", k.name())).collect();
+    let all = plan::Kind::ALL.len() * (plan::Kind::ALL.len() + 1) / 2;
+    let ends: Vec<String> = sum.tally.ends.iter().map(|(e, n)| format!("{e:?} {n}")).collect();
+    say(&format!("faults: {}\n", faults.join(", ")));
+    say(&format!("pairs of faults that overlapped: {} of {all}\n", sum.pairs.len()));
+    say(&format!(
+        "{} requests ({}), {} attempts at boxes, {} calls at the origin, {} effects; a cold box was sent at the most {:.2} of what it may be\n",
+        sum.tally.asked,
+        ends.join(", "),
+        sum.tally.attempts.0,
+        sum.tally.attempts.1,
+        sum.tally.effects,
+        sum.tally.cold
+    ));
+    if let Some(hash) = sum.hash {
+        say(&format!("traces {hash:016x}\n"));
+    }
+    say(&format!("{:.1} s on {jobs} threads\n", sum.took.as_secs_f64()));
+    say(&format!("{} seeds, {} broken\n", sum.played, sum.broken.len()));
+    Ok(sum.broken.is_empty())
+}
+
+fn replay(run: &str, trace: bool, plant: Option<Plant>) -> Result<bool, String> {
+    let kept = kept(run, plant)?;
+    let report = play::play(kept.seed, &play::Options { lines: trace, ..kept.options() });
+    for line in &report.lines {
+        say(&format!("{line}\n"));
+    }
+    for fault in &report.faults {
+        say(&format!("fault {fault}\n"));
+    }
+    let t = &report.tally;
+    say(&format!("{} requests: {:?}\n", t.asked, t.ends));
+    match &report.broken {
+        Some(b) => say(&format!("rule {} broken at {} ms: {}\n", b.rule.name(), b.at_ms, b.what)),
+        None => say("no rule broken\n"),
+    }
+    say(&format!("trace {:016x}\n", report.hash));
+    Ok(report.broken.is_none())
+}
+
+fn plants(most: u64) -> Result<bool, String> {
+    let mut all = true;
+    for plant in Plant::ALL {
+        let name = plant_name(plant);
+        let job = Job {
+            seeds: (0, most),
+            jobs: cores(),
+            plant: Some(plant),
+            first: true,
+            state: None,
+            progress: false,
+        };
+        let sum = many::run(&job)?;
+        if let Some((seed, b)) = sum.broken.first_key_value() {
+            say(&format!("{name}: found in {} seeds, rule {}: {}\n", seed + 1, b.rule.name(), b.what));
+            continue;
+        }
+        let found = scenarios::ALL.iter().find_map(|s| Some((s.name, s.play(Some(plant)).err()?)));
+        match found {
+            Some((case, what)) => {
+                say(&format!("{name}: found in case {case} (not in {most} seeds): {what}\n"))
+            }
+            None => {
+                all = false;
+                say(&format!("{name}: HIDDEN after {most} seeds and all cases\n"));
+            }
+        }
+    }
+    Ok(all)
+}
+
+fn scenarios(name: Option<&str>, plant: Option<Plant>, trace: Option<usize>) -> Result<bool, String> {
+    let wanted: Vec<_> = scenarios::ALL.iter().filter(|s| name.is_none_or(|n| s.name.contains(n))).collect();
+    if wanted.is_empty() {
+        let names: Vec<&str> = scenarios::ALL.iter().map(|s| s.name).collect();
+        return Err(format!("no case of that name; there are {}", names.join(", ")));
+    }
+    let mut good = 0;
+    for s in &wanted {
+        if let Some((seed, options)) = trace.and_then(|run| (s.runs)().into_iter().nth(run)) {
+            let lines = play::play(seed, &play::Options { plant, lines: true, ..options }).lines;
+            lines.iter().for_each(|l| say(&format!("{l}\n")));
+        }
+        match s.play(plant) {
+            Ok(reports) => {
+                good += 1;
+                let asked: u64 = reports.iter().map(|r| r.tally.asked).sum();
+                let cold = reports.iter().map(|r| r.tally.cold).fold(0.0, f64::max);
+                let figures = format!("{} runs, {asked} requests, cold {cold:.2}", reports.len());
+                say(&format!("{}: kept ({figures}): {}\n", s.name, s.about));
+            }
+            Err(e) => say(&format!("{}: BROKEN, {e} ({})\n", s.name, s.about)),
+        }
+    }
+    say(&format!("{} cases, {} broken\n", wanted.len(), wanted.len() - good));
+    Ok(good == wanted.len())
+}
+
+fn shrink(run: &str, plant: Option<Plant>, output: Option<PathBuf>) -> Result<bool, String> {
+    let start = kept(run, plant)?;
+    let Some((least, rule, runs)) = shrink::shrink(&start) else {
+        say("no rule broken: nothing to cut down\n");
+        return Ok(true);
+    };
+    let broken = play::play(least.seed, &least.options()).broken;
+    let what = broken.map(|b| format!("rule {} broken at {} ms: {}", rule.name(), b.at_ms, b.what));
+    let text = least.text(&what.unwrap_or_default());
+    match output {
+        Some(path) => {
+            std::fs::write(&path, &text).map_err(|e| format!("{}: {e}", path.display()))?;
+            let faults = least.faults.map_or(0, |f| f.len());
+            say(&format!("{faults} faults left after {runs} runs, in {}\n", path.display()));
+        }
+        None => say(&text),
+    }
+    Ok(false)
+}
--- a/crates/mothpier/src/clients.rs
+++ b/crates/mothpier/src/clients.rs
@@ -16,7 +16,8 @@
 use mothpier_net::{Listener, Net, Reading, Stream};
 use redis_protocol::resp2::types::BytesFrame;
 use tokio::io::AsyncWriteExt;
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch};
+use tokio::sync::futures::Notified;
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::messages::{Answer, Claim, ClientEvent, Command, Ids, Input};
@@ -50,12 +51,32 @@
 /// answer, for few are large.
 const REQUEST_KB: usize = MAX_VALUE / 2 / 1024;
 
-/// Whether connections are taken and kept.
-#[derive(Clone, Copy, PartialEq)]
-pub enum Phase {
-    Open,
-    /// The listener is closed, and each connection with its last answer.
-    Closing,
+/// The phase, and word of its change to all who wait. Not a `watch`: that wakes those who wait in an order drawn at
+/// random, and equal runs would differ.
+#[derive(Default)]
+pub struct Stopping {
+    closing: Cell<bool>,
+    changed: Notify,
+}
+
+impl Stopping {
+    /// The listener closes, and each connection with its last answer.
+    pub fn begin(&self) {
+        self.closing.set(true);
+        self.changed.notify_waiters();
+    }
+
+    /// Word of the change: a future made before the change hears of it.
+    fn word(&self) -> Notified<'_> {
+        self.changed.notified()
+    }
+
+    async fn begun(&self) {
+        let word = self.word();
+        if !self.closing.get() {
+            word.await;
+        }
+    }
 }
 
 /// What all client connections share.
@@ -69,7 +90,7 @@
     /// Permits of a KB.
     memory: Arc<Semaphore>,
     most: usize,
-    phase: watch::Receiver<Phase>,
+    stopping: Rc<Stopping>,
     events: mpsc::Sender<Input>,
     open: RefCell<BTreeMap<u64, Entry>>,
     closed: Notify,
@@ -90,7 +111,7 @@
         now: Box<dyn Fn() -> Micros>,
         ready: Rc<Cell<bool>>,
         (most, memory): (usize, usize),
-        phase: watch::Receiver<Phase>,
+        stopping: Rc<Stopping>,
         events: mpsc::Sender<Input>,
     ) -> Rc<Self> {
         Rc::new(Clients {
@@ -102,7 +123,7 @@
             ids: Ids::default(),
             memory: Arc::new(Semaphore::new(memory / 1024)),
             most,
-            phase,
+            stopping,
             events,
             open: RefCell::default(),
             closed: Notify::new(),
@@ -131,7 +152,7 @@
 
     /// Accepts until the phase ends; what the machine has accepted by then is still taken.
     pub async fn accept(self: Rc<Self>, listener: N::Listener) {
-        let (mut phase, mut number) = (self.phase.clone(), 0u64);
+        let mut number = 0u64;
         loop {
             if self.count() >= self.most {
                 // At the limit the connection that has been idle longest gives way; if none is, new ones wait.
@@ -140,13 +161,13 @@
                     biased;
                     () = self.closed.notified() => {}
                     () = self.net.sleep(ACCEPT_PAUSE) => {}
-                    _ = phase.wait_for(|p| *p == Phase::Closing) => return,
+                    () = self.stopping.begun() => return,
                 }
                 continue;
             }
             let accepted = tokio::select! {
                 biased;
-                _ = phase.wait_for(|p| *p == Phase::Closing) => break,
+                () = self.stopping.begun() => break,
                 accepted = listener.accept() => accepted,
             };
             number += 1;
@@ -316,7 +337,6 @@
     async fn run(&mut self, stream: N::Stream, evict: Rc<Notify>) {
         let clients = self.clients.clone();
         let net = clients.net.clone();
-        let mut phase = clients.phase.clone();
         let (reading, mut writing) = stream.split();
         let mut buffer = BytesMut::new();
         let mut came = (clients.now)();
@@ -353,7 +373,8 @@
             if self.ended && idle {
                 return;
             }
-            let closing = *phase.borrow_and_update() == Phase::Closing;
+            let word = clients.stopping.word();
+            let closing = clients.stopping.closing.get();
             let first = (!self.known && idle).then_some(connected + HALF);
             let half = begun.filter(|_| !self.ended).map(|since| since + HALF);
             let rest = idle.then_some(if closing && begun.is_none() {
@@ -398,7 +419,7 @@
                         return;
                     }
                 }
-                _ = phase.changed(), if !closing => {}
+                () = word, if !closing => {}
             }
         }
     }
--- a/crates/mothpier/src/discovery.rs
+++ b/crates/mothpier/src/discovery.rs
@@ -73,6 +73,7 @@
         for m in &list.members {
             let condition = match m.phase.as_str() {
                 "ready" => Condition::Ready,
+                "draining" if planted(Plant::DrainingIsReady) => Condition::Ready,
                 "draining" => Condition::Draining,
                 _ => Condition::Gone,
             };
--- a/crates/mothpier/src/lib.rs
+++ b/crates/mothpier/src/lib.rs
@@ -25,7 +25,7 @@
 use mothpier_net::{Listener, Net};
 use tokio::sync::{mpsc, oneshot, watch};
 
-use clients::{Clients, Phase};
+use clients::{Clients, Stopping};
 use clock::Clock;
 use config::Config;
 use node::{Node, Parts};
@@ -104,7 +104,7 @@
     let listener = net.listen(config.listen).await;
     let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     let listening = listener.local_addr().map_err(|e| e.to_string())?;
-    let (phase, phases) = watch::channel(Phase::Open);
+    let stopping = Rc::new(Stopping::default());
     let longest: Micros = site.decisions.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
     let bounds = (descriptors, config.memory / 2);
     let now = clock.clone();
@@ -114,7 +114,7 @@
         Box::new(move || now.now()),
         ready.clone(),
         bounds,
-        phases,
+        stopping.clone(),
         events.clone(),
     );
     let node = Node::new(net.clone(), site, config.seed, clock, parts);
@@ -152,7 +152,7 @@
     net.log("stopping");
     let kill = net.now() + Duration::from_micros(longest) + KEEP_ACCEPTING;
     net.sleep(KEEP_ACCEPTING).await;
-    let _ = phase.send(Phase::Closing);
+    stopping.begin();
     let _ = accepting.await;
     let all_closed = async {
         while clients.count() > 0 && !planted(Plant::HastyStop) {
--- a/crates/mothpier/src/node.rs
+++ b/crates/mothpier/src/node.rs
@@ -37,6 +37,8 @@
     answer: oneshot::Sender<Answer>,
     ends: Instant,
     attempts: u16,
+    /// Those without outcome.
+    out: Vec<AttemptId>,
 }
 
 /// An attempt or a probe without outcome; it may outlive its request.
@@ -148,13 +150,14 @@
         match input {
             Input::Client(ClientEvent::Asked { request, command, answer }) => {
                 let ends = self.net.now() + Duration::from_micros(request.time_left);
-                let open = Open { command: command.into(), answer, ends, attempts: 0 };
+                let open = Open { command: command.into(), answer, ends, attempts: 0, out: Vec::new() };
                 self.open.insert(request.id, open);
                 self.events.push_back(Event::Request(request));
             }
             Input::Client(ClientEvent::Gone(id)) => {
-                if !planted(Plant::GoneUntold) && self.open.remove(&id).is_some() {
+                if let Some(open) = self.open.remove(&id) {
                     self.events.push_back(Event::ClientGone(id));
+                    self.withdraw(open.out);
                 }
             }
             Input::Server { server, number, event } => {
@@ -232,6 +235,7 @@
             Action::Send { request, server, give_up_after } => self.send(request, server, give_up_after),
             Action::Refuse { request, retry_after } => {
                 let wait = retry_after.min(self.site.max_retry_after).div_ceil(1000);
+                let wait = if planted(Plant::BareRefusal) { 0 } else { wait };
                 self.answer(request, Answer::Busy(wait));
             }
             Action::Fail(request) => self.answer(request, Answer::Failed),
@@ -266,6 +270,25 @@
         if let Some(open) = self.open.remove(&request) {
             // A client that has just gone needs none.
             let _ = open.answer.send(answer);
+            self.withdraw(open.out);
+        }
+    }
+
+    /// Takes back those attempts of a request that is over which have not begun to be written: nothing more is sent
+    /// for it. What has begun goes on, or the connection would be lost to all that it carries.
+    fn withdraw(&mut self, attempts: Vec<AttemptId>) {
+        if planted(Plant::SentAfterAnswer) {
+            return;
+        }
+        for id in attempts {
+            let Some(flight) = self.flights.get_mut(&id) else { continue };
+            let unsent = match flight.call.take_if(|call| !call.begun()) {
+                Some(call) => !call.give_up(),
+                None => flight.call.is_none() && self.parts.servers.withdraw(flight.server, id),
+            };
+            if unsent {
+                self.end(id, Status::NotSent, Note::None, Load::default(), None);
+            }
         }
     }
 
@@ -281,6 +304,7 @@
         };
         let number = open.attempts;
         open.attempts += 1;
+        open.out.push(id);
         let (command, left) = (open.command.clone(), open.ends.saturating_duration_since(sent));
         let wait = if give_up_after == 0 { left } else { left.min(Duration::from_micros(give_up_after)) };
         self.flights.insert(id, Flight { attempt: Some((request, number)), server, sent, call: None });
@@ -337,9 +361,6 @@
     /// Reads a cache server's answer as the protocol's table of outcomes says.
     fn server_ended(&mut self, attempt: AttemptId, ended: Ended) {
         let frame = match ended {
-            Ended::Reset if planted(Plant::ResetNeverRan) => {
-                return self.end(attempt, Status::ConnectFailed, Note::None, Load::default(), None);
-            }
             Ended::Reset => return self.end(attempt, Status::Reset, Note::None, Load::default(), None),
             Ended::NotConnected => {
                 return self.end(attempt, Status::ConnectFailed, Note::None, Load::default(), None);
--- a/crates/mothpier/src/origin.rs
+++ b/crates/mothpier/src/origin.rs
@@ -57,6 +57,11 @@
 }
 
 impl<N: Net> Call<N> {
+    /// Whether it has begun to be written.
+    pub fn begun(&self) -> bool {
+        self.written.get()
+    }
+
     /// Stops waiting, which closes its connection; whether it may have run.
     pub fn give_up(self) -> bool {
         self.task.abort();
@@ -211,6 +216,7 @@
         Ok(response) => response,
         // Given back: the connection had ended before any of it was written.
         Err(e) if e.message().is_some() => return Ended::with(Status::ConnectFailed),
+        Err(_) if planted(Plant::ResetNeverRan) => return Ended::with(Status::ConnectFailed),
         Err(_) => return Ended::with(Status::Reset),
     };
     let header = |name: &str| {
--- a/crates/mothpier/src/plants.rs
+++ b/crates/mothpier/src/plants.rs
@@ -4,12 +4,12 @@
 /// A planted mistake.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Plant {
-    /// A reset is taken for a connection that never came up, so that what may have run is sent again.
+    /// A reset by the origin is taken for a connection that never came up: what may have run is sent again.
     ResetNeverRan,
     /// An answer to the client is written twice.
     DoubleAnswer,
-    /// A send does not look whether its server drains.
-    DrainUnchecked,
+    /// A server that drains is read as one that is ready.
+    DrainingIsReady,
     /// What waits for a connection stays there when its server begins to drain.
     DrainKeepsWaiting,
     /// A given-up attempt is taken off its connection's record, so that its late answer goes to the next.
@@ -18,8 +18,10 @@
     LeakedId,
     /// The time at which an attempt is given up is not set.
     LostGiveUp,
-    /// A client that closes leaves its requests open.
-    GoneUntold,
+    /// A refusal tells no time to come back.
+    BareRefusal,
+    /// What has not been sent when a request is over is sent all the same.
+    SentAfterAnswer,
     /// After a reload the old discovery goes on being asked.
     ReloadForgotten,
     /// After SIGTERM open requests are not waited for.
@@ -32,15 +34,16 @@
 
 impl Plant {
     /// All of them.
-    pub const ALL: [Plant; 12] = [
+    pub const ALL: [Plant; 13] = [
         Plant::ResetNeverRan,
         Plant::DoubleAnswer,
-        Plant::DrainUnchecked,
+        Plant::DrainingIsReady,
         Plant::DrainKeepsWaiting,
         Plant::ShiftedAnswers,
         Plant::LeakedId,
         Plant::LostGiveUp,
-        Plant::GoneUntold,
+        Plant::BareRefusal,
+        Plant::SentAfterAnswer,
         Plant::ReloadForgotten,
         Plant::HastyStop,
         Plant::ErrorNeverRan,
--- a/crates/mothpier/src/servers.rs
+++ b/crates/mothpier/src/servers.rs
@@ -187,14 +187,9 @@
         pool.ready = ready;
         pool.address = address.or(pool.address);
         let mut unsent = Vec::new();
-        if !ready || moved {
-            if !planted(Plant::DrainKeepsWaiting) {
-                unsent.extend(pool.waiting.drain(..).map(|c| c.attempt));
-            }
+        if (!ready || moved) && !planted(Plant::DrainKeepsWaiting) {
+            unsent.extend(pool.waiting.drain(..).map(|c| c.attempt));
             for c in &mut pool.connections {
-                if planted(Plant::DrainKeepsWaiting) {
-                    continue;
-                }
                 c.retired = true;
                 unsent.extend(c.shared.line.borrow_mut().unsent.drain(..).map(|c| c.attempt));
             }
@@ -230,8 +225,7 @@
     /// Sends an attempt on an idle connection, or a new one within this node's part, or behind others on the
     /// one with the fewest. `false` where there is none: it was not written.
     pub fn send(&mut self, server: ServerId, command: Command) -> bool {
-        let Some(pool) = self.pools.get_mut(&server).filter(|p| p.ready || planted(Plant::DrainUnchecked))
-        else {
+        let Some(pool) = self.pools.get_mut(&server).filter(|p| p.ready) else {
             return false;
         };
         let now = self.net.now();
@@ -295,6 +289,22 @@
         ended
     }
 
+    /// Takes back an attempt that has not begun to be written; whether it had not.
+    pub fn withdraw(&mut self, server: ServerId, attempt: AttemptId) -> bool {
+        let Some(pool) = self.pools.get_mut(&server) else { return false };
+        let waiting = pool.waiting.len();
+        pool.waiting.retain(|c| c.attempt != attempt);
+        let mut taken = pool.waiting.len() < waiting;
+        for c in &pool.connections {
+            let unsent = &mut c.shared.line.borrow_mut().unsent;
+            let before = unsent.len();
+            unsent.retain(|c| c.attempt != attempt);
+            taken |= unsent.len() < before;
+        }
+        self.tidy(server);
+        taken
+    }
+
     /// Stops waiting for an attempt; whether it may have run. Others on its connection go on: it is closed
     /// only when nothing else is left on it.
     pub fn give_up(&mut self, server: ServerId, attempt: AttemptId) -> bool {
