A demonstration fleet, a comparison of costs, and whole lists after a break of discovery

The node asked for what changed since (discovery.rs) and never heard of the server that went meanwhile. Ruled out: the numbers and the pools, which forget what they are told is gone.

Change: where lists are pushed the whole list is asked for after any break, as at the start; it costs an agent nothing. `mothpier-world demo` starts a fleet on loopback with a live summary, lets a box die and come back, and ends with totals and an exit code; `cost` compares programs of the node in one run.

--- a/crates/mothpier-sim/tests/cli.rs
+++ b/crates/mothpier-sim/tests/cli.rs
@@ -52,15 +52,18 @@
     assert_eq!(many("1"), many("3"));
 }
 
-/// Each was the least that shows a mistake; without the mistake it must break nothing.
+/// Each was the least that shows a defect that the node had, or a mistake that is planted: it must break nothing, and
+/// with its mistake it must break.
 #[test]
 fn kept_runs_break_with_their_mistake_and_not_without() {
     assert!(!kept().is_empty());
     for file in kept() {
         let path = file.to_str().unwrap();
-        let output = sim(&["replay", path]);
-        assert_eq!(output.status.code(), Some(1), "{path} shows its mistake no longer: {}", out(&output));
         let text = std::fs::read_to_string(&file).unwrap();
+        if text.lines().any(|l| l.starts_with("plant ")) {
+            let output = sim(&["replay", path]);
+            assert_eq!(output.status.code(), Some(1), "{path} shows its mistake no longer: {}", out(&output));
+        }
         let without: Vec<&str> = text.lines().filter(|l| !l.starts_with("plant ")).collect();
         let clean = place(&format!("clean-{}", file.file_name().unwrap().to_str().unwrap()));
         std::fs::write(&clean, without.join("\n")).unwrap();
--- a/crates/mothpier-world/src/cache_box.rs
+++ b/crates/mothpier-world/src/cache_box.rs
@@ -33,6 +33,8 @@
     Failed,
     /// `-BUSY`: turned away unseen.
     Busy,
+    /// A value that was made for another request: no node can know.
+    Lie,
 }
 
 /// How a box is made.
@@ -208,7 +210,8 @@
         let report = format!("lat_ms={},busy={busy}", self.make.work.as_millis());
         let report = format!("${}\r\n{report}\r\n", report.len());
         let whole = if hit {
-            let value = format!("{key}|{id}|box{}", self.make.number);
+            let lie = if spoil == Some(Spoil::Lie) { "0" } else { "" };
+            let value = format!("{key}|{id}{lie}|box{}", self.make.number);
             format!("*3\r\n${}\r\n{value}\r\n$3\r\nhit\r\n{report}", value.len())
         } else {
             self.fleet.missed(id, self.make.number);
@@ -232,6 +235,9 @@
     }
 
     async fn work(&self) {
+        if self.make.work.is_zero() {
+            return;
+        }
         let waits = Waits::of(&self.waiting);
         let permit = self.at_work.acquire().await;
         drop(waits);
--- a/crates/mothpier-world/src/lib.rs
+++ b/crates/mothpier-world/src/lib.rs
@@ -8,8 +8,11 @@
 pub mod agent;
 pub mod cache_box;
 pub mod client;
+pub mod cost;
+pub mod demo;
 pub mod fleet;
 pub mod loopback;
+pub mod machine;
 pub mod origin;
 pub mod wire;
 
--- /dev/null
+++ b/crates/mothpier-world/src/main.rs
@@ -0,0 +1,105 @@
+//! `mothpier-world`: a small fleet on this machine, to see a node serve.
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::{Parser, Subcommand};
+use mothpier_world::cost::{self, Cost};
+use mothpier_world::demo::{self, Demo};
+use tokio::task::LocalSet;
+
+/// Stand-ins for what is round a mothpier node.
+#[derive(Parser)]
+#[command(version, max_term_width = 100)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Starts boxes, an origin, a list and a node on loopback, serves a stream of requests, and lets a box die and
+    /// come back. Ends at Ctrl-C, or by itself.
+    ///
+    /// Exit codes: 0 when no rule was broken, 1 when one was, 2 when it could not run.
+    Demo {
+        /// Ends after so many seconds.
+        #[arg(long, value_parser = clap::value_parser!(u64).range(1..=86_400))]
+        seconds: Option<u64>,
+        /// Requests a second.
+        #[arg(long, default_value_t = 200, value_parser = clap::value_parser!(u32).range(1..=5_000))]
+        rate: u32,
+        /// Cache boxes.
+        #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u16).range(1..=64))]
+        boxes: u16,
+        /// Where the node listens; a free port of loopback when not told.
+        #[arg(long, value_name = "ADDRESS:PORT")]
+        listen: Option<SocketAddr>,
+        /// Further milliseconds for an answer before it counts as lost.
+        #[arg(long, default_value_t = 50)]
+        grace_ms: u64,
+        /// Lets a box serve values made for other requests, to show that it is noticed.
+        #[arg(long)]
+        liar: bool,
+    },
+    /// Compares the CPU that a request costs programs of the node, in rounds that take turns.
+    Cost {
+        /// A program; the first is what the others are compared with.
+        #[arg(long = "node", value_name = "PROGRAM", required = true)]
+        nodes: Vec<PathBuf>,
+        /// Rounds of each.
+        #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u16).range(1..))]
+        rounds: u16,
+        /// Requests of a round.
+        #[arg(long, default_value_t = 100_000, value_parser = clap::value_parser!(u32).range(1..))]
+        requests: u32,
+        /// Commands that a connection has out.
+        #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u16).range(1..=64))]
+        depth: u16,
+        /// Connections.
+        #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u16).range(1..=256))]
+        connections: u16,
+    },
+}
+
+fn main() -> ExitCode {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let result = runtime.map_err(|e| e.to_string()).and_then(|r| {
+        LocalSet::new().block_on(&r, async {
+            match Cli::parse().command {
+                Command::Demo { seconds, rate, boxes, listen, grace_ms, liar } => {
+                    let demo = Demo {
+                        span: seconds.map(Duration::from_secs),
+                        rate: f64::from(rate),
+                        boxes: usize::from(boxes),
+                        listen,
+                        grace: Duration::from_millis(grace_ms),
+                        liar,
+                    };
+                    demo::run(&demo).await
+                }
+                Command::Cost { nodes, rounds, requests, depth, connections } => {
+                    let cost = Cost {
+                        nodes,
+                        rounds: usize::from(rounds),
+                        requests: requests as usize,
+                        depth: usize::from(depth),
+                        connections: usize::from(connections),
+                    };
+                    cost::run(&cost).await.map(|_| true)
+                }
+            }
+        })
+    });
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(e) => {
+            let _ = writeln!(std::io::stderr(), "mothpier-world: {e}");
+            ExitCode::from(2)
+        }
+    }
+}
--- a/crates/mothpier/src/discovery.rs
+++ b/crates/mothpier/src/discovery.rs
@@ -117,7 +117,8 @@
     let (mut connection, mut revision, mut calls, mut failing) = (None, known, 0, false);
     // What was held at the start may be old. An agent gives the whole list at no cost; where discovery is one
     // service for all, only what changed since is asked for.
-    let mut first = wanted.borrow().watch;
+    let pushed = wanted.borrow().watch;
+    let mut first = pushed;
     let mut moved = false;
     loop {
         let now = *wanted.borrow_and_update();
@@ -158,6 +159,9 @@
             Err(e) => {
                 // A silent or broken agent must not hang the watch: begin again on a new connection.
                 connection = None;
+                // What answers next may have begun anew, without memory of servers that went: its revisions may look
+                // like those held here, and changes since one of them would leave out what nobody remembers.
+                first = pushed;
                 if !failing {
                     net.log(format_args!("discovery: {e}; trying again until it answers"));
                 }
