Slot-aware clients: one slot map at all nodes, and the commands that ask for it

Need: member apps already speak the cluster dialect; a node answered CLUSTER, COMMAND and HELLO with an error, so such clients could not connect.

The node serves them where MOTHPIER_CLUSTER names the tier's addresses, and nowhere else. A request at any node is served and never redirected, so that maps that differ bounce nobody. A node that stops says so before its connections close.

Plain clients see no change.

--- a/crates/mothpier/src/clients.rs
+++ b/crates/mothpier/src/clients.rs
@@ -14,6 +14,7 @@
 use brassrouter::{Micros, Request, RequestId};
 use bytes::{Bytes, BytesMut};
 use mothpier_net::{Listener, Net, Reading, Stream};
+use mothpier_slots::{Tier, commands};
 use redis_protocol::resp2::types::BytesFrame;
 use tokio::io::AsyncWriteExt;
 use tokio::sync::futures::Notified;
@@ -79,9 +80,21 @@
     }
 }
 
+/// What the rest of the node decides for all clients.
+pub struct State {
+    /// There is a list of servers.
+    pub ready: Rc<Cell<bool>>,
+    /// No more are taken.
+    pub stopping: Rc<Stopping>,
+    /// Where slot-aware clients are served: the tier that they are shown.
+    pub tier: Option<Rc<RefCell<Tier>>>,
+}
+
 /// What all client connections share.
 pub struct Clients<N> {
     net: N,
+    /// Where slot-aware clients are served: the tier that they are shown.
+    tier: Option<Rc<RefCell<Tier>>>,
     site: Site,
     now: Box<dyn Fn() -> Micros>,
     ready: Rc<Cell<bool>>,
@@ -109,13 +122,13 @@
         net: N,
         site: Site,
         now: Box<dyn Fn() -> Micros>,
-        ready: Rc<Cell<bool>>,
+        State { ready, stopping, tier }: State,
         (most, memory): (usize, usize),
-        stopping: Rc<Stopping>,
         events: mpsc::Sender<Input>,
     ) -> Rc<Self> {
         Rc::new(Clients {
             net,
+            tier,
             site,
             now,
             ready,
@@ -222,8 +235,16 @@
         net.spawn(async move {
             stream.set_nodelay();
             let pending = VecDeque::new();
-            let mut session =
-                Session { clients: self.clone(), number, pending, asked: 0, known: false, ended: false };
+            let told = commands::Connection::new(number);
+            let mut session = Session {
+                clients: self.clone(),
+                number,
+                pending,
+                asked: 0,
+                known: false,
+                ended: false,
+                told,
+            };
             session.run(stream, evict).await;
             for slot in &session.pending {
                 if let Wait::Node(id, _) = slot.wait {
@@ -331,6 +352,8 @@
     known: bool,
     /// No more commands are read: the last answer closes.
     ended: bool,
+    /// What a slot-aware client has told of its connection.
+    told: commands::Connection,
 }
 
 impl<N: Net> Session<N> {
@@ -472,6 +495,7 @@
                 }
                 Err(e) => self.answer(resp::error(&format!("ERR {e}"))),
             },
+            _ if self.cluster_command(&words) => {}
             name if name.eq_ignore_ascii_case(b"PING") => {
                 self.known = true;
                 self.answer(match self.clients.ready.get() {
@@ -487,6 +511,16 @@
         }
     }
 
+    /// Answers what slot-aware clients ask, where they are served; whether it was that.
+    fn cluster_command(&mut self, words: &[Bytes]) -> bool {
+        let Some(tier) = self.clients.tier.clone() else { return false };
+        let words: Vec<&[u8]> = words.iter().map(Bytes::as_ref).collect();
+        let Some(value) = commands::answer(&words, &tier.borrow(), &mut self.told) else { return false };
+        self.known = true;
+        self.answer(value.encode().into());
+        true
+    }
+
     async fn ask(&mut self, request: Request, command: Box<Command>) {
         // Memory is bounded by what open requests may hold, and one connection by its own part of them; what is
         // beyond never runs, and is told so instead of being left unread.
--- a/crates/mothpier/src/config.rs
+++ b/crates/mothpier/src/config.rs
@@ -32,6 +32,8 @@
     pub known: Option<List>,
     /// The deployment's settings.
     pub site: Site,
+    /// Where clients reach each node of the tier, by their numbers: slot-aware clients are served where this is set.
+    pub cluster: Option<Vec<SocketAddr>>,
 }
 
 #[derive(Deserialize)]
@@ -51,6 +53,12 @@
     settings: serde_json::Value,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ClusterFile {
+    nodes: Vec<String>,
+}
+
 #[derive(Deserialize)]
 #[serde(default)]
 struct Limits {
@@ -82,7 +90,30 @@
     let env = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
     let path = env("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?;
     let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
-    parse(&text, &env, precedence).map_err(|e| format!("{path}: {e}"))
+    let mut config = parse(&text, &env, precedence).map_err(|e| format!("{path}: {e}"))?;
+    if let Some(path) = env("MOTHPIER_CLUSTER") {
+        let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
+        let balancers = config.site.decisions.balancers as usize;
+        config.cluster = Some(parse_cluster(&text, balancers).map_err(|e| format!("{path}: {e}"))?);
+    }
+    Ok(config)
+}
+
+/// Reads the file that switches slot-aware clients on.
+///
+/// # Errors
+///
+/// One plain line that names what is missing or unreadable.
+pub fn parse_cluster(text: &[u8], balancers: usize) -> Result<Vec<SocketAddr>, String> {
+    let file: ClusterFile = serde_json::from_slice(text).map_err(|e| format!("unreadable: {e}"))?;
+    if file.nodes.len() != balancers {
+        let (named, told) = (file.nodes.len(), balancers);
+        return Err(format!(
+            "nodes: {named} are named where the settings have {told} balancers; name each once"
+        ));
+    }
+    let address = |a: &String| a.parse().map_err(|_| format!("nodes: {a:?} is no ADDRESS:PORT"));
+    file.nodes.iter().map(address).collect()
 }
 
 /// Reads a configuration's text with an environment.
@@ -129,5 +160,6 @@
         peers_all: optional("peers_all", file.peers_all)?,
         known: file.known,
         site,
+        cluster: None,
     })
 }
--- a/crates/mothpier/src/lib.rs
+++ b/crates/mothpier/src/lib.rs
@@ -16,13 +16,14 @@
 mod resp;
 mod servers;
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use brassrouter::Micros;
 use mothpier_net::{Listener, Net};
+use mothpier_slots::Tier;
 use tokio::sync::{mpsc, oneshot, watch};
 
 use clients::{Clients, Stopping};
@@ -41,6 +42,8 @@
 const KEEP_ACCEPTING: Duration = Duration::from_millis(600);
 /// A restarted node is used even when discovery is silent, with the list it last had.
 const WITHOUT_DISCOVERY: Duration = Duration::from_secs(1);
+/// How often the tier is looked at; it tells the others less often.
+const TIER_LOOK: Duration = Duration::from_millis(100);
 /// Descriptors for the listener, the peers, discovery, the runtime and the standard streams.
 const OWN_DESCRIPTORS: usize = 16;
 
@@ -76,14 +79,50 @@
         connect_timeout,
         descriptors: descriptors * 3 / 4,
     };
+    let me = site.decisions.me as usize;
+    let telling = config.peer_listen.is_some() && site.decisions.may_tell_peers;
+    let tier = match config.cluster {
+        Some(nodes) => {
+            let tier = Tier::new(nodes, me, telling, net.wall().as_millis() as u64);
+            Some(Rc::new(RefCell::new(tier.map_err(|e| format!("the cluster's nodes: {e}"))?)))
+        }
+        None => None,
+    };
     let peers = match config.peer_listen.filter(|_| site.decisions.may_tell_peers) {
         Some(listen) => {
-            let opened =
-                peers::Peers::open(&net, listen, config.peers, config.peers_all, events.clone()).await;
-            opened.map(Some).map_err(|e| format!("cannot open {listen}: {e}"))?
+            let opened = peers::Peers::open(
+                &net,
+                listen,
+                config.peers,
+                config.peers_all,
+                tier.clone(),
+                events.clone(),
+            )
+            .await;
+            opened.map(|peers| Some(Rc::new(peers))).map_err(|e| format!("cannot open {listen}: {e}"))?
         }
         None => None,
     };
+    let tell_tier = {
+        let (net, tier, peers) = (net.clone(), tier.clone(), peers.clone());
+        move || {
+            let (Some(tier), Some(peers)) = (&tier, &peers) else { return };
+            let message = tier.borrow_mut().tick(net.wall().as_millis() as u64);
+            if let Some(message) = message {
+                peers.tell_all(me, &message);
+            }
+        }
+    };
+    if tier.is_some() && peers.is_some() {
+        let (net, tell) = (net.clone(), tell_tier.clone());
+        let looking = net.clone();
+        net.spawn(async move {
+            loop {
+                tell();
+                looking.sleep(TIER_LOOK).await;
+            }
+        });
+    }
     let watched = messages::Wanted { watch: !site.decisions.ask_discovery, calls: 0 };
     let (wanted, wishes) = watch::channel(watched);
     let ready = Rc::new(Cell::new(false));
@@ -112,9 +151,8 @@
         net.clone(),
         site.clone(),
         Box::new(move || now.now()),
-        ready.clone(),
+        clients::State { ready: ready.clone(), stopping: stopping.clone(), tier: tier.clone() },
         bounds,
-        stopping.clone(),
         events.clone(),
     );
     let node = Node::new(net.clone(), site, config.seed, clock, parts);
@@ -150,6 +188,11 @@
         }
     }
     net.log("stopping");
+    if let Some(tier) = &tier {
+        // Its slots go to others before its connections do.
+        tier.borrow_mut().stop();
+        tell_tier();
+    }
     let kill = net.now() + Duration::from_micros(longest) + KEEP_ACCEPTING;
     net.sleep(KEEP_ACCEPTING).await;
     stopping.begin();
--- a/crates/mothpier/src/node.rs
+++ b/crates/mothpier/src/node.rs
@@ -61,7 +61,7 @@
 pub struct Parts<N: Net> {
     pub servers: Servers<N>,
     pub origins: Origins<N>,
-    pub peers: Option<Peers<N>>,
+    pub peers: Option<Rc<Peers<N>>>,
     pub wanted: watch::Sender<Wanted>,
     pub ready: Rc<Cell<bool>>,
 }
--- a/crates/mothpier/src/peers.rs
+++ b/crates/mothpier/src/peers.rs
@@ -1,12 +1,15 @@
 //! Datagrams between the nodes of the tier.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use mothpier_net::{Net, Socket};
+use mothpier_slots::Tier;
 use tokio::sync::mpsc;
 
 use crate::messages::Input;
+use crate::{Plant, planted};
 
 /// The longest message that may be sent.
 const MAX_MESSAGE: usize = 256;
@@ -27,6 +30,7 @@
         listen: SocketAddr,
         addresses: Vec<SocketAddr>,
         all: Option<SocketAddr>,
+        tier: Option<Rc<RefCell<Tier>>>,
         events: mpsc::Sender<Input>,
     ) -> std::io::Result<Self> {
         let socket = Rc::new(net.socket(listen).await?);
@@ -38,7 +42,13 @@
                 // An error here is that of an earlier datagram which found no listener.
                 let Ok((length, sender)) = inbox.recv_from(&mut buffer).await else { continue };
                 let Some(from) = known.iter().position(|a| *a == sender) else { continue };
-                if length <= MAX_MESSAGE {
+                if let Some(tier) = tier.as_ref().filter(|_| Tier::is_message(&buffer[..length])) {
+                    if planted(Plant::TierUnheard) {
+                        continue;
+                    }
+                    let unix_ms = machine.wall().as_millis() as u64;
+                    tier.borrow_mut().heard(unix_ms, from, &buffer[..length.min(MAX_MESSAGE)]);
+                } else if length <= MAX_MESSAGE {
                     let bytes = buffer[..length].to_vec();
                     // One that finds the queue full is dropped, as it might have been on its way.
                     let _ = events.try_send(Input::Peer { from: from as u32, bytes });
@@ -49,6 +59,14 @@
         Ok(Peers { net: net.clone(), socket, addresses, all })
     }
 
+    /// Sends a message to all other nodes, each by its own address where there is none for all.
+    pub fn tell_all(&self, me: usize, bytes: &[u8]) {
+        if self.all.is_some() {
+            return self.tell(None, bytes);
+        }
+        (0..self.addresses.len()).filter(|n| *n != me).for_each(|n| self.tell(Some(n as u32), bytes));
+    }
+
     /// Sends a message to one node, or to all; one that can't go at once is lost.
     pub fn tell(&self, to: Option<u32>, bytes: &[u8]) {
         let address = match to {
--- /dev/null
+++ b/crates/mothpier/tests/cluster.rs
@@ -0,0 +1,179 @@
+//! Slot-aware clients at the node: client libraries that learn the map and follow it, and plain clients that see none
+//! of it.
+
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::time::Instant;
+
+use fred::clients::Client as FredClient;
+use fred::interfaces::ClientLike;
+use fred::types::config::{Config as FredConfig, ServerConfig};
+use fred::types::{ClusterHash, CustomCommand};
+use mothpier_world::loopback::*;
+
+/// Free addresses, each on a port of its own.
+fn free(count: usize) -> Vec<SocketAddr> {
+    let held: Vec<TcpListener> = (0..count).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+    held.iter().map(|l| l.local_addr().unwrap()).collect()
+}
+
+/// Two nodes of one tier. Each has a box of its own that names its node in every value, so that it shows at which node
+/// a request came in.
+fn tier(name: &str) -> Vec<(Node, Discovery, SocketAddr)> {
+    let addresses = free(2);
+    let file = config_path(&format!("{name}-cluster"));
+    let held = [0; 2].map(|_| UdpSocket::bind("127.0.0.1:0").unwrap());
+    let peers = held.each_ref().map(|s| s.local_addr().unwrap());
+    drop(held);
+    let listed: Vec<String> = addresses.iter().map(|a| format!("\"{a}\"")).collect();
+    std::fs::write(&file, format!(r#"{{"nodes":[{}]}}"#, listed.join(","))).unwrap();
+    let start = |(number, address): (usize, &SocketAddr)| {
+        let value = format!("node{number}");
+        let server = serve(command, move |_| array(&value));
+        let origin = {
+            let value = format!("written{number}");
+            serve(call, move |_| http("200 OK", &value))
+        };
+        let members =
+            [member("s-1", server, "m", "ready"), member("o-1", origin, "origin", "ready")].join(",");
+        let discovery = Discovery::start(&members);
+        let own = format!("{name}{number}");
+        let mut command = node_command(&own, discovery.address, 1024, "");
+        let text = config(&own, discovery.address, 1024)
+            .replace("\"balancers\":1,\"me\":0", &format!("\"balancers\":2,\"me\":{number}"))
+            .replace("127.0.0.1:0", &address.to_string());
+        let (listen, [a, b]) = (peers[number], peers);
+        let own_peers = format!(r#"{{"peer_listen":"{listen}","peers":["{a}","{b}"],"#);
+        let text = text.replacen('{', &own_peers, 1);
+        std::fs::write(config_path(&own), text).unwrap();
+        command.env("MOTHPIER_CLUSTER", &file);
+        (Node::run(command, &discovery), discovery, *address)
+    };
+    addresses.iter().enumerate().map(start).collect()
+}
+
+/// Keys, and the node that is shown as the owner of each one's slot.
+fn keys() -> impl Iterator<Item = (String, usize)> {
+    (0..40).map(|n| {
+        let key = format!("key{n}");
+        let owner = usize::from(mothpier_slots::slot_of(key.as_bytes()) >= mothpier_slots::SLOTS / 2);
+        (key, owner)
+    })
+}
+
+#[test]
+fn redis_rs_learns_the_map_and_asks_each_key_at_its_owner() {
+    let tier = tier("redis-rs");
+    let client = redis::cluster::ClusterClient::new(vec![format!("redis://{}", tier[0].2)]).unwrap();
+    let mut connection = client.get_connection().unwrap();
+    let mut met = [0; 2];
+    for (n, (key, owner)) in keys().enumerate() {
+        let mut get = redis::cmd("CACHE.GET");
+        get.arg(&key).arg(format!("g{n}")).arg("c=read,t=acme,d=9000");
+        let value: String = get.query(&mut connection).unwrap();
+        assert_eq!(value, format!("node{owner}"), "{key}");
+        let mut set = redis::cmd("CACHE.SET");
+        set.arg(&key).arg(format!("s{n}")).arg("c=once,t=acme,d=9000").arg("new");
+        let value: String = set.query(&mut connection).unwrap();
+        assert_eq!(value, format!("written{owner}"), "{key}");
+        met[owner] += 1;
+    }
+    assert!(met.iter().all(|m| *m > 0), "{met:?}");
+}
+
+#[test]
+fn fred_learns_the_map_and_asks_each_key_at_its_owner() {
+    let tier = tier("fred");
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let first = tier[0].2;
+        let server = ServerConfig::new_clustered(vec![(first.ip().to_string(), first.port())]);
+        let client = FredClient::new(FredConfig { server, ..FredConfig::default() }, None, None, None);
+        let _driver = client.init().await.unwrap();
+        let mut met = [0; 2];
+        for (n, (key, owner)) in keys().enumerate() {
+            let get = CustomCommand::new_static("CACHE.GET", ClusterHash::FirstKey, false);
+            let words = vec![key.clone(), format!("g{n}"), "c=read,t=acme,d=9000".into()];
+            let value: String = client.custom(get, words).await.unwrap();
+            assert_eq!(value, format!("node{owner}"), "{key}");
+            let set = CustomCommand::new_static("CACHE.SET", ClusterHash::FirstKey, false);
+            let words = vec![key.clone(), format!("s{n}"), "c=once,t=acme,d=9000".into(), "new".into()];
+            let value: String = client.custom(set, words).await.unwrap();
+            assert_eq!(value, format!("written{owner}"), "{key}");
+            met[owner] += 1;
+        }
+        assert!(met.iter().all(|m| *m > 0), "{met:?}");
+        client.quit().await.unwrap();
+    });
+}
+
+/// What a node shows of the tier, once it shows that another does not run.
+fn shown_without(node: &Node, gone: SocketAddr) -> Vec<String> {
+    let since = Instant::now();
+    let mut client = node.client();
+    while since.elapsed() < HUNG {
+        let lines: Vec<String> = client.ask(&["CLUSTER", "NODES"]).lines().map(str::to_owned).collect();
+        if lines.iter().any(|l| l.contains(&format!("{gone}@0 master,fail"))) {
+            return lines;
+        }
+    }
+    panic!("{gone} is shown as running still");
+}
+
+#[test]
+fn a_node_that_stops_or_dies_hands_its_slots_over() {
+    for signal in ["TERM", "KILL"] {
+        let tier = tier(&format!("hands-over-{signal}"));
+        let (left, stays) = (&tier[0], &tier[1]);
+        left.0.signal(signal);
+        let lines = shown_without(&stays.0, left.2);
+        let own = lines.iter().find(|l| l.contains("myself")).unwrap();
+        assert!(own.ends_with(" connected 0-16383"), "{lines:?}");
+    }
+}
+
+/// A node keeps no slots of its own: a key at the node that is not shown as its owner is served there, never sent on.
+#[test]
+fn a_request_at_the_wrong_node_is_served() {
+    let tier = tier("wrong");
+    for (n, (key, _)) in keys().take(8).enumerate() {
+        for (number, (node, ..)) in tier.iter().enumerate() {
+            let id = format!("w{n}-{number}");
+            let answer = node.client().ask(&["CACHE.GET", &key, &id, "c=read,t=acme,d=9000"]);
+            assert_eq!(answer, format!("$node{number}"));
+        }
+    }
+}
+
+#[test]
+fn plain_clients_see_no_change_unless_it_is_switched_on() {
+    let discovery = Discovery::start(&member("s-1", serve(command, |_| array("v")), "m", "ready"));
+    let node = Node::start("plain", &discovery);
+    let mut client = node.client();
+    for words in [&["CLUSTER", "SLOTS"][..], &["COMMAND"], &["HELLO", "2"], &["READONLY"], &["ECHO", "x"]] {
+        assert_eq!(client.ask(words), "-ERR unknown command", "{words:?}");
+    }
+    assert_eq!(client.ask(&["PING"]), "+PONG");
+}
+
+#[test]
+fn a_bad_file_of_nodes_is_refused_at_the_start_with_its_cause() {
+    let discovery = Discovery::start("");
+    for (n, (text, cause)) in [
+        ("{\"nodes\":[]}", "0 are named where the settings have 1 balancers"),
+        ("{\"nodes\":[\"pb7\"]}", "\"pb7\" is no ADDRESS:PORT"),
+        ("{\"nodes\":[\"0.0.0.0:1\"]}", "0.0.0.0:1 is no address that clients can connect to"),
+        ("{\"nodes\":[\"127.0.0.1:1\"],\"more\":1}", "unknown field `more`"),
+        ("{", "unreadable"),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let name = format!("bad-cluster{n}");
+        let file = config_path(&format!("{name}-nodes"));
+        std::fs::write(&file, text).unwrap();
+        let mut command = node_command(&name, discovery.address, 1024, "");
+        let output = command.env("MOTHPIER_CLUSTER", &file).output().unwrap();
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(!output.status.success() && said.contains(cause), "{text}: {said}");
+    }
+}
