--- a/crates/mothpier-world/src/agent.rs
+++ b/crates/mothpier-world/src/agent.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use mothpier_net::{Listener, Net, Stream};
+use mothpier_net::{Net, Stream};
 use tokio::io::AsyncWriteExt;
 use tokio::sync::Notify;
 
@@ -101,30 +101,20 @@
     ///
     /// An address that can't be listened on.
     pub async fn serve(self: Rc<Self>, at: SocketAddr) -> io::Result<SocketAddr> {
-        let listener = self.net.listen(at).await?;
-        let address = listener.local_addr()?;
         let net = self.net.clone();
-        net.spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let (served, net) = (self.clone(), self.net.clone());
-                net.spawn(async move {
-                    let _ = served.connection(stream).await;
-                });
+        let serve = move |stream| {
+            let served = self.clone();
+            async move {
+                let _ = served.connection(stream).await;
             }
-        });
-        Ok(address)
+        };
+        wire::listen(&net, at, serve).await
     }
 
     async fn connection(&self, stream: N::Stream) -> io::Result<()> {
         let (reading, mut writing) = stream.split();
         let mut buffer = BytesMut::new();
-        loop {
-            let call = match wire::call(&mut buffer) {
-                Ok(Some(call)) => call,
-                Ok(None) if wire::read_more(&reading, &mut buffer).await? => continue,
-                Ok(None) => return Ok(()),
-                Err(e) => return writing.write_all(&wire::reply("400 Bad Request", "", &e)).await,
-            };
+        while let Some(call) = wire::next_call(&reading, &mut writing, &mut buffer).await? {
             let query = call.path.split_once('?').map(|(_, q)| q.replace('&', ",")).unwrap_or_default();
             let number = |name| wire::extra(&query, name).and_then(|v| v.parse::<u64>().ok());
             let (after, wait) = (number("after"), number("wait_ms").unwrap_or(0).min(60_000));
@@ -142,6 +132,7 @@
             writing.write_all(&wire::reply("200 OK", "", &body)).await?;
             self.fleet.saw(Seen::Told { agent: self.number, members: told, complete });
         }
+        Ok(())
     }
 
     /// The list for a node that holds a revision; one that this agent never gave gets the whole list.
--- a/crates/mothpier-world/src/cache_box.rs
+++ b/crates/mothpier-world/src/cache_box.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use mothpier_net::{Listener, Net, Stream};
+use mothpier_net::{Net, Stream};
 use tokio::io::AsyncWriteExt;
 use tokio::sync::{Semaphore, mpsc, oneshot};
 
@@ -111,16 +111,8 @@
     ///
     /// An address that can't be listened on.
     pub async fn serve(self: Rc<Self>, at: SocketAddr) -> io::Result<SocketAddr> {
-        let listener = self.net.listen(at).await?;
-        let address = listener.local_addr()?;
         let net = self.net.clone();
-        net.spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let (served, net) = (self.clone(), self.net.clone());
-                net.spawn(async move { served.connection(stream).await });
-            }
-        });
-        Ok(address)
+        wire::listen(&net, at, move |stream| self.clone().connection(stream)).await
     }
 
     async fn connection(self: Rc<Self>, stream: N::Stream) {
--- a/crates/mothpier-world/src/origin.rs
+++ b/crates/mothpier-world/src/origin.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
-use mothpier_net::{Listener, Net, Stream};
+use mothpier_net::{Net, Stream};
 use tokio::io::AsyncWriteExt;
 use tokio::sync::Semaphore;
 
@@ -90,37 +90,28 @@
     ///
     /// An address that can't be listened on.
     pub async fn serve(self: Rc<Self>, at: SocketAddr) -> io::Result<SocketAddr> {
-        let listener = self.net.listen(at).await?;
-        let address = listener.local_addr()?;
         let net = self.net.clone();
-        net.spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let (served, net) = (self.clone(), self.net.clone());
-                net.spawn(async move {
-                    let _ = served.connection(stream).await;
-                });
+        let serve = move |stream| {
+            let served = self.clone();
+            async move {
+                let _ = served.connection(stream).await;
             }
-        });
-        Ok(address)
+        };
+        wire::listen(&net, at, serve).await
     }
 
     async fn connection(&self, stream: N::Stream) -> io::Result<()> {
         stream.set_nodelay();
         let (reading, mut writing) = stream.split();
         let mut buffer = BytesMut::new();
-        loop {
-            let call = match wire::call(&mut buffer) {
-                Ok(Some(call)) => call,
-                Ok(None) if wire::read_more(&reading, &mut buffer).await? => continue,
-                Ok(None) => return Ok(()),
-                Err(e) => return writing.write_all(&wire::reply("400 Bad Request", "", &e)).await,
-            };
+        while let Some(call) = wire::next_call(&reading, &mut writing, &mut buffer).await? {
             let Some((bytes, last)) = self.call(&call).await else { return Ok(()) };
             writing.write_all(&bytes).await?;
             if last {
                 std::future::pending::<()>().await;
             }
         }
+        Ok(())
     }
 
     /// The answer, and whether nothing comes behind it; `None` ends the connection.
--- a/crates/mothpier-world/src/wire.rs
+++ b/crates/mothpier-world/src/wire.rs
@@ -1,10 +1,13 @@
 //! RESP2 and HTTP/1.1 as the stand-ins read and write them. Written apart from the node's own reader on purpose: a
 //! mistake there must not be repeated here.
 
+use std::future::Future;
 use std::io;
+use std::net::SocketAddr;
 
 use bytes::{Buf, BytesMut};
-use mothpier_net::Reading;
+use mothpier_net::{Listener, Net, Reading};
+use tokio::io::{AsyncWrite, AsyncWriteExt};
 
 /// The longest line and the largest value that a stand-in takes.
 const MOST: usize = 1 << 20;
@@ -182,6 +185,50 @@
     }
 }
 
+/// Reads on until an HTTP request is whole; one that can't be read is answered 400. `None` ends the connection.
+///
+/// # Errors
+///
+/// The connection's.
+pub async fn next_call(
+    reading: &impl Reading,
+    writing: &mut (impl AsyncWrite + Unpin),
+    buffer: &mut BytesMut,
+) -> io::Result<Option<Call>> {
+    loop {
+        match call(buffer) {
+            Ok(Some(call)) => return Ok(Some(call)),
+            Ok(None) if read_more(reading, buffer).await? => {}
+            Ok(None) => return Ok(None),
+            Err(e) => {
+                writing.write_all(&reply("400 Bad Request", "", &e)).await?;
+                return Ok(None);
+            }
+        }
+    }
+}
+
+/// Listens, and serves each connection with a task of its own until the machine ends them; gives the address.
+///
+/// # Errors
+///
+/// An address that can't be listened on.
+pub async fn listen<N: Net, F: Future<Output = ()> + 'static>(
+    net: &N,
+    at: SocketAddr,
+    serve: impl Fn(N::Stream) -> F + 'static,
+) -> io::Result<SocketAddr> {
+    let listener = net.listen(at).await?;
+    let address = listener.local_addr()?;
+    let machine = net.clone();
+    net.spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            machine.spawn(serve(stream));
+        }
+    });
+    Ok(address)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
