Long answers that wait on a client's connection are bounded

Cause: up to 1,024 answers may wait on a connection, and a slot map of a large tier is 100 KB: a client that asked for it again and again without reading could take 100 MB (found by reading the change). Change: with over 1 MB of answers of slot-aware commands waiting it gets a protocol error and is cut off. Off where slot-aware clients are not switched on.

--- a/crates/mothpier/src/clients.rs
+++ b/crates/mothpier/src/clients.rs
@@ -29,6 +29,9 @@
 const MAX_PIPELINE: usize = 128;
 /// Answers of one connection that may wait, refusals and errors too; a client that goes on beyond is cut off.
 const MAX_WAITING: usize = 1024;
+/// Bytes of answers of slot-aware commands that may wait on one connection: a map of many nodes is long, and a client
+/// that asks for it again and again without reading is cut off.
+const MAX_MAPS: usize = 1 << 20;
 /// Read from a connection at once.
 const READ: usize = 4096;
 /// Answers that are ready are put into one write up to about this size.
@@ -517,7 +520,15 @@
         let words: Vec<&[u8]> = words.iter().map(Bytes::as_ref).collect();
         let Some(value) = commands::answer(&words, &tier.borrow(), &mut self.told) else { return false };
         self.known = true;
-        self.answer(value.encode().into());
+        let waiting = self.pending.iter().map(|slot| match &slot.wait {
+            Wait::Ready(bytes) => bytes.len(),
+            Wait::Node(..) => 0,
+        });
+        if waiting.sum::<usize>() > MAX_MAPS {
+            self.protocol_error(Malformed("too many long answers wait"));
+        } else {
+            self.answer(value.encode().into());
+        }
         true
     }
 
--- a/crates/mothpier/tests/cluster.rs
+++ b/crates/mothpier/tests/cluster.rs
@@ -144,6 +144,35 @@
     }
 }
 
+#[test]
+fn a_client_that_asks_for_long_maps_without_reading_is_cut_off() {
+    let discovery = Discovery::start("");
+    let nodes: Vec<String> =
+        (0..1000).map(|n| format!("\"10.0.{}.{}:6379\"", n / 200, n % 200 + 1)).collect();
+    let file = config_path("long-maps-nodes");
+    std::fs::write(&file, format!(r#"{{"nodes":[{}]}}"#, nodes.join(","))).unwrap();
+    let mut command = node_command("long-maps", discovery.address, 1024, "");
+    let text =
+        config("long-maps", discovery.address, 1024).replace("\"balancers\":1,", "\"balancers\":1000,");
+    std::fs::write(config_path("long-maps"), text).unwrap();
+    command.env("MOTHPIER_CLUSTER", &file);
+    let node = Node::run(command, &discovery);
+    let mut client = node.client();
+    // In one write: all are read before any is answered.
+    client.write("*2\r\n$7\r\nCLUSTER\r\n$5\r\nNODES\r\n".repeat(64));
+    let mut maps = 0;
+    let last = loop {
+        match client.answer() {
+            map if map.starts_with('$') => maps += 1,
+            other => break other,
+        }
+    };
+    assert!((1..64).contains(&maps), "{maps}");
+    assert_eq!(last, "-ERR protocol: too many long answers wait");
+    assert_eq!(client.answer(), "end");
+    assert_eq!(node.client().ask(&["PING"]), "+PONG");
+}
+
 #[test]
 fn plain_clients_see_no_change_unless_it_is_switched_on() {
     let discovery = Discovery::start(&member("s-1", serve(command, |_| array("v")), "m", "ready"));
