Boxes that redirect, without I/O: redirections, maps, the slot table, questions with a budget

Need: boxes may speak the cluster dialect; what they say must be read, compared and kept apart from the network code.

Change: in mothpier-slots the modules redirect (error lines in every form of host, nonsense told apart by its cause), view (CLUSTER SHARDS, SLOTS, INFO), table (epoch first, then majority; MOVED counts once its target took a command; boxes are looked up in the list again with each change of it), refresh (a budget of the whole tier, a draw over the whole part) and pool, which puts them together. Nothing uses them yet.

A tier of 1, 12 and 60 nodes that all see signs all the time asks within its 40 questions a second on the mean, never more than 100 in one second; one sign at all nodes in one millisecond brings 75 in the worst second of 60 nodes.

--- /dev/null
+++ b/crates/mothpier-slots/src/refresh.rs
@@ -0,0 +1,279 @@
+//! When a node asks its boxes for their slot map, and which of them. Pure: signs and times go in, boxes to ask come out.
+//!
+//! The boxes pay for every question, and a reshuffle shows itself to all nodes of the tier within the same second. So the
+//! budget is the tier's: so many questions a second reach the boxes from all nodes together, whoever asks, and each
+//! node's part of it is what is left between two of its rounds. A sign (a slot that moved, a cluster that is down) is
+//! answered after a time drawn from that whole part, so that nodes that saw it together ask apart. Between rounds the
+//! redirections themselves keep the table right, slot by slot; a round that is late costs a hop, not an answer.
+
+use crate::table::{BoxId, Heard};
+
+/// Milliseconds of a clock of the node's own.
+pub type Millis = u64;
+
+/// After rounds without any answer the time to the next grows up to so many doublings.
+const MOST_DOUBLINGS: u32 = 3;
+/// Between two rounds, however large the budget, milliseconds: answers take some time to come.
+const LEAST_GAP: Millis = 100;
+
+/// How often boxes are asked.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Budget {
+    /// Boxes that are asked in one round: their answers are compared.
+    pub ask: usize,
+    /// Questions a second that all nodes of the tier may put to all boxes together.
+    pub tier_per_s: f64,
+    /// Without any sign a round is made after this time, milliseconds.
+    pub calm: Millis,
+    /// Nodes in the tier.
+    pub nodes: usize,
+}
+
+impl Default for Budget {
+    fn default() -> Self {
+        Budget { ask: 3, tier_per_s: 40.0, calm: 60_000, nodes: 1 }
+    }
+}
+
+impl Budget {
+    /// The mean time between two rounds of one node that has signs all the time, milliseconds.
+    pub fn gap(&self) -> Millis {
+        let per_round = self.ask.max(1) as f64 * self.nodes.max(1) as f64;
+        ((per_round / self.tier_per_s.max(1e-3) * 1_000.0) as Millis).max(LEAST_GAP)
+    }
+}
+
+/// A round of questions that is out.
+#[derive(Debug)]
+struct Round {
+    waiting: Vec<BoxId>,
+    heard: Vec<Heard>,
+    mark: u64,
+}
+
+/// What a finished round brought.
+#[derive(Debug, PartialEq)]
+pub struct Done {
+    /// The answers that could be read.
+    pub heard: Vec<Heard>,
+    /// The table's mark as the round began.
+    pub mark: u64,
+}
+
+/// When and whom one node asks.
+#[derive(Debug)]
+pub struct Refresh {
+    budget: Budget,
+    dice: oorandom::Rand64,
+    /// When the next round begins.
+    due: Millis,
+    /// The round that is due answers a sign; else it only looks whether all is as it was.
+    signed: bool,
+    /// When the last round began, so that no sign brings the next too soon.
+    begun: Option<Millis>,
+    out: Option<Round>,
+    /// Rounds in a row that nobody answered.
+    failed: u32,
+    rounds: u64,
+}
+
+impl Refresh {
+    /// A node begins to ask, as if it had a sign: it knows nothing yet.
+    pub fn new(budget: Budget, seed: u64, now: Millis) -> Self {
+        let dice = oorandom::Rand64::new(u128::from(seed) << 64 | 0x736c_6f74);
+        let mut refresh = Refresh {
+            budget,
+            dice,
+            due: Millis::MAX,
+            signed: false,
+            begun: None,
+            out: None,
+            failed: 0,
+            rounds: 0,
+        };
+        refresh.sign(now);
+        refresh
+    }
+
+    /// When the next round is due; `None` while one is out.
+    pub fn due(&self) -> Option<Millis> {
+        self.out.is_none().then_some(self.due)
+    }
+
+    /// Rounds begun so far.
+    pub fn rounds(&self) -> u64 {
+        self.rounds
+    }
+
+    /// Something shows that the map is old: the next round is drawn nearer, never nearer than the budget allows.
+    pub fn sign(&mut self, now: Millis) {
+        if self.signed {
+            return;
+        }
+        self.signed = true;
+        let gap = self.gap();
+        let earliest = self.begun.map_or(now, |begun| (begun + gap / 2).max(now));
+        self.due = self.due.min(earliest + self.within(gap));
+    }
+
+    /// Begins the round that is due: the boxes to ask, drawn from those that the list has ready.
+    pub fn begin(&mut self, now: Millis, ready: &[BoxId], mark: u64) -> Vec<BoxId> {
+        if self.out.is_some() || now < self.due {
+            return Vec::new();
+        }
+        (self.begun, self.signed) = (Some(now), false);
+        let mut left = ready.to_vec();
+        let mut ask = Vec::new();
+        while ask.len() < self.budget.ask && !left.is_empty() {
+            let at = self.dice.rand_range(0..left.len() as u64) as usize;
+            ask.push(left.swap_remove(at));
+        }
+        if ask.is_empty() {
+            // Nobody to ask yet: the list comes late, too.
+            self.ended(now, false);
+            return ask;
+        }
+        self.rounds += 1;
+        self.out = Some(Round { waiting: ask.clone(), heard: Vec::new(), mark });
+        ask
+    }
+
+    /// The answer of a box that was asked, or none that could be read. Every question ends with one or the other.
+    pub fn answered(&mut self, now: Millis, from: BoxId, heard: Option<Heard>) -> Option<Done> {
+        let round = self.out.as_mut()?;
+        let at = round.waiting.iter().position(|id| *id == from)?;
+        round.waiting.swap_remove(at);
+        round.heard.extend(heard);
+        if !round.waiting.is_empty() {
+            return None;
+        }
+        let Round { heard, mark, .. } = self.out.take()?;
+        self.ended(now, !heard.is_empty());
+        Some(Done { heard, mark })
+    }
+
+    fn ended(&mut self, now: Millis, good: bool) {
+        self.failed = if good { 0 } else { (self.failed + 1).min(MOST_DOUBLINGS) };
+        let begun = self.begun.unwrap_or(now);
+        // A sign that came while the questions were out may be newer than the answers.
+        let again = self.signed || !good;
+        self.signed = again;
+        let (rest, spread) =
+            if again { (self.gap() / 2, self.gap()) } else { (self.budget.calm / 2, self.budget.calm) };
+        self.due = (begun + rest).max(now) + self.within(spread);
+    }
+
+    fn gap(&self) -> Millis {
+        self.budget.gap() << self.failed
+    }
+
+    fn within(&mut self, span: Millis) -> Millis {
+        self.dice.rand_range(0..span.max(1))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::view::View;
+
+    fn heard() -> Option<Heard> {
+        Some((([10, 0, 0, 1], 1).into(), View::default()))
+    }
+
+    const READY: [BoxId; 5] = [1, 2, 3, 4, 5];
+
+    /// Plays a tier whose nodes see a sign at every time given, for so long; the times of all questions.
+    fn tier(budget: Budget, signs: impl Fn(Millis) -> bool, until: Millis, good: bool) -> Vec<Millis> {
+        let mut nodes: Vec<Refresh> = (0..budget.nodes).map(|n| Refresh::new(budget, n as u64, 0)).collect();
+        let mut asked = Vec::new();
+        for now in 0..until {
+            for node in &mut nodes {
+                if signs(now) {
+                    node.sign(now);
+                }
+                for id in node.begin(now, &READY, 0) {
+                    asked.push(now);
+                    node.answered(now, id, heard().filter(|_| good));
+                }
+            }
+        }
+        asked
+    }
+
+    /// In any second at most; the times are in order.
+    fn most_in_a_second(asked: &[Millis]) -> usize {
+        let within = |at: usize| asked[at..].iter().take_while(|t| **t < asked[at] + 1_000).count();
+        (0..asked.len()).map(within).max().unwrap_or(0)
+    }
+
+    #[test]
+    fn nodes_that_see_a_reshuffle_together_ask_apart_and_within_the_tiers_budget() {
+        for nodes in [1, 12, 60] {
+            let budget = Budget { nodes, ..Budget::default() };
+            // Signs all the time: the mean keeps the budget, and no second has a stampede.
+            let asked = tier(budget, |_| true, 20_000, true);
+            let mean = asked.len() as f64 / 20.0;
+            assert!((20.0..=48.0).contains(&mean), "{nodes} nodes ask {mean} times a second");
+            let most = most_in_a_second(&asked);
+            assert!(most <= 100, "{nodes} nodes ask {most} times in one second");
+            // One sign after quiet, at all nodes in one millisecond: each asks once, spread over its part.
+            let quiet = Budget { calm: 1_000_000, ..budget };
+            let asked = tier(quiet, |now| now == 10_000, 24_000, true);
+            let after: Vec<Millis> = asked.into_iter().filter(|t| *t >= 10_000).collect();
+            assert_eq!(after.len(), nodes * budget.ask);
+            assert!(most_in_a_second(&after) <= 75, "{nodes}: {}", most_in_a_second(&after));
+        }
+    }
+
+    #[test]
+    fn rounds_that_nobody_answers_become_rarer_and_one_answer_ends_that() {
+        let budget = Budget::default();
+        let good = tier(budget, |_| true, 60_000, true).len();
+        let bad = tier(budget, |_| true, 60_000, false).len();
+        assert!(bad * 4 < good, "{bad} questions where nobody answers, {good} where all do");
+        assert!(bad > 20, "{bad}: it must not give up");
+        let mut node = Refresh::new(budget, 1, 0);
+        let mut now = 0;
+        for good in [false, false, false, true] {
+            now = node.due().unwrap();
+            let ask = node.begin(now, &READY, 7);
+            assert_eq!(ask.len(), 3);
+            let done: Vec<_> =
+                ask.iter().filter_map(|id| node.answered(now, *id, heard().filter(|_| good))).collect();
+            assert_eq!(done.len(), 1);
+            assert_eq!((done[0].mark, done[0].heard.len()), (7, if good { 3 } else { 0 }));
+        }
+        assert!(node.due().unwrap() >= now + budget.calm / 2);
+    }
+
+    #[test]
+    fn without_signs_a_round_is_rare_and_only_answers_of_the_present_round_count() {
+        let asked = tier(Budget::default(), |_| false, 600_000, true);
+        assert!((15..=63).contains(&asked.len()), "{} in ten minutes", asked.len());
+        let mut node = Refresh::new(Budget::default(), 1, 0);
+        assert_eq!(node.answered(0, 1, heard()), None);
+        let now = node.due().unwrap();
+        assert!(node.begin(now.wrapping_sub(1), &READY, 0).is_empty() || now == 0);
+        let ask = node.begin(now, &READY, 0);
+        assert_eq!(node.due(), None);
+        assert!(node.begin(now + 1, &READY, 0).is_empty(), "two rounds at a time");
+        assert_eq!(node.answered(now, 77, heard()), None, "a box that was not asked");
+        assert_eq!(node.answered(now, ask[0], heard()), None);
+        assert_eq!(node.answered(now, ask[0], heard()), None, "the same answer twice");
+        // A sign meanwhile: the next round follows as the budget allows.
+        node.sign(now + 1);
+        assert_eq!(node.answered(now + 2, ask[1], None), None);
+        assert_eq!(node.answered(now + 2, ask[2], None).map(|d| d.heard.len()), Some(1));
+        assert!(node.due().unwrap() <= now + 2 * Budget::default().gap());
+    }
+
+    #[test]
+    fn with_nobody_to_ask_it_waits_for_the_list() {
+        let mut node = Refresh::new(Budget::default(), 1, 0);
+        let now = node.due().unwrap();
+        assert!(node.begin(now, &[], 0).is_empty());
+        let next = node.due().unwrap();
+        assert!(next > now && node.begin(next, &[9], 0) == [9]);
+    }
+}
--- /dev/null
+++ b/crates/mothpier-slots/src/table.rs
@@ -0,0 +1,406 @@
+//! Which boxes of a pool hold which slots, as one node has it: merged from what several boxes say, corrected by
+//! redirections that proved true, and put into the numbers of the list of servers. Pure.
+//!
+//! **Merging.** Of the boxes that say something of a slot those with the highest epoch count; of them the owner that
+//! most name; at a tie the one held so far, else the lowest number. A round whose highest epoch lies below the one
+//! held is dropped, for all who were asked have an older map; after [`BEHIND`] such rounds in a row the cluster itself
+//! has begun anew, and they count.
+//!
+//! **Redirections.** `MOVED` moves a slot here once the box that it names has taken a command for it: a box with an old
+//! map, or one that lies, can't turn the table by words alone. `ASK` moves nothing.
+//!
+//! What a box is called in a map is kept as the map has it, and looked up in the list again with each change of the
+//! list: the list may hear of a box seconds after the cluster does.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+
+use crate::redirect::Place;
+use crate::slot::SLOTS;
+use crate::view::{Range, Seat, View};
+
+/// Number of a server in the list, the same at every node.
+pub type BoxId = u32;
+
+/// So many rounds in a row with an epoch below the one held mean that the cluster began anew.
+pub const BEHIND: u32 = 3;
+/// Names that are remembered at the most; a tier's boxes are hundreds.
+const MOST_ALIASES: usize = 4_096;
+
+/// What a node knows of the list of servers: which one stands at an address.
+pub type Listed<'a> = &'a dyn Fn(SocketAddr) -> Option<BoxId>;
+
+/// What a box said, and the address at which it was asked.
+pub type Heard = (SocketAddr, View);
+
+/// Slots next to each other that the same boxes hold: the owner first.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Held {
+    /// The first slot.
+    pub first: u16,
+    /// The last slot.
+    pub last: u16,
+    /// The owner, then those that may be read.
+    pub boxes: Vec<BoxId>,
+}
+
+/// How a round of answers was taken.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Merged {
+    /// Its epoch.
+    pub epoch: u64,
+    /// It was dropped: all who answered have an older map.
+    pub stale: bool,
+    /// Slots of which no box, or none of the list, is the owner.
+    pub uncovered: u16,
+    /// Slots that boxes of one epoch give to different owners.
+    pub disputed: u16,
+}
+
+/// The slot table.
+#[derive(Debug, Default)]
+pub struct Table {
+    epoch: u64,
+    /// What the table is made of, for the next change of the list.
+    heard: Vec<Heard>,
+    /// For each slot a place in `homes`.
+    slots: Vec<u32>,
+    /// All sets of boxes that hold slots; the first is of nobody.
+    homes: Vec<Vec<BoxId>>,
+    aliases: BTreeMap<String, IpAddr>,
+    behind: u32,
+    /// Slots that a redirection moved, with the count of all such moves until then.
+    learnt: BTreeMap<u16, (u64, BoxId)>,
+    moves: u64,
+    /// Whether copies may be read.
+    copies: bool,
+}
+
+impl Table {
+    /// A table that knows nothing; `copies` says that boxes that hold copies may be read.
+    pub fn new(copies: bool) -> Self {
+        Table { slots: vec![0; SLOTS.into()], homes: vec![Vec::new()], copies, ..Table::default() }
+    }
+
+    /// The epoch of the map that it is made of; 0 before the first.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Whether no map has come yet.
+    pub fn is_empty(&self) -> bool {
+        self.heard.is_empty()
+    }
+
+    /// The boxes that hold a slot, its owner first; none where it is uncovered.
+    pub fn home(&self, slot: u16) -> &[BoxId] {
+        self.slots.get(usize::from(slot)).map_or(&[], |at| &self.homes[*at as usize])
+    }
+
+    /// Stands for the present: a round of questions that begins now knows nothing of later redirections.
+    pub fn mark(&self) -> u64 {
+        self.moves
+    }
+
+    /// Where a place leads, seen from the box that named it.
+    pub fn address(&self, place: &Place, from: SocketAddr) -> Option<SocketAddr> {
+        place.address(from, &|name| self.aliases.get(name).copied())
+    }
+
+    /// Takes a round of answers that began at a mark.
+    pub fn merge(&mut self, heard: Vec<Heard>, mark: u64, listed: Listed<'_>) -> Merged {
+        let epoch = heard.iter().map(|(_, view)| view.epoch).max().unwrap_or_default();
+        if heard.is_empty() || (epoch < self.epoch && self.behind + 1 < BEHIND) {
+            self.behind += u32::from(!heard.is_empty());
+            return Merged { epoch, stale: true, ..Merged::default() };
+        }
+        (self.behind, self.epoch) = (0, epoch);
+        for alias in
+            heard.iter().flat_map(|(_, v)| &v.ranges).flat_map(Range::seats).filter_map(|s| s.alias.clone())
+        {
+            if self.aliases.len() < MOST_ALIASES || self.aliases.contains_key(&alias.0) {
+                self.aliases.insert(alias.0, alias.1);
+            }
+        }
+        self.heard = heard;
+        // What was learnt before the questions went out is in the answers, or was overtaken.
+        self.learnt.retain(|_, (move_, _)| *move_ > mark);
+        self.build(listed)
+    }
+
+    /// Looks all boxes up in the list again, after a change of it.
+    pub fn relist(&mut self, listed: Listed<'_>) -> Merged {
+        self.build(listed)
+    }
+
+    /// A redirection proved true: the box that it named took a command for the slot. Gives what changed.
+    pub fn moved(&mut self, slot: u16, to: BoxId) -> Option<Held> {
+        if slot >= SLOTS || self.home(slot).first() == Some(&to) {
+            return None;
+        }
+        self.moves += 1;
+        self.learnt.insert(slot, (self.moves, to));
+        // Its copies are not known: only the owner is told by a redirection.
+        self.slots[usize::from(slot)] = self.place(vec![to]);
+        Some(Held { first: slot, last: slot, boxes: vec![to] })
+    }
+
+    /// The whole table in ranges, in order; slots that nobody holds are left out.
+    pub fn ranges(&self) -> Vec<Held> {
+        let mut ranges: Vec<(u16, u16, u32)> = Vec::new();
+        for (slot, place) in (0u16..).zip(&self.slots) {
+            match ranges.last_mut() {
+                Some((_, last, of)) if of == place => *last = slot,
+                _ => ranges.push((slot, slot, *place)),
+            }
+        }
+        let held = ranges.into_iter().filter(|(.., place)| *place > 0);
+        held.map(|(first, last, place)| Held { first, last, boxes: self.homes[place as usize].clone() })
+            .collect()
+    }
+
+    fn place(&mut self, boxes: Vec<BoxId>) -> u32 {
+        let at = self.homes.iter().position(|h| *h == boxes).unwrap_or_else(|| {
+            self.homes.push(boxes);
+            self.homes.len() - 1
+        });
+        at as u32
+    }
+
+    fn build(&mut self, listed: Listed<'_>) -> Merged {
+        let mut merged = Merged { epoch: self.epoch, ..Merged::default() };
+        let before = Table {
+            slots: std::mem::take(&mut self.slots),
+            homes: std::mem::take(&mut self.homes),
+            ..Table::default()
+        };
+        (self.slots, self.homes) = (vec![0; SLOTS.into()], vec![Vec::new()]);
+        let heard = std::mem::take(&mut self.heard);
+        let claims: Vec<Claims> = heard.iter().map(|(from, view)| self.claims(*from, view, listed)).collect();
+        // Slots come in runs of which all views say the same: each run is settled once.
+        let mut last: Option<(Settled, usize)> = None;
+        for slot in 0..usize::from(SLOTS) {
+            let alike = |c: &Claims| slot > 0 && c.slots[slot] == c.slots[slot - 1];
+            let same = slot > 0 && before.slots[slot] == before.slots[slot - 1] && claims.iter().all(alike);
+            let (settled, place) = match last.take().filter(|_| same) {
+                Some(last) => last,
+                None => {
+                    let settled = settle(&claims, slot, before.home(slot as u16).first().copied());
+                    let place = self.place(settled.home.clone());
+                    (settled, place as usize)
+                }
+            };
+            merged.uncovered += u16::from(settled.home.is_empty());
+            merged.disputed += u16::from(settled.disputed);
+            self.slots[slot] = place as u32;
+            last = Some((settled, place));
+        }
+        self.heard = heard;
+        for (slot, (_, to)) in self.learnt.clone() {
+            self.slots[usize::from(slot)] = self.place(vec![to]);
+        }
+        merged
+    }
+
+    /// What one view says of each slot, in numbers of the list.
+    fn claims(&self, from: SocketAddr, view: &View, listed: Listed<'_>) -> Claims {
+        let mut claims = Claims { epoch: view.epoch, slots: vec![None; SLOTS.into()], homes: Vec::new() };
+        let find =
+            |seat: &Seat| seat.places.iter().filter_map(|place| self.address(place, from)).find_map(listed);
+        for range in &view.ranges {
+            let mut home: Vec<BoxId> = find(&range.owner).into_iter().collect();
+            if self.copies && !home.is_empty() {
+                for copy in range.copies.iter().filter_map(find) {
+                    if !home.contains(&copy) {
+                        home.push(copy);
+                    }
+                }
+            }
+            claims.homes.push(home);
+            let place = (claims.homes.len() - 1) as u32;
+            for slot in range.first..=range.last.min(SLOTS - 1) {
+                // A view that gives a slot twice means it once: the first counts.
+                claims.slots[usize::from(slot)].get_or_insert(place);
+            }
+        }
+        claims
+    }
+}
+
+/// Who holds a run of slots.
+struct Settled {
+    home: Vec<BoxId>,
+    disputed: bool,
+}
+
+/// Of the views with the highest epoch that say anything of a slot, be it an owner that the list lacks, the owner that
+/// most name; at a tie the one held before, else the lowest number.
+fn settle(claims: &[Claims], slot: usize, before: Option<BoxId>) -> Settled {
+    let said = |c: &Claims| c.slots[slot].map(|at| c.homes[at as usize].clone());
+    let epoch = claims.iter().filter(|c| c.slots[slot].is_some()).map(|c| c.epoch).max();
+    let mut votes: Vec<(usize, Vec<BoxId>)> = Vec::new();
+    for home in claims.iter().filter(|c| Some(c.epoch) == epoch).filter_map(said) {
+        let Some(owner) = home.first() else { continue };
+        match votes.iter_mut().find(|(_, h)| h.first() == Some(owner)) {
+            Some(vote) => vote.0 += 1,
+            None => votes.push((1, home)),
+        }
+    }
+    let disputed = votes.len() > 1;
+    let best = votes.into_iter().max_by_key(|(count, home)| {
+        let owner = home.first().copied();
+        (*count, owner == before, std::cmp::Reverse(owner))
+    });
+    Settled { home: best.map(|(_, home)| home).unwrap_or_default(), disputed }
+}
+
+/// What one view says of each slot: a place in `homes`, which may be of nobody in the list.
+struct Claims {
+    epoch: u64,
+    slots: Vec<Option<u32>>,
+    homes: Vec<Vec<BoxId>>,
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::redirect::{Host, place};
+
+    fn at(number: u8) -> SocketAddr {
+        SocketAddr::from(([10, 1, 0, number], 7000))
+    }
+
+    /// The list: boxes 1 to 9 at their addresses.
+    fn listed(address: SocketAddr) -> Option<BoxId> {
+        (1..10).find(|n| at(*n) == address).map(BoxId::from)
+    }
+
+    fn seat(text: &str) -> Seat {
+        Seat { places: vec![place(text).unwrap()], alias: None }
+    }
+
+    fn view(epoch: u64, ranges: &[(u16, u16, &str)]) -> View {
+        let range = |(first, last, owner): &(u16, u16, &str)| Range {
+            first: *first,
+            last: *last,
+            owner: seat(owner),
+            copies: Vec::new(),
+        };
+        View { epoch, ranges: ranges.iter().map(range).collect() }
+    }
+
+    const ONE: &str = "10.1.0.1:7000";
+    const TWO: &str = "10.1.0.2:7000";
+    const THREE: &str = "10.1.0.3:7000";
+
+    #[test]
+    fn the_higher_epoch_wins_slot_by_slot_and_then_the_majority() {
+        let mut table = Table::new(false);
+        let heard = vec![
+            (at(1), view(5, &[(0, 99, ONE), (100, 199, TWO)])),
+            (at(2), view(4, &[(0, 299, THREE)])),
+            (at(3), view(5, &[(0, 49, TWO), (50, 99, ONE)])),
+            (at(4), view(5, &[(0, 49, TWO)])),
+        ];
+        let merged = table.merge(heard, 0, &listed);
+        assert_eq!(merged, Merged { epoch: 5, stale: false, uncovered: 16_384 - 300, disputed: 50 });
+        assert_eq!((table.home(0), table.home(60), table.home(150)), (&[2][..], &[1][..], &[2][..]));
+        // Only the older view speaks of these.
+        assert_eq!((table.home(250), table.home(300)), (&[3][..], &[][..]));
+        // A tie: what was held stays, whoever comes first.
+        let heard = vec![(at(1), view(5, &[(0, 0, ONE)])), (at(2), view(5, &[(0, 0, TWO)]))];
+        table.merge(heard, 0, &listed);
+        assert_eq!(table.home(0), [2]);
+    }
+
+    #[test]
+    fn an_older_map_does_not_win_unless_the_cluster_began_anew() {
+        let mut table = Table::new(false);
+        table.merge(vec![(at(1), view(9, &[(0, 16_383, ONE)]))], 0, &listed);
+        for round in 1..BEHIND {
+            assert!(table.merge(vec![(at(2), view(8, &[(0, 16_383, TWO)]))], 0, &listed).stale, "{round}");
+            assert_eq!(table.home(7), [1]);
+            // Nobody answered: that says nothing either way.
+            assert!(table.merge(Vec::new(), 0, &listed).stale);
+        }
+        assert!(!table.merge(vec![(at(2), view(1, &[(0, 16_383, TWO)]))], 0, &listed).stale);
+        assert_eq!((table.home(7), table.epoch()), (&[2][..], 1));
+    }
+
+    #[test]
+    fn a_redirection_that_proved_true_holds_until_a_later_map() {
+        let mut table = Table::new(false);
+        table.merge(vec![(at(1), view(1, &[(0, 16_383, ONE)]))], 0, &listed);
+        let before = table.mark();
+        assert_eq!(table.moved(7, 2), Some(Held { first: 7, last: 7, boxes: vec![2] }));
+        assert_eq!(table.moved(7, 2), None);
+        // A round that began before it knows nothing of it; one that began after it does.
+        table.merge(vec![(at(1), view(1, &[(0, 16_383, ONE)]))], before, &listed);
+        assert_eq!((table.home(6), table.home(7)), (&[1][..], &[2][..]));
+        table.relist(&listed);
+        assert_eq!(table.home(7), [2]);
+        table.merge(vec![(at(1), view(1, &[(0, 16_383, ONE)]))], table.mark(), &listed);
+        assert_eq!(table.home(7), [1]);
+        assert_eq!(table.moved(SLOTS, 2), None);
+    }
+
+    #[test]
+    fn a_box_counts_from_when_the_list_names_it_under_any_of_its_addresses() {
+        let mut table = Table::new(true);
+        let mut two = seat("192.168.7.2:7000");
+        two.places.push(place(TWO).unwrap());
+        let mut three = seat("pb3.example.org:7000");
+        three.places.push(place(THREE).unwrap());
+        three.alias = Some(("pb3.example.org".into(), [10, 1, 0, 3].into()));
+        let range = |owner: &Seat, copies: &[Seat]| Range {
+            first: 0,
+            last: 9,
+            owner: owner.clone(),
+            copies: copies.to_vec(),
+        };
+        let view =
+            View { epoch: 1, ranges: vec![range(&two, &[three.clone(), two.clone(), seat("9.9.9.9:1")])] };
+        let without_two = |a: SocketAddr| listed(a).filter(|id| *id != 2);
+        let merged = table.merge(vec![(at(1), view)], 0, &without_two);
+        assert_eq!((merged.uncovered, table.home(0)), (SLOTS, &[][..]));
+        assert_eq!(table.relist(&listed).uncovered, SLOTS - 10);
+        assert_eq!(table.home(0), [2, 3], "twice, or one that the list lacks");
+        let named = Place { host: Host::Name("pb3.example.org".into()), port: Some(7000) };
+        assert_eq!(table.address(&named, at(1)), Some(at(3)));
+        assert_eq!(table.ranges(), [Held { first: 0, last: 9, boxes: vec![2, 3] }]);
+        // Copies are read only where that is wanted.
+        let mut owners = Table::new(false);
+        owners.merge(table.heard.clone(), 0, &listed);
+        assert_eq!(owners.home(0), [2]);
+    }
+
+    #[test]
+    fn a_host_that_is_not_named_is_the_one_that_was_asked() {
+        let mut table = Table::new(false);
+        table.merge(vec![(at(4), view(1, &[(0, 0, ":7000"), (1, 1, "")]))], 0, &listed);
+        assert_eq!((table.home(0), table.home(1)), (&[4][..], &[4][..]));
+    }
+
+    #[test]
+    fn ranges_give_back_the_table() {
+        let mut dice = oorandom::Rand32::new(3);
+        for _ in 0..50 {
+            let mut table = Table::new(false);
+            let mut ranges = Vec::new();
+            for _ in 0..dice.rand_range(1..40) {
+                let first = dice.rand_range(0..u32::from(SLOTS)) as u16;
+                let last = first.saturating_add(dice.rand_range(0..2_000) as u16).min(SLOTS - 1);
+                ranges.push((first, last, [ONE, TWO, THREE][dice.rand_range(0..3) as usize]));
+            }
+            let merged = table.merge(vec![(at(1), view(1, &ranges))], 0, &listed);
+            let held = table.ranges();
+            for slot in 0..SLOTS {
+                let by: Vec<&Held> = held.iter().filter(|h| (h.first..=h.last).contains(&slot)).collect();
+                assert!(by.len() <= 1);
+                assert_eq!(by.first().map_or(&[][..], |h| &h.boxes[..]), table.home(slot));
+            }
+            let covered: u32 = held.iter().map(|h| u32::from(h.last - h.first) + 1).sum();
+            assert_eq!(covered + u32::from(merged.uncovered), u32::from(SLOTS));
+        }
+    }
+}
