--- a/crates/mothpier-sim/src/main.rs
+++ b/crates/mothpier-sim/src/main.rs
@@ -3,12 +3,15 @@
 
 mod exec;
 mod many;
+mod measure;
 mod net;
 mod oracle;
 mod plan;
 mod play;
+mod reshuffle;
 mod scenarios;
 mod shrink;
+mod slot_cases;
 
 use std::io::Write;
 use std::ops::Range;
@@ -92,6 +95,25 @@
         #[arg(long, short, value_name = "FILE")]
         output: Option<PathBuf>,
     },
+    /// Measures what a reshuffle of slots costs a tier whose boxes form a cluster, by the budget of questions for the
+    /// slot map.
+    Reshuffle {
+        /// Nodes of the tier.
+        #[arg(long, default_value_t = 12, value_parser = clap::value_parser!(u16).range(1..=200))]
+        nodes: u16,
+        /// Boxes.
+        #[arg(long, default_value_t = 15, value_parser = clap::value_parser!(u16).range(3..=200))]
+        boxes: u16,
+        /// Keys that are asked for.
+        #[arg(long, default_value_t = 20_000, value_parser = clap::value_parser!(u64).range(1..=1_000_000))]
+        keys: u64,
+        /// Requests a second of the whole tier.
+        #[arg(long, default_value_t = 400, value_parser = clap::value_parser!(u32).range(1..=10_000))]
+        rate: u32,
+        /// The seed of chance.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// Prints a seed's faults, in the form that `replay` takes.
     Plan {
         /// The seed.
@@ -123,8 +145,14 @@
         Command::Plants { seeds } => plants(seeds),
         Command::Scenarios { name, plant, trace } => scenarios(name.as_deref(), plant, trace),
         Command::Shrink { run, plant, output } => shrink(&run, plant, output),
+        Command::Reshuffle { nodes, boxes, keys, rate, seed } => {
+            let (nodes, boxes) = (usize::from(nodes), usize::from(boxes));
+            let tier = measure::Tier { nodes, boxes, keys, rate: f64::from(rate) };
+            measure::table(tier, seed, &say).map(|()| true)
+        }
         Command::Plan { seed } => {
-            let kept = Kept { seed, plant: None, faults: Some(plan::draw(seed)) };
+            let boxes = plan::Boxes::draw(seed);
+            let kept = Kept { seed, plant: None, boxes: Some(boxes), faults: Some(plan::draw(seed, boxes)) };
             say(&kept.text(""));
             Ok(true)
         }
@@ -220,7 +248,7 @@
             say(&format!("{name}: found in {} seeds, rule {}: {}\n", seed + 1, b.rule.name(), b.what));
             continue;
         }
-        let found = scenarios::ALL.iter().find_map(|s| Some((s.name, s.play(Some(plant)).err()?)));
+        let found = scenarios::all().find_map(|s| Some((s.name, s.play(Some(plant)).err()?)));
         match found {
             Some((case, what)) => {
                 say(&format!("{name}: found in case {case} (not in {most} seeds): {what}\n"))
@@ -235,9 +263,9 @@
 }
 
 fn scenarios(name: Option<&str>, plant: Option<Plant>, trace: Option<usize>) -> Result<bool, String> {
-    let wanted: Vec<_> = scenarios::ALL.iter().filter(|s| name.is_none_or(|n| s.name.contains(n))).collect();
+    let wanted: Vec<_> = scenarios::all().filter(|s| name.is_none_or(|n| s.name.contains(n))).collect();
     if wanted.is_empty() {
-        let names: Vec<&str> = scenarios::ALL.iter().map(|s| s.name).collect();
+        let names: Vec<&str> = scenarios::all().map(|s| s.name).collect();
         return Err(format!("no case of that name; there are {}", names.join(", ")));
     }
     let mut good = 0;
--- a/crates/mothpier-sim/src/oracle.rs
+++ b/crates/mothpier-sim/src/oracle.rs
@@ -17,6 +17,11 @@
 /// Every time limit is so much longer on sockets.
 const SLACK_MS: u64 = 50;
 
+/// How the error lines of boxes begin that prove that a command has not run: those of the user's table, and of the
+/// Redis Cluster specification.
+const NEVER_RAN: [&str; 8] =
+    ["BUSY", "MOVED", "ASK", "TRYAGAIN", "CLUSTERDOWN", "LOADING", "MASTERDOWN", "READONLY"];
+
 /// A rule, in the order of the brief; the last three are what a user would expect besides.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Rule {
@@ -107,8 +112,10 @@
     begun: u64,
     wrote: BytesMut,
     came: BytesMut,
-    /// Calls at the origin without an answer, in order: the request's id and the attempt's place.
-    out: VecDeque<(String, usize)>,
+    /// What has no answer yet, in order: the request's id and the attempt's place; `None` for what is no request.
+    out: VecDeque<Option<(String, usize)>>,
+    /// What came can't be read any more.
+    spoilt: bool,
 }
 
 #[derive(Default)]
@@ -149,6 +156,8 @@
     pub attempts: (u64, u64),
     /// Writes that were carried out.
     pub effects: u64,
+    /// Commands that boxes answered with a redirection.
+    pub redirections: u64,
     /// The most that a cold box was sent, as a part of what it may be sent.
     pub cold: f64,
 }
@@ -281,7 +290,7 @@
             Seen::WrongValue { id, value } => {
                 self.breaks(Rule::Value, format!("request {id} was served with {value:?}"));
             }
-            Seen::Final { end, took } => {
+            Seen::Final { end, took, .. } => {
                 self.exec.trace(format_args!("client: {end:?} after {} us", took.as_micros()));
                 *self.tally.borrow_mut().ends.entry(end).or_default() += 1;
             }
@@ -467,17 +476,19 @@
                 _ => match wire::command(&mut s.wrote) {
                     Ok(Some(words)) => match words.get(2) {
                         Some(id) => id.clone(),
-                        None => continue,
+                        None => {
+                            s.out.push_back(None);
+                            continue;
+                        }
                     },
                     Ok(None) => return,
                     Err(e) => return self.breaks(Rule::Value, format!("a box can't read a command: {e}")),
                 },
             };
             let place = self.attempt(&id, node, s.begun);
-            match role {
-                Role::Origin => s.out.push_back((id, place)),
-                Role::Box(number) => self.box_attempt(number),
-                Role::Node(_) => {}
+            s.out.push_back(Some((id, place)));
+            if let Role::Box(number) = role {
+                self.box_attempt(number);
             }
             if !s.wrote.is_empty() {
                 self.begins(line, node);
@@ -499,12 +510,52 @@
                 return;
             }
             drop(s.came.split_to(whole));
-            let Some((id, place)) = s.out.pop_front() else { return };
-            if head.contains("X-Not-Run: 1")
-                && let Some(a) =
-                    self.requests.borrow_mut().get_mut(&id).and_then(|r| r.attempts.get_mut(place))
-            {
-                a.0 = true;
+            let Some(of) = s.out.pop_front() else { return };
+            if head.contains("X-Not-Run: 1") {
+                self.never_ran(of);
+            }
+        }
+    }
+
+    fn never_ran(&self, of: Option<(String, usize)>) {
+        let Some((id, place)) = of else { return };
+        if let Some(a) = self.requests.borrow_mut().get_mut(&id).and_then(|r| r.attempts.get_mut(place)) {
+            a.0 = true;
+        }
+    }
+
+    /// A redirection costs a box no work: the rule on cold ones is about the work that they are sent.
+    fn no_work(&self, line: &Line, of: Option<&(String, usize)>) {
+        let Some(Role::Box(number)) = self.roles.borrow().get(&line.to).copied() else { return };
+        let Some((id, place)) = of else { return };
+        let sent = self.requests.borrow().get(id).and_then(|r| r.attempts.get(*place)).map(|a| a.1);
+        if let Some(c) = self.cold.borrow_mut().get_mut(&number)
+            && let Some(at) = c.sent.iter().position(|t| Some(*t) == sent)
+        {
+            c.sent.remove(at);
+        }
+    }
+
+    /// What a box answered: whether the command is known not to have run.
+    fn box_said(&self, line: &Line, bytes: &[u8]) {
+        let mut servers = self.servers.borrow_mut();
+        let s = servers.entry(line.number).or_default();
+        s.came.extend_from_slice(bytes);
+        while !s.spoilt {
+            match wire::said(&mut s.came) {
+                Ok(Some(error)) => {
+                    let of = s.out.pop_front().flatten();
+                    let kind = error.as_deref().and_then(|e| e.split(' ').next()).unwrap_or_default();
+                    if matches!(kind, "MOVED" | "ASK") {
+                        self.tally.borrow_mut().redirections += 1;
+                        self.no_work(line, of.as_ref());
+                    }
+                    if NEVER_RAN.contains(&kind) {
+                        self.never_ran(of);
+                    }
+                }
+                Ok(None) => return,
+                Err(_) => s.spoilt = true,
             }
         }
     }
@@ -563,6 +614,7 @@
                 }
             }
             ((Some(Role::Origin), Some(_)), 0) => self.origin_said(line, bytes),
+            ((Some(Role::Box(_)), Some(_)), 0) => self.box_said(line, bytes),
             _ => {}
         }
     }
--- a/crates/mothpier-sim/src/plan.rs
+++ b/crates/mothpier-sim/src/plan.rs
@@ -113,6 +113,70 @@
     Leave = "leave", 2;
     /// Many more requests come.
     Burst = "burst", 2;
+    /// In a cluster: slots change owners, up to half of `extra` hundredths of them at a time.
+    Reshuffle = "reshuffle", 10;
+    /// In a cluster: the slots of popular keys are on their way to a box, and back, and again.
+    Migrate = "migrate", 10;
+    /// In a cluster: a box dies, others take its slots, and it comes back with the map that it had, for good.
+    OldMap = "old-map", 6;
+    /// In a cluster: a box redirects a part of its commands to itself.
+    ToItself = "to-itself", 3;
+    /// In a cluster: a box redirects a part of its commands to some box.
+    ToOther = "to-other", 4;
+    /// In a cluster: a box redirects a part of its commands to where no box is.
+    ToNowhere = "to-nowhere", 3;
+    /// In a cluster: two boxes redirect a part of their commands to each other.
+    InCircle = "in-circle", 3;
+    /// In a cluster: a box answers a part of its commands with a line that is no redirection, or another error.
+    Nonsense = "nonsense", 4;
+    /// In a cluster: a box does not answer when it is asked for the slot map.
+    MapSilent = "map-silent", 2;
+    /// In a cluster: a box answers noise when it is asked for the slot map.
+    MapNoise = "map-noise", 2;
+    /// In a cluster: a box answers 5 MB when it is asked for the slot map.
+    MapHuge = "map-huge", 1;
+}
+
+impl Kind {
+    /// Whether it happens only to boxes that form a cluster.
+    pub fn of_clusters(self) -> bool {
+        self >= Kind::Reshuffle
+    }
+}
+
+/// What the boxes of a world are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Boxes {
+    /// Each stands for itself; the origin takes writes.
+    Plain,
+    /// They form a cluster; the origin takes writes.
+    Cluster,
+    /// They form a cluster and take writes themselves; there is no origin.
+    Through,
+}
+
+impl Boxes {
+    /// All.
+    pub const ALL: [Boxes; 3] = [Boxes::Plain, Boxes::Cluster, Boxes::Through];
+
+    /// Its name in a file.
+    pub fn name(self) -> &'static str {
+        match self {
+            Boxes::Plain => "plain",
+            Boxes::Cluster => "cluster",
+            Boxes::Through => "through",
+        }
+    }
+
+    /// What the boxes of a seed are: a third of all worlds has clusters, half of them without an origin.
+    pub fn draw(seed: u64) -> Self {
+        let dice = Dice::part(seed, 8);
+        match (dice.chance(0.34), dice.chance(0.5)) {
+            (false, _) => Boxes::Plain,
+            (true, false) => Boxes::Cluster,
+            (true, true) => Boxes::Through,
+        }
+    }
 }
 
 /// One fault.
@@ -171,14 +235,15 @@
 pub const LAST_MS: u64 = 14_000;
 
 /// The faults of a seed: two to eight, most of them in the same few seconds.
-pub fn draw(seed: u64) -> Vec<Fault> {
+pub fn draw(seed: u64, boxes: Boxes) -> Vec<Fault> {
     let dice = Dice::part(seed, 3);
-    let all: u64 = Kind::ALL.iter().map(|k| k.weight()).sum();
+    let kinds = || Kind::ALL.iter().copied().filter(|k| boxes != Boxes::Plain || !k.of_clusters());
+    let all: u64 = kinds().map(|k| k.weight()).sum();
     let middle = dice.within(2_500, 9_000);
     let mut faults: Vec<Fault> = (0..dice.within(2, 9))
         .map(|_| {
             let mut at = dice.within(0, all);
-            let kind = Kind::ALL.iter().copied().find(|k| {
+            let kind = kinds().find(|k| {
                 let here = at < k.weight();
                 at = at.saturating_sub(k.weight());
                 here
@@ -219,10 +284,13 @@
     #[test]
     fn a_plan_is_read_as_it_was_written_and_bad_lines_say_what_is_wrong() {
         for seed in 0..200 {
-            for fault in draw(seed) {
-                assert_eq!(fault.to_string().parse(), Ok(fault));
+            for boxes in Boxes::ALL {
+                for fault in draw(seed, boxes) {
+                    assert_eq!(fault.to_string().parse(), Ok(fault.clone()));
+                    assert!(boxes != Boxes::Plain || !fault.kind.of_clusters());
+                }
+                assert_eq!(draw(seed, boxes), draw(seed, boxes));
             }
-            assert_eq!(draw(seed), draw(seed));
         }
         let bad = |line: &str| line.parse::<Fault>().unwrap_err();
         assert!(bad("crush at=1").contains("\"crush\" is no fault; there are crash, "));
--- a/crates/mothpier-sim/src/play.rs
+++ b/crates/mothpier-sim/src/play.rs
@@ -8,12 +8,13 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use mothpier::config::{self, Precedence};
+use mothpier::config::{self, Precedence, RefreshBudget};
 use mothpier::{Census, Control, Plant};
 use mothpier_net::{Net, Stream};
 use mothpier_world::agent::{Agent, Member};
 use mothpier_world::cache_box::{self, CacheBox};
 use mothpier_world::client::{Ask, Clients, End};
+use mothpier_world::cluster::Cluster;
 use mothpier_world::fleet::Fleet;
 use mothpier_world::origin::{self, Origin};
 use mothpier_world::{Dice, Warmth, wire};
@@ -23,7 +24,8 @@
 use crate::exec::{EPOCH, Exec, Host};
 use crate::net::{Network, Post, SimNet};
 use crate::oracle::{Broken, Care, Oracle, Role, Rule, Tally};
-use crate::plan::{Fault, Kind, LAST_MS};
+use crate::plan::{Boxes, Fault, Kind, LAST_MS};
+use crate::reshuffle::Reshuffle;
 
 /// Clients begin when all nodes have their list.
 const TRAFFIC_FROM_MS: u64 = 1_500;
@@ -31,6 +33,8 @@
 const HEAL_MS: u64 = 16_000;
 /// Then so many requests must all be served, one every so many milliseconds.
 const PROBES: (u64, u64) = (40, 60);
+/// One in so many of them may go to a box that does not own the slot of its key.
+const ASTRAY: u64 = 8;
 /// And after so long a quiet, nothing is kept of it.
 const QUIET_MS: u64 = 14_000;
 
@@ -52,6 +56,12 @@
     pub lines: bool,
     /// Nodes, boxes.
     pub size: Option<(usize, usize)>,
+    /// What the boxes are; drawn from the seed where neither this nor the size is told.
+    pub boxes: Option<Boxes>,
+    /// Keys that are asked for.
+    pub keys: Option<u64>,
+    /// Nodes' questions for the slot map, a second of the whole tier.
+    pub questions_per_s: Option<f64>,
     /// A box's mean work, milliseconds, without chance.
     pub work_ms: Option<u64>,
     /// One way through the network, microseconds, always the same.
@@ -72,6 +82,14 @@
     pub script: Option<Script>,
 }
 
+impl Options {
+    /// What the boxes are.
+    fn kind(&self, seed: u64) -> Boxes {
+        let drawn = if self.size.is_some() { Boxes::Plain } else { Boxes::draw(seed) };
+        self.boxes.unwrap_or(drawn)
+    }
+}
+
 /// What a directed case does with a world as it starts.
 pub type Script = Rc<dyn Fn(&Rc<World>)>;
 
@@ -129,6 +147,8 @@
     keys: u64,
     /// Slot-aware clients are served.
     cluster: bool,
+    boxes: Boxes,
+    questions_per_s: f64,
 }
 
 /// A world in a run.
@@ -142,6 +162,10 @@
     pub oracle: Rc<Oracle>,
     fleet: Rc<Fleet>,
     make: Make,
+    /// Where the boxes form a cluster.
+    slots: Option<Reshuffle>,
+    /// Commands that had come to boxes that do not own their slot, when the healed world began to be asked.
+    astray: Cell<u64>,
     boxes: RefCell<Vec<BoxState>>,
     origin: RefCell<Option<Rc<Origin<SimNet>>>>,
     origin_host: Host,
@@ -169,7 +193,7 @@
 /// Plays a seed.
 pub fn play(seed: u64, options: &Options) -> Report {
     mothpier::plant(options.plant);
-    let faults = options.faults.clone().unwrap_or_else(|| crate::plan::draw(seed));
+    let faults = options.faults.clone().unwrap_or_else(|| crate::plan::draw(seed, options.kind(seed)));
     let exec = Exec::new(seed, options.lines);
     let ran = catch_unwind(AssertUnwindSafe(|| run(seed, options, &faults, &exec)));
     mothpier::plant(None);
@@ -247,8 +271,10 @@
             duplicate: dice.chance(0.8),
             rate: 0.0,
             writes: options.writes.unwrap_or(dice.between(0.03, 0.3)),
-            keys: dice.within(20, 400),
+            keys: options.keys.unwrap_or(dice.within(20, 400)),
             cluster: Dice::part(seed, 6).chance(0.5),
+            boxes: options.kind(seed),
+            questions_per_s: options.questions_per_s.unwrap_or(40.0),
         };
         // Under what the boxes can do: overload is not what is judged here.
         let can = boxes as f64 * make.slots as f64 / make.work.as_secs_f64();
@@ -275,7 +301,14 @@
         oracle.role(origin_address, Role::Origin);
         let mut members: Vec<Member> =
             boxes.iter().map(|b| member(&b.id, b.address, "m", "ready", 0)).collect();
-        members.push(member("o-1", origin_address, "origin", "ready", 0));
+        if make.boxes != Boxes::Through {
+            members.push(member("o-1", origin_address, "origin", "ready", 0));
+        }
+        let slots = (make.boxes != Boxes::Plain).then(|| {
+            let addresses: Vec<SocketAddr> = boxes.iter().map(|b| b.address).collect();
+            let cluster = Cluster::new(&addresses, Duration::from_secs(3), seed);
+            Reshuffle::new(cluster, boxes.len(), seed)
+        });
         let mut agents = Vec::new();
         let mut states = Vec::new();
         for i in 0..nodes {
@@ -310,6 +343,8 @@
             oracle,
             fleet,
             make,
+            slots,
+            astray: Cell::new(0),
             boxes: RefCell::new(boxes),
             origin: RefCell::new(None),
             origin_host,
@@ -374,10 +409,18 @@
         });
     }
 
-    fn later(&self, ms: u64, what: impl FnOnce(&Rc<World>) + 'static) {
+    /// Does something to the world some time from now.
+    pub fn later(&self, ms: u64, what: impl FnOnce(&Rc<World>) + 'static) {
         self.at(self.exec.millis() + ms, what);
     }
 
+    /// Does something to the slots, where the boxes form a cluster.
+    pub fn with_slots(&self, what: impl FnOnce(&Reshuffle)) {
+        if let Some(slots) = &self.slots {
+            what(slots);
+        }
+    }
+
     // Boxes.
 
     fn box_starts(&self, j: usize, cold: bool) {
@@ -396,6 +439,8 @@
             warmth,
             idle: self.make.idle.mul_f64(0.8),
             chance: self.make.chance,
+            cluster: self.slots.as_ref().map(|s| s.cluster.clone()),
+            through: self.make.boxes == Boxes::Through,
         };
         let capacity = self.make.slots as f64 / self.make.work.as_secs_f64().max(1e-6);
         self.oracle.box_starts(j, warmth, capacity);
@@ -504,7 +549,7 @@
             "peer_listen":"{}","peers":[{}],"known":{{"revision":0,"complete":true,"members":[{}]}},
             "settings":{{"balancers":{},"me":{i},"classes":[{}],"realms":[{{"name":"acme","quotaPerS":{}}}],
             "discovery":"push","zones":["a"],"machineTypes":["m","origin"],
-            "specifics":{{"mode":"aside","originKind":1}},"report":{{"fields":["lat_ms","busy"]}},
+            "specifics":{{"mode":"{}","originKind":1}},"report":{{"fields":["lat_ms","busy"]}},
             "limits":{{"maxAttempts":3,"mayDuplicate":{},"mayCancel":true,"multiplex":{},"idleCloseUs":{},
             "connectTimeoutUs":{},"maxOpen":1000,"maxRetryAfterUs":600000,"peers":true}},
             "guarantees":{{"coldUs":{},"coldShare":{},"drainGraceUs":500000,"fallMultiple":3.0,"tipAfterUs":2000000}},
@@ -518,6 +563,7 @@
             nodes.len(),
             classes.join(","),
             self.make.rate.max(10.0) * 2.0,
+            if self.make.boxes == Boxes::Through { "through" } else { "aside" },
             self.make.duplicate,
             self.make.multiplex,
             self.make.idle.as_micros(),
@@ -532,7 +578,9 @@
         let ready = |b: &&BoxState| b.down_by.is_none() && !b.draining;
         let mut known: Vec<_> =
             self.boxes.borrow().iter().filter(ready).map(|b| (b.id.clone(), b.address)).collect();
-        known.push(("o-1".into(), self.origin_address));
+        if self.make.boxes != Boxes::Through {
+            known.push(("o-1".into(), self.origin_address));
+        }
         known
     }
 
@@ -544,6 +592,15 @@
             let nodes = self.nodes.borrow();
             config.cluster = Some(nodes.iter().map(|n| n.address).collect());
         }
+        config.boxes = (self.make.boxes != Boxes::Plain).then(|| config::Boxes {
+            read_copies: false,
+            budget: RefreshBudget {
+                tier_per_s: self.make.questions_per_s,
+                calm: 5_000,
+                ..RefreshBudget::default()
+            },
+            wait: Duration::from_millis(400),
+        });
         let (control, told) = mpsc::channel(8);
         let host = {
             let node = &mut self.nodes.borrow_mut()[i];
@@ -648,6 +705,15 @@
         });
     }
 
+    /// Many commands at once on one connection of a client.
+    pub fn pipeline(&self, client: usize, asks: Vec<Ask>) {
+        let (clients, host) = self.client(client);
+        let node = self.front();
+        self.on(host, async move {
+            clients.pipeline(node, &asks).await;
+        });
+    }
+
     fn client(&self, number: usize) -> (Rc<Clients<SimNet>>, Host) {
         let clients = self.clients.borrow();
         let at = number % clients.len();
@@ -698,10 +764,13 @@
         let part = fault.extra.min(100) as f64 / 100.0;
         let tenths = fault.extra as f64 / 10.0;
         match fault.kind {
-            Kind::Crash | Kind::Silence => {
+            Kind::Crash | Kind::Silence | Kind::OldMap => {
                 if !self.takes_down(number, j) {
                     return;
                 }
+                let surely = fault.kind == Kind::OldMap
+                    && self.slots.as_ref().is_some_and(|slots| slots.keeps_old_map(j));
+                self.with_slots(|slots| slots.fell(self, j, surely));
                 if fault.kind == Kind::Silence {
                     self.network.silence(self.boxes.borrow()[j].host, true);
                 }
@@ -815,12 +884,8 @@
                 self.tell(i, Control::Reload(read.map(Box::new)));
             }
             Kind::Pipeline => {
-                let (clients, host) = self.client(fault.target);
                 let asks: Vec<Ask> = (0..fault.extra.min(100)).map(|_| self.draw_ask()).collect();
-                let node = self.front();
-                self.on(host, async move {
-                    clients.pipeline(node, &asks).await;
-                });
+                self.pipeline(fault.target, asks);
             }
             Kind::Stall => {
                 let (clients, host) = self.client(fault.target);
@@ -840,6 +905,16 @@
                 }
             }
             Kind::Burst => self.traffic.set(2.5),
+            Kind::Reshuffle
+            | Kind::Migrate
+            | Kind::ToItself
+            | Kind::ToOther
+            | Kind::ToNowhere
+            | Kind::InCircle
+            | Kind::Nonsense
+            | Kind::MapSilent
+            | Kind::MapNoise
+            | Kind::MapHuge => self.with_slots(|slots| slots.begins(self, fault, j)),
         }
     }
 
@@ -848,7 +923,9 @@
         let nodes = self.nodes.borrow().len();
         let (j, i) = (fault.target % boxes, fault.target % nodes);
         match fault.kind {
-            Kind::Crash | Kind::Silence | Kind::Replace => self.comes_back(number, j, fault.kind),
+            Kind::Crash | Kind::Silence | Kind::Replace | Kind::OldMap => {
+                self.comes_back(number, j, fault.kind)
+            }
             Kind::Drain => {
                 // It has ended what it had: the process goes, and a new one comes.
                 let held = self.boxes.borrow()[j].down_by == Some(number);
@@ -901,6 +978,16 @@
                 }
             }
             Kind::Burst => self.traffic.set(1.0),
+            Kind::Reshuffle
+            | Kind::Migrate
+            | Kind::ToItself
+            | Kind::ToOther
+            | Kind::ToNowhere
+            | Kind::InCircle
+            | Kind::Nonsense
+            | Kind::MapSilent
+            | Kind::MapNoise
+            | Kind::MapHuge => self.with_slots(|slots| slots.ends(fault, j)),
             Kind::Renumber | Kind::Reload | Kind::BadReload | Kind::Pipeline | Kind::Stall | Kind::Leave => {}
         }
     }
@@ -969,6 +1056,8 @@
             self.network.forget(host);
         }
         self.box_starts(j, true);
+        // It hears from the others what changed meanwhile.
+        self.later(300, |world| world.with_slots(|slots| slots.cluster.gossip()));
         // After any word of its end that is still on its way.
         self.notify(j, "ready", (600, 1_800));
     }
@@ -980,12 +1069,14 @@
         self.exec.trace(format_args!("healing"));
         self.healed.set(true);
         self.traffic.set(0.3);
+        self.with_slots(Reshuffle::heal);
     }
 
     /// A healed world must serve everything.
     fn probe(&self) {
         self.traffic.set(0.0);
         self.exec.trace(format_args!("probing"));
+        self.with_slots(|slots| self.astray.set(slots.cluster.counts.get().astray));
         for n in 0..PROBES.0 {
             self.later(3_000 + n * PROBES.1, move |world| {
                 let ask = Ask {
@@ -1014,6 +1105,16 @@
     /// Clients go.
     fn part(&self) {
         self.clients.borrow().iter().for_each(|c| c.close_idle());
+        self.with_slots(|slots| {
+            let astray = slots.cluster.counts.get().astray - self.astray.get();
+            if astray > PROBES.0 / ASTRAY {
+                let what = format!(
+                    "in a healed world {astray} of {} requests go to boxes that do not own their slots",
+                    PROBES.0
+                );
+                self.oracle.breaks(Rule::Progress, what);
+            }
+        });
         if self.make.cluster {
             self.same_map();
         }
@@ -1040,7 +1141,7 @@
 
     /// After quiet nothing is kept, and every node holds the present list.
     fn census(&self) {
-        let members = self.boxes.borrow().len() + 1;
+        let members = self.boxes.borrow().len() + usize::from(self.make.boxes != Boxes::Through);
         let count = self.nodes.borrow().len();
         for i in 0..count {
             let agent = self.agents.borrow()[i][self.nodes.borrow()[i].agent].clone();
--- a/crates/mothpier-sim/src/scenarios.rs
+++ b/crates/mothpier-sim/src/scenarios.rs
@@ -38,9 +38,14 @@
     }
 }
 
+/// All cases.
+pub fn all() -> impl Iterator<Item = &'static Scenario> {
+    PLAIN.iter().chain(crate::slot_cases::ALL)
+}
+
 const LATENCY_US: u64 = 200;
 
-fn ask(class: &'static str, key: u64, wait_ms: u64) -> Ask {
+pub(crate) fn ask(class: &'static str, key: u64, wait_ms: u64) -> Ask {
     let write = class != "browse";
     Ask {
         class,
@@ -55,7 +60,7 @@
 }
 
 /// A still world: no traffic of its own, no chance in work or ways.
-fn still(script: impl Fn(&Rc<World>) + 'static) -> Options {
+pub(crate) fn still(script: impl Fn(&Rc<World>) + 'static) -> Options {
     let script: Script = Rc::new(script);
     Options {
         faults: Some(Vec::new()),
@@ -70,7 +75,7 @@
 }
 
 /// A busy world with the faults of these lines.
-fn faults(lines: &[&str]) -> Options {
+pub(crate) fn faults(lines: &[&str]) -> Options {
     let faults = lines.iter().map(|l| l.parse::<Fault>().expect("a line of this file"));
     Options {
         faults: Some(faults.collect()),
@@ -81,11 +86,11 @@
     }
 }
 
-fn ended(reports: &[Report], end: End) -> u64 {
+pub(crate) fn ended(reports: &[Report], end: End) -> u64 {
     reports.iter().filter_map(|r| r.tally.ends.get(&end)).sum()
 }
 
-fn need(what: &str, count: u64) -> Result<(), String> {
+pub(crate) fn need(what: &str, count: u64) -> Result<(), String> {
     if count > 0 { Ok(()) } else { Err(format!("no {what}")) }
 }
 
@@ -175,7 +180,7 @@
     Ok(())
 }
 
-fn served(reports: &[Report]) -> Result<(), String> {
+pub(crate) fn served(reports: &[Report]) -> Result<(), String> {
     need("request served", ended(reports, End::Served))
 }
 
@@ -185,8 +190,8 @@
     need("request that could not be served", not)
 }
 
-/// All cases.
-pub const ALL: &[Scenario] = &[
+/// The cases of plain boxes.
+const PLAIN: &[Scenario] = &[
     Scenario {
         name: "deadline-1ms-before",
         about: "the server's answer reaches the client 1 ms before its time is up",
--- a/crates/mothpier-sim/src/shrink.rs
+++ b/crates/mothpier-sim/src/shrink.rs
@@ -6,7 +6,7 @@
 use mothpier::Plant;
 
 use crate::oracle::Rule;
-use crate::plan::Fault;
+use crate::plan::{Boxes, Fault};
 use crate::play::{Options, play};
 
 /// A run as a file keeps it.
@@ -16,6 +16,8 @@
     pub seed: u64,
     /// The mistake planted in the nodes.
     pub plant: Option<Plant>,
+    /// What its boxes are; drawn from the seed where that is not told.
+    pub boxes: Option<Boxes>,
     /// The faults in place of the seed's; `None` leaves those.
     pub faults: Option<Vec<Fault>>,
 }
@@ -51,7 +53,8 @@
     ///
     /// The first line that can't be read, and why.
     pub fn parse(text: &str) -> Result<Self, String> {
-        let (mut kept, mut seed) = (Kept::default(), None);
+        // Files of before there were clusters do not tell.
+        let (mut kept, mut seed) = (Kept { boxes: Some(Boxes::Plain), ..Kept::default() }, None);
         for (number, line) in text.lines().enumerate() {
             let at = |e: String| format!("line {}: {e}", number + 1);
             let line = line.split('#').next().unwrap_or_default().trim();
@@ -62,11 +65,17 @@
                     seed = Some(n.map_err(|_| at("a seed is a whole number, as in \"seed 7\"".into()))?);
                 }
                 ("plant", name) => kept.plant = Some(plant_named(name.trim()).map_err(at)?),
+                ("boxes", name) => {
+                    let boxes = Boxes::ALL.into_iter().find(|b| b.name() == name.trim());
+                    let boxes =
+                        boxes.ok_or_else(|| at(format!("{name:?} is none of plain, cluster, through")))?;
+                    kept.boxes = Some(boxes);
+                }
                 ("none", _) => kept.faults = Some(Vec::new()),
                 ("fault", rest) => {
                     kept.faults.get_or_insert_default().push(rest.parse().map_err(at)?);
                 }
-                (word, _) => return Err(at(format!("{word:?} is none of seed, plant, fault, none"))),
+                (word, _) => return Err(at(format!("{word:?} is none of seed, plant, boxes, fault, none"))),
             }
         }
         kept.seed = seed.ok_or("no line \"seed NUMBER\"")?;
@@ -93,6 +102,9 @@
         if let Some(plant) = self.plant {
             let _ = writeln!(text, "plant {}", plant_name(plant));
         }
+        if let Some(boxes) = self.boxes {
+            let _ = writeln!(text, "boxes {}", boxes.name());
+        }
         match &self.faults {
             Some(faults) if faults.is_empty() => text += "none\n",
             Some(faults) => faults.iter().for_each(|f| {
@@ -105,7 +117,7 @@
 
     /// How it is played.
     pub fn options(&self) -> Options {
-        Options { faults: self.faults.clone(), plant: self.plant, ..Options::default() }
+        Options { faults: self.faults.clone(), plant: self.plant, boxes: self.boxes, ..Options::default() }
     }
 }
 
@@ -113,6 +125,8 @@
 pub fn shrink(start: &Kept) -> Option<(Kept, Rule, u32)> {
     let report = play(start.seed, &start.options());
     let rule = report.broken?.rule;
+    let boxes = start.boxes.unwrap_or_else(|| Boxes::draw(start.seed));
+    let start = Kept { boxes: Some(boxes), ..start.clone() };
     let (mut best, mut runs) = (Kept { faults: Some(report.faults), ..start.clone() }, 1);
     let mut still = |faults: Vec<Fault>| {
         runs += 1;
@@ -154,11 +168,12 @@
     #[test]
     fn a_kept_run_is_read_as_it_was_written_and_bad_lines_are_named() {
         for plant in Plant::ALL {
-            let faults = crate::plan::draw(7);
-            let kept = Kept { seed: 7, plant: Some(plant), faults: Some(faults) };
+            let faults = crate::plan::draw(7, Boxes::Through);
+            let kept =
+                Kept { seed: 7, plant: Some(plant), boxes: Some(Boxes::Through), faults: Some(faults) };
             assert_eq!(Kept::parse(&kept.text("two\nlines")), Ok(kept));
         }
-        let none = Kept { seed: 1, plant: None, faults: Some(Vec::new()) };
+        let none = Kept { seed: 1, boxes: Some(Boxes::Plain), faults: Some(Vec::new()), ..Kept::default() };
         assert_eq!(Kept::parse(&none.text("")), Ok(none));
         assert_eq!(Kept::parse("").unwrap_err(), "no line \"seed NUMBER\"");
         assert!(
--- a/crates/mothpier-world/src/cache_box.rs
+++ b/crates/mothpier-world/src/cache_box.rs
@@ -13,6 +13,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::sync::{Semaphore, mpsc, oneshot};
 
+use crate::cluster::Cluster;
 use crate::fleet::Fleet;
 use crate::{Dice, Seen, Waits, Warmth, wire};
 
@@ -54,6 +55,10 @@
     pub idle: Duration,
     /// Part of the work that is chance: 1 is exponential, 0 always the mean.
     pub chance: f64,
+    /// The cluster that it belongs to; `None` for a plain box.
+    pub cluster: Option<Rc<Cluster>>,
+    /// It gets what it lacks and carries out writes itself, where there is no origin.
+    pub through: bool,
 }
 
 /// A running box.
@@ -133,6 +138,7 @@
             }
         });
         let mut buffer = BytesMut::new();
+        let mut asked = false;
         loop {
             let words = match wire::command(&mut buffer) {
                 Ok(Some(words)) => words,
@@ -158,27 +164,59 @@
             if line.send(made).is_err() {
                 return;
             }
-            if let ("CACHE.GET", [_, _, id, _]) = (words[0].as_str(), words.as_slice()) {
+            let asking = std::mem::replace(&mut asked, words[0] == "ASKING");
+            if let ("CACHE.GET" | "CACHE.SET", [_, _, id, _, ..]) = (words[0].as_str(), words.as_slice()) {
                 self.fleet.saw(Seen::Command { server: self.make.number, id: id.clone() });
             }
             let (served, net) = (self.clone(), self.net.clone());
-            net.spawn(async move { served.command(words, answer).await });
+            net.spawn(async move { served.command(words, asking, answer).await });
         }
     }
 
-    async fn command(self: Rc<Self>, words: Vec<String>, answer: oneshot::Sender<(Vec<u8>, bool)>) {
-        let ("CACHE.GET", [_, key, id, _]) = (words[0].as_str(), words.as_slice()) else {
-            let reply: &[u8] = match (words[0].as_str(), words.len()) {
-                ("PING", _) => b"+PONG\r\n",
-                ("CLIENT" | "SELECT", _) => b"+OK\r\n",
-                ("INFO", _) => b"-NOPERM no probes\r\n",
-                // A write belongs at the origin: here it finds nothing.
-                ("CACHE.SET", 5) => b"*3\r\n$-1\r\n$-1\r\n$-1\r\n",
-                _ => b"-SYNTAX no such command\r\n",
-            };
-            let _ = answer.send((reply.to_vec(), false));
-            return;
+    /// What it answers to a command that is no request; `None` for an answer that never comes.
+    fn aside(&self, words: &[String]) -> Option<Vec<u8>> {
+        if let (Some(cluster), "CLUSTER") = (&self.make.cluster, words[0].as_str()) {
+            return cluster.tells(self.make.number, words);
+        }
+        let clustered = self.make.cluster.is_some();
+        let reply: &[u8] = match (words[0].as_str(), words.len()) {
+            ("PING", _) => b"+PONG\r\n",
+            ("CLIENT" | "SELECT", _) => b"+OK\r\n",
+            ("ASKING" | "READONLY", 1) if clustered => b"+OK\r\n",
+            ("INFO", _) => b"-NOPERM no probes\r\n",
+            // A write belongs at the origin: here it finds nothing.
+            ("CACHE.SET", 5) => b"*3\r\n$-1\r\n$-1\r\n$-1\r\n",
+            _ => b"-SYNTAX no such command\r\n",
+        };
+        Some(reply.to_vec())
+    }
+
+    async fn command(
+        self: Rc<Self>,
+        words: Vec<String>,
+        asking: bool,
+        answer: oneshot::Sender<(Vec<u8>, bool)>,
+    ) {
+        let (write, key, id, extras) = match (words[0].as_str(), words.as_slice()) {
+            ("CACHE.GET", [_, key, id, extras]) => (false, key, id, extras),
+            ("CACHE.SET", [_, key, id, extras, _]) if self.make.through => (true, key, id, extras),
+            _ => {
+                match self.aside(&words) {
+                    Some(reply) => drop(answer.send((reply, false))),
+                    None => std::future::pending::<()>().await,
+                }
+                return;
+            }
         };
+        let held = self.held.borrow().contains(key);
+        let away = self.make.cluster.as_ref();
+        if let Some(line) = away.and_then(|c| c.turns_away(self.make.number, key, asking, held)) {
+            if let Some(exactly) = self.exactly.get() {
+                self.net.sleep(exactly).await;
+            }
+            let _ = answer.send((format!("-{line}\r\n").into_bytes(), false));
+            return;
+        }
         let spoil = self.spoil.get().filter(|(_, part)| self.dice.chance(*part)).map(|(spoil, _)| spoil);
         if self.waiting.get() >= self.make.queue || spoil == Some(Spoil::Busy) {
             let _ = answer.send((b"-BUSY\r\n".to_vec(), false));
@@ -197,11 +235,19 @@
             // Taken and never answered: the end of the process lets go of it.
             std::future::pending::<()>().await;
         }
+        if write {
+            self.write(key, id, extras);
+        } else if self.make.through {
+            self.store(key);
+        }
         let hit = self.held.borrow().contains(key);
         let busy = self.make.slots.saturating_sub(self.at_work.available_permits());
         let report = format!("lat_ms={},busy={busy}", self.make.work.as_millis());
         let report = format!("${}\r\n{report}\r\n", report.len());
-        let whole = if hit {
+        let whole = if write {
+            let receipt = format!("{key}|{id}|receipt");
+            format!("*3\r\n${}\r\n{receipt}\r\n$-1\r\n{report}", receipt.len())
+        } else if hit {
             let lie = if spoil == Some(Spoil::Lie) { "0" } else { "" };
             let value = format!("{key}|{id}{lie}|box{}", self.make.number);
             format!("*3\r\n${}\r\n{value}\r\n$3\r\nhit\r\n{report}", value.len())
@@ -226,6 +272,19 @@
         }
     }
 
+    fn write(&self, key: &str, id: &str, extras: &str) {
+        let token = wire::extra(extras, "k").map(str::to_owned);
+        let repeat = token.as_ref().zip(self.make.cluster.as_ref());
+        if repeat.is_some_and(|(token, cluster)| !cluster.first(token, self.net.now())) {
+            return;
+        }
+        let class = wire::extra(extras, "c").unwrap_or_default().to_owned();
+        self.fleet.saw(Seen::Effect { id: id.into(), class, token });
+        // Every other copy is void; here stands what was written.
+        self.fleet.written(key);
+        self.store(key);
+    }
+
     async fn work(&self) {
         if self.make.work.is_zero() {
             return;
--- a/crates/mothpier-world/src/client.rs
+++ b/crates/mothpier-world/src/client.rs
@@ -92,8 +92,9 @@
         let mut tries = 0;
         loop {
             let since = self.net.now();
-            let (end, wait) = self.one(node(), &ask).await;
-            self.fleet.saw(Seen::Final { end, took: self.net.since(since) });
+            let id = self.id();
+            let (end, wait) = self.one(node(), &id, &ask).await;
+            self.fleet.saw(Seen::Final { id, end, took: self.net.since(since) });
             // Only what is known not to have run, or is safe to run again, is asked again.
             let again = match end {
                 End::Served | End::Left => false,
@@ -109,9 +110,8 @@
         }
     }
 
-    async fn one(&self, node: SocketAddr, ask: &Ask) -> (End, Option<u64>) {
+    async fn one(&self, node: SocketAddr, id: &str, ask: &Ask) -> (End, Option<u64>) {
         let until = self.net.now() + ask.wait;
-        let id = self.id();
         // A connection that the node closed between requests is no loss: the same once more on a new one.
         for fresh in [false, true] {
             let resting = match fresh {
@@ -135,7 +135,7 @@
                 },
             };
             let left = until.saturating_duration_since(self.net.now());
-            let command = ask.command(&id, left);
+            let command = ask.command(id, left);
             let leave = ask.leaves_after.map(|after| self.net.now() + after);
             let last = until + self.grace.get();
             let limit = leave.map_or(last, |l| l.min(last));
@@ -146,7 +146,7 @@
                 Some(None) if first => return (End::Cut, None),
                 Some(None) => {}
                 Some(Some(answer)) => {
-                    let (end, wait) = self.read(&id, ask, answer);
+                    let (end, wait) = self.read(id, ask, answer);
                     let mut idle = self.idle.borrow_mut();
                     idle.push((node, halves));
                     if idle.len() > 16 {
--- a/crates/mothpier-world/src/cost.rs
+++ b/crates/mothpier-world/src/cost.rs
@@ -69,7 +69,17 @@
     for number in 0..4 {
         let warmth = Warmth { from: 1.0, since: None, span: Duration::from_secs(1) };
         let (work, idle) = (Duration::ZERO, Duration::from_secs(60));
-        let make = Make { number, slots: 1024, queue: 1024, work, warmth, idle, chance: 0.0 };
+        let make = Make {
+            number,
+            slots: 1024,
+            queue: 1024,
+            work,
+            warmth,
+            idle,
+            chance: 0.0,
+            cluster: None,
+            through: false,
+        };
         let made = CacheBox::new(Tokio, fleet.clone(), make, number as u64);
         (0..1_000).for_each(|k| made.store(&format!("k{k}")));
         let at = made.serve(demo::any()).await.map_err(|e| e.to_string())?;
@@ -115,7 +125,7 @@
 }
 
 async fn measure(cost: &Cost, program: &PathBuf, list: SocketAddr) -> Result<f64, String> {
-    let listen = demo::free()?;
+    let listen = demo::free(1)?[0];
     let path = std::env::temp_dir().join(format!("mothpier-cost-{}.json", std::process::id()));
     let text = demo::configuration(listen, list, 100_000.0);
     std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
--- a/crates/mothpier-world/src/demo.rs
+++ b/crates/mothpier-world/src/demo.rs
@@ -10,13 +10,14 @@
 use std::time::{Duration, Instant};
 
 use mothpier::Control;
-use mothpier::config::{self, Precedence};
+use mothpier::config::{self, Boxes, Precedence, RefreshBudget};
 use mothpier_net::{Net, Tokio};
 use tokio::sync::{Notify, Semaphore, mpsc};
 
 use crate::agent::{Agent, Member};
 use crate::cache_box::{CacheBox, Make, Spoil};
 use crate::client::{Ask, Clients, End};
+use crate::cluster::{Cluster, Counts as Slots, SLOTS};
 use crate::fleet::Fleet;
 use crate::machine::Machine;
 use crate::origin::Origin;
@@ -28,6 +29,8 @@
 const MOST_OPEN: usize = 256;
 /// A box that comes back is warm after this time.
 const WARM: Duration = Duration::from_secs(5);
+/// How often slots change owners.
+const RESHUFFLE: Duration = Duration::from_secs(2);
 /// How long the box that dies stays away.
 const AWAY: Duration = Duration::from_secs(3);
 
@@ -46,6 +49,8 @@
     pub grace: Duration,
     /// One box serves values made for other requests.
     pub liar: bool,
+    /// The boxes form a cluster, whose slots change owners.
+    pub cluster: bool,
 }
 
 /// How long answers took, in steps of a twentieth.
@@ -97,7 +102,7 @@
 impl Watch {
     fn saw(&self, seen: Seen) {
         match seen {
-            Seen::Final { end, took } => {
+            Seen::Final { end, took, .. } => {
                 for counts in [&self.whole, &self.second] {
                     let mut counts = counts.borrow_mut();
                     *counts.ends.entry(end).or_default() += 1;
@@ -147,11 +152,11 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-/// A port that was free a moment ago.
-pub(crate) fn free() -> Result<SocketAddr, String> {
-    TcpListener::bind(any())
-        .and_then(|l| l.local_addr())
-        .map_err(|e| format!("no free port on 127.0.0.1: {e}"))
+/// Ports that were free a moment ago, each another one.
+pub(crate) fn free(count: usize) -> Result<Vec<SocketAddr>, String> {
+    let held: std::io::Result<Vec<TcpListener>> = (0..count).map(|_| TcpListener::bind(any())).collect();
+    let free = held.and_then(|held| held.iter().map(TcpListener::local_addr).collect());
+    free.map_err(|e| format!("no free port on 127.0.0.1: {e}"))
 }
 
 pub(crate) fn configuration(listen: SocketAddr, discovery: SocketAddr, rate: f64) -> String {
@@ -182,6 +187,8 @@
     let origin =
         Origin::new(Tokio, fleet.clone(), (8, 64), Duration::from_millis(20), Duration::from_secs(3), 1);
     let origin_at = origin.clone().serve(any()).await.map_err(|e| format!("the origin: {e}"))?;
+    let addresses = free(demo.boxes)?;
+    let cluster = demo.cluster.then(|| Cluster::new(&addresses, Duration::from_secs(3), 1));
     let start = |number: usize, at: SocketAddr, cold: bool| {
         let machine = Machine::default();
         let since = cold.then(Instant::now);
@@ -193,6 +200,8 @@
             warmth: Warmth { from: 0.2, since, span: WARM },
             idle: Duration::from_secs(30),
             chance: 0.5,
+            cluster: cluster.clone(),
+            through: false,
         };
         let made = CacheBox::new(machine.clone(), fleet.clone(), make, number as u64);
         if !cold {
@@ -213,8 +222,8 @@
     };
     let mut boxes = Vec::new();
     let mut members = Vec::new();
-    for number in 0..demo.boxes {
-        let (machine, at) = start(number, any(), false).await?;
+    for (number, address) in addresses.iter().enumerate() {
+        let (machine, at) = start(number, *address, false).await?;
         members.push(member(number, at, "ready", 0));
         boxes.push((machine, at));
     }
@@ -225,10 +234,15 @@
     let list_at = agent.clone().serve(any()).await.map_err(|e| format!("the list: {e}"))?;
     let listen = match demo.listen {
         Some(at) => at,
-        None => free()?,
+        None => free(1)?[0],
     };
     let text = configuration(listen, list_at, demo.rate);
-    let config = config::parse(text.as_bytes(), &|_| None, Precedence::Environment)?;
+    let mut config = config::parse(text.as_bytes(), &|_| None, Precedence::Environment)?;
+    config.boxes = demo.cluster.then(|| Boxes {
+        read_copies: false,
+        budget: RefreshBudget { tier_per_s: 10.0, ..RefreshBudget::default() },
+        wait: Duration::from_millis(500),
+    });
     let (control, told) = mpsc::channel(4);
     let node_ended: Rc<RefCell<Option<Result<(), String>>>> = Rc::default();
     let (ended, over) = (node_ended.clone(), Rc::new(Notify::new()));
@@ -246,7 +260,8 @@
         "  exec 3<>/dev/tcp/{host}/{port}; printf '*4\\r\\n$9\\r\\nCACHE.GET\\r\\n$2\\r\\nk7\\r\\n$7\\r\\nmy-id-1\\r\\n$22\\r\\nc=browse,t=acme,d=1000\\r\\n' >&3; head -2 <&3"
     ));
     say("");
-    say("    s  served/s  misses/s  refused/s  failed/s  p50 ms  p99 ms");
+    let more = if demo.cluster { "  redirected  questions" } else { "" };
+    say(&format!("    s  served/s  misses/s  refused/s  failed/s  p50 ms  p99 ms{more}"));
     let clients = Clients::new(Tokio, fleet.clone(), 1, 1);
     clients.grace.set(demo.grace);
     let going = Rc::new(Cell::new(true));
@@ -256,12 +271,17 @@
     let until = demo.span.map(|span| began + span);
     let dies = began + demo.span.map_or(Duration::from_secs(5), |s| s / 3);
     let mut last = (0, began);
+    let slots = || cluster.as_ref().map(|c| c.counts.get());
+    let (mut seen, dice) = (slots(), Dice::new(2));
+    let mut reshuffle = began + RESHUFFLE;
     let mut dead = 0;
     let mut next = began + Duration::from_secs(1);
     let stopped = tokio::signal::ctrl_c();
     tokio::pin!(stopped);
     let node_fell = loop {
-        let times = [Some(next), until, (dead == 0).then_some(dies), (dead == 1).then_some(dies + AWAY)];
+        let shuffles = cluster.as_ref().map(|_| reshuffle);
+        let times =
+            [Some(next), until, shuffles, (dead == 0).then_some(dies), (dead == 1).then_some(dies + AWAY)];
         let wake = times.into_iter().flatten().min().unwrap_or(next);
         tokio::select! {
             biased;
@@ -275,6 +295,10 @@
             boxes[1].0.kill();
             fleet.ended(1);
             agent.change(member(1, boxes[1].1, "gone", 0));
+            if let Some(c) = &cluster {
+                c.bereave(1);
+                c.gossip();
+            }
             say(&format!("      box 1 dies; it comes back cold and empty in {} s", AWAY.as_secs()));
         }
         if dead == 1 && now >= dies + AWAY {
@@ -284,10 +308,22 @@
             agent.change(member(1, at, "ready", Tokio.wall().as_millis() as u64));
             say("      box 1 is back");
         }
+        if let Some(c) = cluster.as_ref().filter(|_| now >= reshuffle) {
+            reshuffle += RESHUFFLE;
+            let to = dice.within(0, demo.boxes as u64) as usize;
+            if to != 1 || dead != 1 {
+                let first = dice.within(0, u64::from(SLOTS / 2)) as u16;
+                c.assign(first..=first + SLOTS / 4, to);
+                c.gossip();
+                say(&format!("      slots {first} to {} go to box {to}", first + SLOTS / 4));
+            }
+        }
         if now >= next {
             next += Duration::from_secs(1);
             let fetched = origin.calls.get().0;
-            line(&watch, began, (fetched - last.0) as f64 / (now - last.1).as_secs_f64());
+            let moved = seen.zip(slots()).map(|(a, b)| redirected(a, b)).unwrap_or_default();
+            seen = slots();
+            line(&watch, began, (fetched - last.0) as f64 / (now - last.1).as_secs_f64(), &moved);
             last = (fetched, now);
         }
         if until.is_some_and(|until| now >= until) {
@@ -326,11 +362,18 @@
     Ok(broken.is_empty())
 }
 
-fn line(watch: &Watch, began: Instant, misses: f64) {
+/// What the boxes of a cluster counted between two looks, as the columns show it.
+fn redirected(a: Slots, b: Slots) -> String {
+    let (away, taken) = (b.moved + b.asked - a.moved - a.asked, b.taken - a.taken);
+    let part = away as f64 * 100.0 / (away + taken).max(1) as f64;
+    format!("  {part:>8.1} %  {:>9}", b.questions - a.questions)
+}
+
+fn line(watch: &Watch, began: Instant, misses: f64, more: &str) {
     let second = std::mem::take(&mut *watch.second.borrow_mut());
     let of = |ends: &[End]| ends.iter().filter_map(|e| second.ends.get(e)).sum::<u64>();
     say(&format!(
-        "{:>5.0}  {:>8}  {misses:>8.0}  {:>9}  {:>8}  {:>6.1}  {:>6.1}",
+        "{:>5.0}  {:>8}  {misses:>8.0}  {:>9}  {:>8}  {:>6.1}  {:>6.1}{more}",
         began.elapsed().as_secs_f64(),
         of(&[End::Served]),
         of(&[End::Busy]),
--- a/crates/mothpier-world/src/lib.rs
+++ b/crates/mothpier-world/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod agent;
 pub mod cache_box;
 pub mod client;
+pub mod cluster;
 pub mod cost;
 pub mod demo;
 pub mod fleet;
@@ -57,6 +58,8 @@
     },
     /// A client's request is over.
     Final {
+        /// The id of this try.
+        id: String,
         /// How it ended.
         end: client::End,
         /// How long it took.
--- a/crates/mothpier-world/src/main.rs
+++ b/crates/mothpier-world/src/main.rs
@@ -44,6 +44,9 @@
         /// Lets a box serve values made for other requests, to show that it is noticed.
         #[arg(long)]
         liar: bool,
+        /// The boxes form a cluster, whose slots change owners every two seconds.
+        #[arg(long)]
+        cluster: bool,
     },
     /// Compares the CPU that a request costs programs of the node, in rounds that take turns.
     Cost {
@@ -70,7 +73,7 @@
     let result = runtime.map_err(|e| e.to_string()).and_then(|r| {
         LocalSet::new().block_on(&r, async {
             match Cli::parse().command {
-                Command::Demo { seconds, rate, boxes, listen, grace_ms, liar } => {
+                Command::Demo { seconds, rate, boxes, listen, grace_ms, liar, cluster } => {
                     let demo = Demo {
                         span: seconds.map(Duration::from_secs),
                         rate: f64::from(rate),
@@ -78,6 +81,7 @@
                         listen,
                         grace: Duration::from_millis(grace_ms),
                         liar,
+                        cluster,
                     };
                     demo::run(&demo).await
                 }
--- a/crates/mothpier-world/src/wire.rs
+++ b/crates/mothpier-world/src/wire.rs
@@ -99,6 +99,42 @@
     }
 }
 
+/// Takes a whole answer of a box off a buffer, whatever its form; the text of an error line, nothing of the rest.
+///
+/// # Errors
+///
+/// What can't become an answer.
+pub fn said(buffer: &mut BytesMut) -> Result<Option<Option<String>>, String> {
+    let (mut at, mut left, mut error) = (0, 1usize, None);
+    while left > 0 {
+        left -= 1;
+        let Some(kind) = buffer.get(at).copied() else { return Ok(None) };
+        match kind {
+            b'*' => {
+                let Some((next, count)) = header(buffer, at, kind)? else { return Ok(None) };
+                (at, left) = (next, left + count.unwrap_or(0));
+            }
+            b'$' => {
+                let Some((next, length)) = header(buffer, at, kind)? else { return Ok(None) };
+                at = next + length.map_or(0, |l| l + 2);
+                if buffer.len() < at {
+                    return Ok(None);
+                }
+            }
+            b'+' | b'-' | b':' => {
+                let Some(end) = buffer[at..].iter().position(|b| *b == b'\n') else { return Ok(None) };
+                if kind == b'-' {
+                    error = Some(String::from_utf8_lossy(&buffer[at + 1..at + end]).trim_end().to_owned());
+                }
+                at += end + 1;
+            }
+            other => return Err(format!("an answer that begins with {:?}", char::from(other))),
+        }
+    }
+    buffer.advance(at);
+    Ok(Some(error))
+}
+
 /// The bytes of a command.
 pub fn encode(words: &[&str]) -> Vec<u8> {
     let mut text = format!("*{}\r\n", words.len());
--- a/crates/mothpier/src/clients.rs
+++ b/crates/mothpier/src/clients.rs
@@ -315,6 +315,8 @@
             time_left: time_left.saturating_sub((self.now)() - came),
             cost: figure("h")?.map(|us| us as Micros),
             size: figure("size")?.unwrap_or_default() as f32,
+            // The node's, which knows what the boxes are.
+            slot: None,
         };
         // Two open requests of one id could not be told apart by servers; the first one stays as it is.
         let claim =
--- a/crates/mothpier/src/config.rs
+++ b/crates/mothpier/src/config.rs
@@ -1,8 +1,10 @@
 //! What the node is told at its start: the environment and the JSON file that it names.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use brassrouter::settings::{self, Site};
+pub use mothpier_slots::refresh::Budget as RefreshBudget;
 use serde::Deserialize;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -34,6 +36,50 @@
     pub site: Site,
     /// Where clients reach each node of the tier, by their numbers: slot-aware clients are served where this is set.
     pub cluster: Option<Vec<SocketAddr>>,
+    /// The boxes form a cluster.
+    pub boxes: Option<Boxes>,
+}
+
+/// How boxes that form a cluster are dealt with.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Boxes {
+    /// Those that hold copies may be read; what they hold may be older than the owner's.
+    pub read_copies: bool,
+    /// How often they are asked for their slot map; its nodes are the settings' balancers.
+    pub budget: RefreshBudget,
+    /// A box that has not answered whole within this time is not waited for.
+    pub wait: Duration,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct BoxesFile {
+    dialect: String,
+    #[serde(default)]
+    read_copies: bool,
+    #[serde(default)]
+    refresh: RefreshFile,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct RefreshFile {
+    ask: usize,
+    tier_per_s: f64,
+    wait_ms: u64,
+    calm_s: u64,
+}
+
+impl Default for RefreshFile {
+    fn default() -> Self {
+        let budget = RefreshBudget::default();
+        RefreshFile {
+            ask: budget.ask,
+            tier_per_s: budget.tier_per_s,
+            wait_ms: 500,
+            calm_s: budget.calm / 1000,
+        }
+    }
 }
 
 #[derive(Deserialize)]
@@ -96,9 +142,41 @@
         let balancers = config.site.decisions.balancers as usize;
         config.cluster = Some(parse_cluster(&text, balancers).map_err(|e| format!("{path}: {e}"))?);
     }
+    if let Some(path) = env("MOTHPIER_BOXES") {
+        let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
+        config.boxes = parse_boxes(&text).map_err(|e| format!("{path}: {e}"))?;
+    }
     Ok(config)
 }
 
+/// Reads the file that tells what the boxes speak; `None` for plain ones.
+///
+/// # Errors
+///
+/// One plain line that names what is missing, unreadable or out of bounds.
+pub fn parse_boxes(text: &[u8]) -> Result<Option<Boxes>, String> {
+    let file: BoxesFile = serde_json::from_slice(text).map_err(|e| format!("unreadable: {e}"))?;
+    match file.dialect.as_str() {
+        "cluster" => {}
+        "plain" => return Ok(None),
+        other => return Err(format!("dialect: {other:?} is neither \"plain\" nor \"cluster\"")),
+    }
+    let RefreshFile { ask, tier_per_s, wait_ms, calm_s } = file.refresh;
+    let within = |name: &str, value: f64, least: f64, most: f64| {
+        let good = (least..=most).contains(&value);
+        if good { Ok(()) } else { Err(format!("refresh.{name}: {value} is not from {least} to {most}")) }
+    };
+    within("ask", ask as f64, 1.0, 9.0)?;
+    within("tier_per_s", tier_per_s, 0.1, 10_000.0)?;
+    within("wait_ms", wait_ms as f64, 10.0, 10_000.0)?;
+    within("calm_s", calm_s as f64, 1.0, 86_400.0)?;
+    Ok(Some(Boxes {
+        read_copies: file.read_copies,
+        budget: RefreshBudget { ask, tier_per_s, calm: calm_s * 1000, nodes: 1 },
+        wait: Duration::from_millis(wait_ms),
+    }))
+}
+
 /// Reads the file that switches slot-aware clients on.
 ///
 /// # Errors
@@ -161,5 +239,6 @@
         known: file.known,
         site,
         cluster: None,
+        boxes: None,
     })
 }
--- a/crates/mothpier/src/lib.rs
+++ b/crates/mothpier/src/lib.rs
@@ -15,6 +15,7 @@
 mod plants;
 mod resp;
 mod servers;
+mod topology;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -23,7 +24,7 @@
 
 use brassrouter::Micros;
 use mothpier_net::{Listener, Net};
-use mothpier_slots::Tier;
+use mothpier_slots::{Pool, Tier};
 use tokio::sync::{mpsc, oneshot, watch};
 
 use clients::{Clients, Stopping};
@@ -78,6 +79,7 @@
         idle_close,
         connect_timeout,
         descriptors: descriptors * 3 / 4,
+        read_copies: config.boxes.as_ref().is_some_and(|b| b.read_copies),
     };
     let me = site.decisions.me as usize;
     let telling = config.peer_listen.is_some() && site.decisions.may_tell_peers;
@@ -126,7 +128,13 @@
     let watched = messages::Wanted { watch: !site.decisions.ask_discovery, calls: 0 };
     let (wanted, wishes) = watch::channel(watched);
     let ready = Rc::new(Cell::new(false));
+    let cluster = config.boxes.map(|boxes| {
+        let budget = mothpier_slots::refresh::Budget { nodes: limits.balancers, ..boxes.budget };
+        let asker = topology::Asker::new(net.clone(), boxes.wait, events.clone());
+        (Pool::new(boxes.read_copies, budget, config.seed, clock.now() / 1000), asker)
+    });
     let parts = Parts {
+        cluster,
         servers: servers::Servers::new(net.clone(), limits, events.clone()),
         origins: origin::Origins::new(
             net.clone(),
--- a/crates/mothpier/src/messages.rs
+++ b/crates/mothpier/src/messages.rs
@@ -20,10 +20,25 @@
 /// What comes to the node from its other parts.
 pub enum Input {
     Client(ClientEvent),
-    Server { server: ServerId, number: u64, event: ServerEvent },
-    Origin { attempt: AttemptId, ended: OriginEnded },
+    Server {
+        server: ServerId,
+        number: u64,
+        event: ServerEvent,
+    },
+    Origin {
+        attempt: AttemptId,
+        ended: OriginEnded,
+    },
     Discovery(Heard),
-    Peer { from: u32, bytes: Vec<u8> },
+    Peer {
+        from: u32,
+        bytes: Vec<u8>,
+    },
+    /// What a box of a cluster said of its slot map, with its address; `None` where nothing that can be read came.
+    Topology {
+        server: ServerId,
+        heard: Option<mothpier_slots::table::Heard>,
+    },
     Census(oneshot::Sender<Census>),
 }
 
--- a/crates/mothpier/src/node.rs
+++ b/crates/mothpier/src/node.rs
@@ -9,10 +9,13 @@
 use brassrouter::settings::Site;
 use brassrouter::{
     Action, Condition, Event, ListKind, Load, LoadField, Micros, Note, Outcome, Policy, RequestId, ServerId,
-    Status,
+    SlotRange, Status,
 };
 use bytes::Bytes;
 use mothpier_net::Net;
+use mothpier_slots::pool::Word;
+use mothpier_slots::table::Held;
+use mothpier_slots::{Pool, slot_of};
 use redis_protocol::resp2::types::BytesFrame;
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -22,6 +25,7 @@
 use crate::origin::{self, Origins};
 use crate::peers::Peers;
 use crate::servers::{self, Ended, Servers};
+use crate::topology::Asker;
 use crate::{Plant, planted, resp};
 
 /// A probe without answer after this time has failed.
@@ -31,6 +35,9 @@
 /// milliseconds).
 const MOST_LOAD: (f32, f32) = (8.0, 60_000.0);
 
+/// What boxes of a cluster answer that should not be is logged at most so often: a box that does it does it always.
+const SAID: Duration = Duration::from_secs(1);
+
 /// A request without its final answer.
 struct Open {
     command: Rc<Command>,
@@ -39,6 +46,10 @@
     attempts: u16,
     /// Those without outcome.
     out: Vec<AttemptId>,
+    /// The slot of its key, where the servers form a cluster.
+    slot: Option<u16>,
+    /// A server to which the slot moved for good, as another one said: it is so once this one takes the request.
+    moved: Option<ServerId>,
 }
 
 /// An attempt or a probe without outcome; it may outlive its request.
@@ -49,16 +60,22 @@
     sent: Instant,
     /// Of one at the origin.
     call: Option<origin::Call<N>>,
+    /// Sent behind `ASKING`.
+    asking: bool,
 }
 
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Timer(u32),
     GiveUp(AttemptId),
+    /// Servers of a cluster are to be asked for their slot map.
+    Refresh,
 }
 
 /// The parts that the node drives.
 pub struct Parts<N: Net> {
+    /// Where the servers form a cluster: what is known of it, and who asks.
+    pub cluster: Option<(Pool, Asker<N>)>,
     pub servers: Servers<N>,
     pub origins: Origins<N>,
     pub peers: Option<Rc<Peers<N>>>,
@@ -79,6 +96,10 @@
     flights: HashMap<AttemptId, Flight<N>>,
     last_attempt: AttemptId,
     due: BinaryHeap<Reverse<(Instant, Due)>>,
+    /// When the wake-up for the next refresh is set.
+    refresh_at: Option<Instant>,
+    /// When a server's word was last logged.
+    said_at: Option<Instant>,
     /// Events that actions gave rise to: they come after the actions before them.
     events: VecDeque<Event>,
     actions: Vec<Action>,
@@ -98,6 +119,8 @@
             flights: HashMap::new(),
             last_attempt: 0,
             due: BinaryHeap::new(),
+            refresh_at: None,
+            said_at: None,
             events: VecDeque::new(),
             actions: Vec::new(),
         }
@@ -108,6 +131,7 @@
         let known = known.unwrap_or(List { revision: 0, complete: true, members: Vec::new() });
         self.list(known, ListKind::Cached);
         self.settle();
+        self.plan_refresh();
         loop {
             let next = self.due.peek().map(|Reverse((time, _))| *time);
             let idle = self.net.now() + Duration::from_secs(3600);
@@ -130,6 +154,7 @@
             match self.due.pop() {
                 Some(Reverse((_, Due::Timer(token)))) => self.events.push_back(Event::Timer(token)),
                 Some(Reverse((_, Due::GiveUp(id)))) => self.give_up(id, Status::TimedOut),
+                Some(Reverse((_, Due::Refresh))) => self.refresh(),
                 None => {}
             }
             self.settle();
@@ -148,9 +173,12 @@
 
     fn input(&mut self, input: Input) {
         match input {
-            Input::Client(ClientEvent::Asked { request, command, answer }) => {
+            Input::Client(ClientEvent::Asked { mut request, command, answer }) => {
                 let ends = self.net.now() + Duration::from_micros(request.time_left);
-                let open = Open { command: command.into(), answer, ends, attempts: 0, out: Vec::new() };
+                let slot = self.parts.cluster.is_some().then(|| slot_of(&command.key));
+                request.slot = slot;
+                let command = command.into();
+                let open = Open { command, answer, ends, attempts: 0, out: Vec::new(), slot, moved: None };
                 self.open.insert(request.id, open);
                 self.events.push_back(Event::Request(request));
             }
@@ -190,6 +218,7 @@
                     ..Census::default()
                 });
             }
+            Input::Topology { server, heard } => self.topology(server, heard),
             Input::Peer { from, bytes } => self.events.push_back(Event::PeerMessage { from, bytes }),
         }
     }
@@ -225,6 +254,18 @@
         }
         let servers = lines.into_iter().map(|(line, _)| line).collect();
         self.events.push_back(Event::ServerList { kind, servers });
+        let servers = &self.parts.servers;
+        if let Some((pool, _)) = &mut self.parts.cluster
+            && pool.relist(&|address| servers.at(address))
+        {
+            let ranges = slot_ranges(pool.ranges());
+            self.events.push_back(Event::Slots { whole: true, ranges });
+        }
+        let left = match &self.parts.cluster {
+            Some((_, asker)) => asker.leave(&|id| self.parts.servers.is_ready(id)),
+            None => Vec::new(),
+        };
+        left.into_iter().for_each(|server| self.topology(server, None));
         for attempt in unsent {
             self.end(attempt, Status::NotSent, Note::None, Load::default(), None);
         }
@@ -232,7 +273,9 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Send { request, server, give_up_after } => self.send(request, server, give_up_after),
+            Action::Send { request, server, give_up_after, asking } => {
+                self.send(request, server, give_up_after, asking)
+            }
             Action::Refuse { request, retry_after } => {
                 let wait = retry_after.min(self.site.max_retry_after).div_ceil(1000);
                 let wait = if planted(Plant::BareRefusal) { 0 } else { wait };
@@ -296,7 +339,7 @@
         self.due.push(Reverse((self.net.now() + after, due)));
     }
 
-    fn send(&mut self, request: RequestId, server: ServerId, give_up_after: Micros) {
+    fn send(&mut self, request: RequestId, server: ServerId, give_up_after: Micros, asking: bool) {
         self.last_attempt += 1;
         let (id, sent) = (self.last_attempt, self.net.now());
         let Some(open) = self.open.get_mut(&request) else {
@@ -307,7 +350,8 @@
         open.out.push(id);
         let (command, left) = (open.command.clone(), open.ends.saturating_duration_since(sent));
         let wait = if give_up_after == 0 { left } else { left.min(Duration::from_micros(give_up_after)) };
-        self.flights.insert(id, Flight { attempt: Some((request, number)), server, sent, call: None });
+        let flight = Flight { attempt: Some((request, number)), server, sent, call: None, asking };
+        self.flights.insert(id, flight);
         if u32::from(number) >= self.site.decisions.max_attempts || wait.is_zero() {
             return self.end(id, Status::NotSent, Note::None, Load::default(), None);
         }
@@ -318,7 +362,7 @@
             out
         } else {
             let bytes = command.for_server(wait);
-            self.parts.servers.send(server, servers::Command { attempt: id, bytes, probe: false })
+            self.parts.servers.send(server, servers::Command { attempt: id, bytes, probe: false, asking })
         };
         if out && planted(Plant::LostGiveUp) {
             return;
@@ -336,9 +380,9 @@
         let origin = self.origin_ids.contains(&server);
         let call = if origin { self.parts.origins.probe(server, id) } else { None };
         let bytes = resp::command(["INFO".into(), "load".into()]);
-        let command = servers::Command { attempt: id, bytes, probe: true };
+        let command = servers::Command { attempt: id, bytes, probe: true, asking: false };
         let out = call.is_some() || (!origin && self.parts.servers.send(server, command));
-        self.flights.insert(id, Flight { attempt: None, server, sent, call });
+        self.flights.insert(id, Flight { attempt: None, server, sent, call, asking: false });
         if out {
             self.wake(PROBE_WAIT, Due::GiveUp(id));
         } else {
@@ -361,7 +405,12 @@
     /// Reads a cache server's answer as the protocol's table of outcomes says.
     fn server_ended(&mut self, attempt: AttemptId, ended: Ended) {
         let frame = match ended {
-            Ended::Reset => return self.end(attempt, Status::Reset, Note::None, Load::default(), None),
+            Ended::Reset => {
+                let asked = self.flights.get(&attempt).is_some_and(|f| f.asking);
+                let never = asked && planted(Plant::AskNeverRan);
+                let status = if never { Status::ConnectFailed } else { Status::Reset };
+                return self.end(attempt, status, Note::None, Load::default(), None);
+            }
             Ended::NotConnected => {
                 return self.end(attempt, Status::ConnectFailed, Note::None, Load::default(), None);
             }
@@ -392,6 +441,9 @@
                 self.end(attempt, Status::Served, Note::None, load, None);
             }
             BytesFrame::Error(line) => {
+                if let Some(status) = self.cluster_said(attempt, &line) {
+                    return self.end(attempt, status, Note::None, Load::default(), None);
+                }
                 let load = line.rsplit(' ').next().map(|l| load(&self.site, l)).unwrap_or_default();
                 let busy = line.split(' ').next() == Some("BUSY");
                 if !busy && !line.starts_with("ERR failed") {
@@ -403,9 +455,113 @@
         }
     }
 
+    /// Reads what a server of a cluster answers in place of a value; `None` for what any server may answer, and for an
+    /// attempt that nobody waits for: what comes late moves nothing.
+    fn cluster_said(&mut self, attempt: AttemptId, line: &str) -> Option<Status> {
+        let (pool, _) = self.parts.cluster.as_mut()?;
+        let flight = self.flights.get(&attempt)?;
+        let (request, _) = flight.attempt?;
+        let from = self.parts.servers.address(flight.server)?;
+        let mut open = self.open.get_mut(&request);
+        let slot = open.as_ref().and_then(|o| o.slot);
+        let servers = &self.parts.servers;
+        let word = pool.said(self.clock.now() / 1000, line, slot, from, &|address| servers.at(address))?;
+        let status = match &word {
+            Word::Redirected { to, ask } => {
+                if let Some(open) = &mut open {
+                    open.moved = to.filter(|_| !ask);
+                }
+                Status::Redirected { to: *to, ask: *ask }
+            }
+            Word::TurnedAway(_) => Status::Full,
+            // Nothing that can't be read proves that it has not run.
+            Word::Unreadable(_) | Word::OtherSlot(_) => Status::Error,
+        };
+        let odd = match &word {
+            Word::Unreadable(why) => Some(why.to_string()),
+            Word::OtherSlot(slot) => Some(format!("it is of slot {slot}, which was not asked for")),
+            Word::Redirected { to: None, .. } => Some("no server of the list takes requests there".into()),
+            Word::Redirected { .. } | Word::TurnedAway(_) => None,
+        };
+        let now = self.net.now();
+        if let Some(odd) = odd.filter(|_| self.said_at.is_none_or(|at| now >= at + SAID)) {
+            self.said_at = Some(now);
+            self.net.log(format_args!("a cache server at {from} answers {line:.80?}, not followed: {odd}"));
+        }
+        if let Word::Redirected { to: Some(to), .. } = word
+            && planted(Plant::RedirectIsNews)
+        {
+            self.believe(to);
+        }
+        self.plan_refresh();
+        Some(status)
+    }
+
+    /// A planted mistake: a server is taken for ready because another one named it.
+    fn believe(&mut self, to: ServerId) {
+        let address = self.parts.servers.address(to);
+        self.parts.servers.listed(to, address, true);
+        let line = brassrouter::ServerLine { id: to, ..brassrouter::ServerLine::default() };
+        self.events.push_back(Event::ServerList { kind: ListKind::Delta, servers: vec![line] });
+    }
+
+    /// Sets the wake-up for the next refresh, unless one stands that comes as soon.
+    fn plan_refresh(&mut self) {
+        let Some((pool, _)) = &self.parts.cluster else { return };
+        let Some(due) = pool.due() else { return };
+        let left = (due * 1000).saturating_sub(self.clock.now());
+        let at = self.net.now() + Duration::from_micros(left);
+        if self.refresh_at.is_none_or(|set| at < set) {
+            self.refresh_at = Some(at);
+            self.due.push(Reverse((at, Due::Refresh)));
+        }
+    }
+
+    /// Asks servers for their slot map, if it is time.
+    fn refresh(&mut self) {
+        self.refresh_at = None;
+        let Some((pool, asker)) = &mut self.parts.cluster else { return };
+        let servers = &self.parts.servers;
+        for server in pool.begin(self.clock.now() / 1000, &servers.ready()) {
+            if let Some(address) = servers.address(server) {
+                asker.ask(server, address);
+            }
+        }
+        self.plan_refresh();
+    }
+
+    /// What a server said of the slot map, or that it said nothing of use.
+    fn topology(&mut self, server: ServerId, mut heard: Option<mothpier_slots::table::Heard>) {
+        let Some((pool, asker)) = &mut self.parts.cluster else { return };
+        asker.ended(server);
+        if let Some((_, view)) = heard.as_mut().filter(|_| planted(Plant::StaleMapWins)) {
+            view.epoch = u64::MAX - view.epoch;
+        }
+        let servers = &self.parts.servers;
+        let merged = pool.answered(self.clock.now() / 1000, server, heard, &|address| servers.at(address));
+        if let Some(merged) = merged {
+            if merged.stale {
+                self.net.log("no slot map from any cache server asked, or an older one: the one held stays");
+            } else {
+                let ranges = slot_ranges(pool.ranges());
+                self.events.push_back(Event::Slots { whole: true, ranges });
+            }
+        }
+        self.plan_refresh();
+    }
+
     /// The end of an attempt or probe, whatever brought it; the first value served is the request's answer.
     fn end(&mut self, id: AttemptId, status: Status, note: Note, load: Load, value: Option<Bytes>) {
         let Some(flight) = self.flights.remove(&id) else { return };
+        if let Some((pool, _)) = &mut self.parts.cluster
+            && matches!(status, Status::Served | Status::Miss)
+            && let Some(open) = flight.attempt.and_then(|(request, _)| self.open.get(&request))
+            && let Some(slot) = open.slot.filter(|_| open.moved == Some(flight.server))
+            && let Some(held) = pool.moved(slot, flight.server)
+        {
+            let ranges = slot_ranges(vec![held]);
+            self.events.push_back(Event::Slots { whole: false, ranges });
+        }
         let (server, took) = (flight.server, self.net.since(flight.sent).as_micros() as Micros);
         let Some((request, attempt)) = flight.attempt else {
             return self.events.push_back(Event::Probed { server, ok: status == Status::Served, took, load });
@@ -427,6 +583,10 @@
     }
 }
 
+fn slot_ranges(held: Vec<Held>) -> Vec<SlotRange> {
+    held.into_iter().map(|h| SlotRange { first: h.first, last: h.last, servers: h.boxes }).collect()
+}
+
 /// A load report: names and values, in the order that the settings give.
 fn load(site: &Site, report: &str) -> Load {
     let mut load = Load::default();
@@ -485,8 +645,10 @@
                 idle_close: Duration::from_secs(60),
                 connect_timeout: Duration::from_secs(30),
                 descriptors: 8,
+                read_copies: false,
             };
             let parts = Parts {
+                cluster: None,
                 servers: Servers::new(Tokio, limits, events.clone()),
                 origins: Origins::new(Tokio, Duration::from_secs(60), Duration::from_secs(30), 8, events),
                 peers: None,
--- a/crates/mothpier/src/plants.rs
+++ b/crates/mothpier/src/plants.rs
@@ -32,11 +32,17 @@
     ErrorNeverRan,
     /// A cold server counts as warm: the time of its start is lost.
     ColdUnknown,
+    /// An attempt behind `ASKING` that is reset counts as never run, as the redirection before it was.
+    AskNeverRan,
+    /// A server that a redirection names is taken for one that the list has ready.
+    RedirectIsNews,
+    /// Of two slot maps the one with the lower epoch counts.
+    StaleMapWins,
 }
 
 impl Plant {
     /// All of them.
-    pub const ALL: [Plant; 14] = [
+    pub const ALL: [Plant; 17] = [
         Plant::ResetNeverRan,
         Plant::DoubleAnswer,
         Plant::DrainingIsReady,
@@ -51,6 +57,9 @@
         Plant::HastyStop,
         Plant::ErrorNeverRan,
         Plant::ColdUnknown,
+        Plant::AskNeverRan,
+        Plant::RedirectIsNews,
+        Plant::StaleMapWins,
     ];
 }
 
--- a/crates/mothpier/src/resp.rs
+++ b/crates/mothpier/src/resp.rs
@@ -12,9 +12,23 @@
 const MAX_LINE: usize = 1024;
 /// The longest number of a header, with its end of line.
 const MAX_NUMBER: usize = 12;
-/// Elements of one frame, nested ones too: also bounds the depth to which the decoder recurses.
+/// Elements of one frame, nested ones too.
 const MAX_ELEMENTS: usize = 32;
 
+/// Arrays within arrays: the decoder recurses so deep.
+const MAX_DEPTH: usize = 8;
+
+/// How large one frame may be.
+pub struct Bounds {
+    /// Bytes of a value.
+    pub value: usize,
+    /// Elements, nested ones too.
+    pub elements: usize,
+}
+
+/// Of commands and of answers to them.
+const FRAME: Bounds = Bounds { value: MAX_VALUE, elements: MAX_ELEMENTS };
+
 /// What can't be the beginning of a frame, in words.
 #[derive(Debug, PartialEq, Eq)]
 pub struct Malformed(pub &'static str);
@@ -27,7 +41,12 @@
 
 /// Takes the first whole frame off a buffer; `None` while it has not all come.
 pub fn take_frame(buffer: &mut BytesMut) -> Result<Option<BytesFrame>, Malformed> {
-    let Some(end) = frame_end(buffer)? else { return Ok(None) };
+    take_within(buffer, &FRAME)
+}
+
+/// Takes the first whole frame off a buffer, as [`take_frame`] does, with other bounds.
+pub fn take_within(buffer: &mut BytesMut, bounds: &Bounds) -> Result<Option<BytesFrame>, Malformed> {
+    let Some(end) = frame_end(buffer, bounds)? else { return Ok(None) };
     let bytes = buffer.split_to(end).freeze();
     match decode::decode_bytes(&bytes) {
         Ok(Some((frame, used))) if used == end => Ok(Some(frame)),
@@ -37,11 +56,19 @@
 
 /// Where the first frame ends. Walks headers only, so that a value that comes in many parts is not decoded
 /// anew with each, and refuses what is too large or too deep before anything is kept for it.
-fn frame_end(bytes: &[u8]) -> Result<Option<usize>, Malformed> {
+fn frame_end(bytes: &[u8], bounds: &Bounds) -> Result<Option<usize>, Malformed> {
     let (mut at, mut left, mut seen) = (0, 1usize, 0usize);
+    // For each array that is open how many of its elements are still to come.
+    let (mut open, mut depth) = ([0; MAX_DEPTH], 0);
     while left > 0 {
         left -= 1;
         seen += 1;
+        while depth > 0 && open[depth - 1] == 0 {
+            depth -= 1;
+        }
+        if depth > 0 {
+            open[depth - 1] -= 1;
+        }
         let Some(kind) = bytes.get(at) else { return Ok(None) };
         let limit = match kind {
             b'$' | b'*' => MAX_NUMBER,
@@ -61,13 +88,17 @@
         let number = std::str::from_utf8(text).ok().filter(|t| t.bytes().all(|b| b.is_ascii_digit()));
         let number: usize = number.and_then(|t| t.parse().ok()).ok_or(Malformed("bad length"))?;
         if *kind == b'*' {
-            if number > MAX_ELEMENTS || seen + left + number > MAX_ELEMENTS {
+            if number > bounds.elements || seen + left + number > bounds.elements {
                 return Err(Malformed("too many elements"));
             }
             left += number;
+            if number > 0 {
+                *open.get_mut(depth).ok_or(Malformed("arrays too deep"))? = number;
+                depth += 1;
+            }
             continue;
         }
-        if number > MAX_VALUE {
+        if number > bounds.value {
             return Err(Malformed("value too large"));
         }
         at += number + 2;
--- a/crates/mothpier/src/servers.rs
+++ b/crates/mothpier/src/servers.rs
@@ -55,6 +55,8 @@
     pub connect_timeout: Duration,
     /// Connections to all servers together.
     pub descriptors: usize,
+    /// Servers that hold copies may be read: each connection begins by saying so.
+    pub read_copies: bool,
 }
 
 /// A command that is to be written.
@@ -63,12 +65,25 @@
     pub bytes: Bytes,
     /// It asks for the load only, which has another answer.
     pub probe: bool,
+    /// `ASKING` goes right before it.
+    pub asking: bool,
 }
 
-/// A command that was written whole.
+/// What is owed for something that was written.
+#[derive(Clone, Copy, PartialEq)]
+enum Owed {
+    /// The answer to a request.
+    Answer,
+    /// The load.
+    Report,
+    /// A word that changes nothing, for `ASKING` or `READONLY`.
+    Word,
+}
+
+/// A command that was written whole, or a word before one.
 struct Sent {
     attempt: AttemptId,
-    probe: bool,
+    owed: Owed,
     /// The node waits for it no longer.
     given_up: bool,
 }
@@ -205,6 +220,27 @@
         self.pools.len()
     }
 
+    /// Which server stands at an address; one that takes requests before one that does not.
+    pub fn at(&self, address: SocketAddr) -> Option<ServerId> {
+        let here = self.pools.iter().filter(|(_, p)| p.address == Some(address));
+        here.max_by_key(|(_, p)| p.ready).map(|(id, _)| *id)
+    }
+
+    /// Whether a server takes requests.
+    pub fn is_ready(&self, server: ServerId) -> bool {
+        self.pools.get(&server).is_some_and(|p| p.ready)
+    }
+
+    /// Where a server stands.
+    pub fn address(&self, server: ServerId) -> Option<SocketAddr> {
+        self.pools.get(&server).and_then(|p| p.address)
+    }
+
+    /// Those that take requests.
+    pub fn ready(&self) -> Vec<ServerId> {
+        self.pools.iter().filter(|(_, p)| p.ready).map(|(id, _)| *id).collect()
+    }
+
     /// Servers that the whole list no longer names.
     pub fn unlisted(&mut self, named: &dyn Fn(ServerId) -> bool) -> Vec<AttemptId> {
         let gone: Vec<ServerId> =
@@ -320,11 +356,14 @@
                 written |= line.sent.len() < before;
                 return true;
             }
-            let here = line.sent.iter_mut().find(|s| s.attempt == attempt);
-            let was_sent = here.map(|s| s.given_up = true).is_some();
+            let mut was_sent = false;
+            for s in line.sent.iter_mut().filter(|s| s.attempt == attempt) {
+                s.given_up = true;
+                was_sent |= s.owed != Owed::Word;
+            }
             written |= was_sent || line.writing == Some(attempt);
             let idle = line.unsent.is_empty() && line.writing.is_none();
-            !(was_sent && idle && line.sent.iter().all(|s| s.given_up))
+            !(was_sent && idle && line.sent.iter().all(|s| s.given_up || s.owed == Owed::Word))
         });
         self.tidy(server);
         written
@@ -349,12 +388,12 @@
         all: Rc<Cell<usize>>,
     ) {
         let shared = Rc::new(Shared::default());
-        let (line, events, within) = (shared.clone(), events.clone(), limits.connect_timeout);
+        let (line, events, limits) = (shared.clone(), events.clone(), limits.clone());
         let machine = net.clone();
         let task = net.spawn(async move {
-            let refused = drive(&machine, (server, number), address, within, &line, &events).await;
+            let refused = drive(&machine, (server, number), address, &limits, &line, &events).await;
             let mut state = std::mem::take(&mut *line.line.borrow_mut());
-            let written = state.sent.drain(..).map(|s| s.attempt).collect();
+            let written = state.sent.drain(..).filter(|s| s.owed != Owed::Word).map(|s| s.attempt).collect();
             let unwritten =
                 state.writing.take().into_iter().chain(state.unsent.drain(..).map(|c| c.attempt)).collect();
             let event = Event::Down { refused, written, unwritten };
@@ -401,11 +440,12 @@
 
 /// Whether a frame can be the answer to a command: an array of the value or null, how it went and the load report,
 /// whose form matters to nobody but the module; or an error line. A probe is answered with the report alone.
-fn fits(frame: &BytesFrame, probe: bool) -> bool {
+fn fits(frame: &BytesFrame, owed: Owed) -> bool {
     match frame {
         BytesFrame::Error(_) => true,
-        BytesFrame::BulkString(_) => probe,
-        BytesFrame::Array(parts) if !probe => {
+        BytesFrame::SimpleString(_) => owed == Owed::Word,
+        BytesFrame::BulkString(_) => owed == Owed::Report,
+        BytesFrame::Array(parts) if owed == Owed::Answer => {
             let [value, how, _report] = parts.as_slice() else { return false };
             matches!(value, BytesFrame::BulkString(_) | BytesFrame::Null)
                 && matches!(how, BytesFrame::BulkString(_) | BytesFrame::SimpleString(_) | BytesFrame::Null)
@@ -419,11 +459,11 @@
     net: &N,
     (server, number): (ServerId, u64),
     address: SocketAddr,
-    within: Duration,
+    limits: &Limits,
     shared: &Shared,
     events: &mpsc::Sender<Input>,
 ) -> bool {
-    let stream = match net.timeout(within, net.connect(address)).await {
+    let stream = match net.timeout(limits.connect_timeout, net.connect(address)).await {
         Some(Ok(stream)) => stream,
         Some(Err(_)) => return true,
         None => return false,
@@ -470,8 +510,15 @@
             }
             begun = None;
             let Some(sent) = shared.line.borrow_mut().sent.pop_front() else { return };
+            if sent.owed == Owed::Word {
+                // What it says of the command itself follows: an error here shows there.
+                match taken {
+                    Ok(Some(frame)) if fits(&frame, sent.owed) => continue,
+                    _ => return net.log(format_args!("{address}: a word that can't be read")),
+                }
+            }
             let (event, good) = match taken {
-                Ok(Some(frame)) if fits(&frame, sent.probe) => (Event::Answer(sent.attempt, frame), true),
+                Ok(Some(frame)) if fits(&frame, sent.owed) => (Event::Answer(sent.attempt, frame), true),
                 _ => (Event::Spoilt(sent.attempt), false),
             };
             // Before the node hears of it, which may have something more to write.
@@ -484,6 +531,12 @@
         }
     };
     let writer = async {
+        if limits.read_copies {
+            shared.line.borrow_mut().sent.push_back(Sent { attempt: 0, owed: Owed::Word, given_up: false });
+            if writing.write_all(&resp::command(["READONLY".into()])).await.is_err() {
+                return;
+            }
+        }
         loop {
             if shared.line.borrow().unsent.is_empty() {
                 shared.wake.notified().await;
@@ -491,15 +544,23 @@
             // Once round the runtime: a close that has come in is read before anything more is written.
             net.yield_now().await;
             let next = shared.line.borrow_mut().unsent.pop_front();
-            let Some(Command { attempt, bytes, probe }) = next else { continue };
+            let Some(Command { attempt, mut bytes, probe, asking }) = next else { continue };
             shared.line.borrow_mut().writing = Some(attempt);
+            if asking {
+                // In one write, so that nothing comes between; on record before, for it may be answered while the
+                // command behind it is still being written.
+                let word = Sent { attempt, owed: Owed::Word, given_up: false };
+                shared.line.borrow_mut().sent.push_back(word);
+                bytes = [resp::command(["ASKING".into()]), bytes].concat().into();
+            }
             if writing.write_all(&bytes).await.is_err() {
                 return;
             }
             // No await since the last byte was written: it is on record before an answer can be read.
             let mut line = shared.line.borrow_mut();
             line.writing = None;
-            line.sent.push_back(Sent { attempt, probe, given_up: false });
+            let owed = if probe { Owed::Report } else { Owed::Answer };
+            line.sent.push_back(Sent { attempt, owed, given_up: false });
         }
     };
     // The reader first: a close by the server is noticed before anything more is written to it.
@@ -529,9 +590,15 @@
                 idle_close: Duration::from_secs(60),
                 connect_timeout: Duration::from_secs(30),
                 descriptors: 8,
+                read_copies: false,
             };
             let mut servers = Servers::new(Tokio, limits, events);
-            let ping = |attempt| Command { attempt, bytes: resp::command(["PING".into()]), probe: true };
+            let ping = |attempt| Command {
+                attempt,
+                bytes: resp::command(["PING".into()]),
+                probe: true,
+                asking: false,
+            };
             assert!(servers.listed(7, Some(address), true).is_empty());
             assert!(servers.send(7, ping(1)));
             assert!(matches!(inputs.recv().await, Some(Input::Server { event: Event::Up, .. })));
--- a/src/bin/brassrouter-drill/codec.rs
+++ b/src/bin/brassrouter-drill/codec.rs
@@ -132,6 +132,7 @@
         key: u64_at(r, 19),
         size: f32_at(r, 27),
         time_left: u32_at(r, 31).into(),
+        slot: None,
     }
 }
 
@@ -231,7 +232,7 @@
         let mut r = [0u8; ACTION_SIZE];
         r[1..3].copy_from_slice(&node.to_le_bytes());
         match action {
-            Action::Send { request, server, give_up_after } => {
+            Action::Send { request, server, give_up_after, .. } => {
                 r[0] = 1;
                 put(&mut r, 3, &request.to_le_bytes());
                 put(&mut r, 11, &server.to_le_bytes());
@@ -342,7 +343,7 @@
         let (i, s) = (id.to_le_bytes(), server.to_le_bytes());
         let cases = [
             (
-                Action::Send { request: id, server, give_up_after: 80_000 },
+                Action::Send { request: id, server, give_up_after: 80_000, asking: false },
                 record(1, &[(3, &i), (11, &s), (15, &80_000u32.to_le_bytes())]),
             ),
             (
@@ -400,6 +401,7 @@
             time_left: 256,
             cost: Some(50),
             size: 0.0,
+            slot: None,
         };
         assert_eq!(read_record(&body, 2, 0), Ok(Record::Event(0, brassrouter::Event::Request(request))));
         let load = Load { count: 1, values: [1.5, 0.0, 0.0, 0.0] };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -222,6 +222,17 @@
     Gone,
 }
 
+/// Slots next to each other that the same servers of a cluster hold.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SlotRange {
+    /// The first slot.
+    pub first: u16,
+    /// The last slot, below 16,384.
+    pub last: u16,
+    /// Its owner, then those that hold copies and may be read.
+    pub servers: Vec<ServerId>,
+}
+
 /// How a server list relates to the one held.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ListKind {
@@ -256,6 +267,8 @@
     pub cost: Option<Micros>,
     /// Size of the value in bytes, 0 where not told.
     pub size: f32,
+    /// The slot of its key, where the cache servers form a cluster.
+    pub slot: Option<u16>,
 }
 
 /// How an attempt ended.
@@ -279,12 +292,22 @@
     Cancelled,
     /// Never sent: the request had ended or had no attempts left; it did not run.
     NotSent,
+    /// The server names another for the key's slot; it did not run.
+    Redirected {
+        /// The server named; `None` where the list has none at that address.
+        to: Option<ServerId>,
+        /// Only this one time, and only when it is asked in the name of the move: the slot is on its way.
+        ask: bool,
+    },
 }
 
 impl Status {
     /// Whether this outcome proves that the attempt never ran.
     pub fn proves_not_run(self) -> bool {
-        matches!(self, Status::Miss | Status::Full | Status::ConnectFailed | Status::NotSent)
+        matches!(
+            self,
+            Status::Miss | Status::Full | Status::ConnectFailed | Status::NotSent | Status::Redirected { .. }
+        )
     }
 }
 
@@ -333,6 +356,13 @@
         /// Its lines.
         servers: Vec<ServerLine>,
     },
+    /// Which servers hold which slots, where the cache servers form a cluster.
+    Slots {
+        /// Whether slots that it does not name are nobody's; they stay as they were otherwise.
+        whole: bool,
+        /// Ranges in order, none over another.
+        ranges: Vec<SlotRange>,
+    },
     /// A client's request arrived; one final answer is owed from now on.
     Request(Request),
     /// An attempt ended.
@@ -379,6 +409,8 @@
         server: ServerId,
         /// Give the attempt up after this time; 0 for the client's own limit.
         give_up_after: Micros,
+        /// Say in the same breath that it is asked in the name of a slot's move.
+        asking: bool,
     },
     /// Final answer: turned away, a retry is harmless.
     Refuse {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -70,6 +70,7 @@
     /// For each class, the weight of all ready cache servers that it may use.
     weights: Vec<f64>,
     kinds: BTreeMap<u16, Kind>,
+    slots: Slots,
     heat: Heat,
     gate: Gate,
     senders: Vec<Sender>,
@@ -122,6 +123,7 @@
         match event {
             Event::ServerList { kind: ListKind::Failed, .. } => self.discovery_failed(out),
             Event::ServerList { kind, servers } => self.server_list(kind, servers, out),
+            Event::Slots { whole, ranges } => self.slots.take(whole, ranges),
             Event::Request(request) => self.request(request, out),
             Event::Outcome(outcome) => self.outcome(outcome, out),
             // A streamed answer belongs to the client: nothing is owed from here on.
@@ -157,6 +159,7 @@
             key: r.key,
             order: if r.key == 0 { r.id } else { r.key ^ part.wrapping_mul(0x9e37_79b9_7f4a_7c15) },
             write: r.write,
+            slot: r.slot,
             aim_at: self.now + self.settings.classes[r.class].aim,
             ends: self.now + r.time_left.saturating_sub(2 * self.settings.tick),
             ..Held::default()
@@ -210,21 +213,70 @@
         if h.write || h.missed {
             return self.origin_call(id, out);
         }
-        if !self.pick(id).is_some_and(|server| self.send(id, server, Call::Cache, out)) {
+        if !self
+            .followed(id)
+            .or_else(|| self.pick(id))
+            .is_some_and(|server| self.send(id, server, Call::Cache, out))
+        {
             self.end(id, out);
         }
     }
 
+    /// A server of a cluster named another for the key: nothing ran. The other counts only where the list has
+    /// it ready and the rules let this request go there; else no redirection is followed. What can be fetched
+    /// is then, as after a miss; the rest is postponed, for maps and lists come late, and asks again where the
+    /// slot's home is by then.
+    fn redirected(
+        &mut self,
+        id: RequestId,
+        call: Call,
+        to: Option<ServerId>,
+        ask: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let follow = to.filter(|to| self.may_follow(id, *to)).map(|to| (to, ask));
+        let Some(h) = self.held.get_mut(&id) else { return };
+        let (class, spent) = (h.class, u32::from(h.sent) >= self.settings.max_attempts);
+        h.follow = follow;
+        if follow.is_some() {
+            return self.step(id, out);
+        }
+        h.tried.clear();
+        if call == Call::Cache && self.settings.origin_kind.is_some() {
+            h.missed = true;
+            return self.step(id, out);
+        }
+        if !spent && self.may_retry(class, true) { self.postpone(id, out) } else { self.end(id, out) }
+    }
+
+    /// Where a request was sent on to, if that still holds: it may have been postponed meanwhile.
+    fn followed(&self, id: RequestId) -> Option<ServerId> {
+        self.held.get(&id)?.follow.map(|(to, _)| to).filter(|to| self.may_follow(id, *to))
+    }
+
+    /// Whether a redirection leads on: not back to where this request was, nor past what a cold server takes.
+    fn may_follow(&self, id: RequestId, to: ServerId) -> bool {
+        let (Some(h), Some(s)) = (self.held.get(&id), self.servers.get(&to)) else { return false };
+        let (level, depth) = self.cold_bucket(s, self.weights[h.class]);
+        s.line.condition == Condition::Ready
+            && !s.origin
+            && self.may_use(h.class, s)
+            && !h.tried.contains(&to)
+            && (self.warmth(s) >= 1.0 || level + 1.0 <= depth)
+    }
+
     fn useful_until(&self, h: &Held) -> Micros {
         if self.settings.classes[h.class].late_worth > 0.0 { h.ends } else { h.aim_at.min(h.ends) }
     }
 
     /// The first server in order within the load bound, or else the first; none if that is full under strain.
+    /// In a cluster those that hold the key's slot come before all others, and of them its owner.
     fn pick(&self, id: RequestId) -> Option<ServerId> {
         let h = &self.held[&id];
         let total = self.weights[h.class];
         let left = self.useful_until(h).saturating_sub(self.now) as f64;
         let floor = (BOUND.1 / f64::from(self.settings.balancers.max(2))).max(2.0);
+        let home = self.slots.home(h.slot);
         let mut best = None;
         for s in self.ready(false).filter(|s| self.may_use(h.class, s) && !h.tried.contains(&s.line.id)) {
             if !self.warm_enough(h.order, h.tried.is_empty(), s, total) {
@@ -233,7 +285,10 @@
             let bound = BOUND.0 * f64::from(self.cache_out + 1) * self.weight(s) / total;
             let over = f64::from(s.in_flight) >= bound.max(floor);
             let given_up = unit_hash(id, s.line.id, 1) >= s.part;
-            let place = (given_up, over, self.place(h.order, s), s.line.id);
+            let held = home.iter().position(|id| *id == s.line.id).filter(|at| *at == 0 || !h.write);
+            let away = !home.is_empty() && held.is_none();
+            let copy = held.is_some_and(|at| at > 0);
+            let place = (away, given_up, over, copy, self.place(h.order, s), s.line.id);
             if best.is_none_or(|b| place < b) {
                 best = Some(place);
             }
@@ -297,7 +352,8 @@
         let (key, call) = (self.held[&id].key, if self.held[&id].write { Call::Write } else { Call::Fetch });
         let order = |a: &&Server, b: &&Server| self.place(id, a).total_cmp(&self.place(id, b));
         let origin = self.ready(true).min_by(order).map(|s| s.line.id);
-        let target = if self.settings.origin_kind.is_some() { origin } else { self.pick(id) };
+        let held = || self.followed(id).or_else(|| self.pick(id));
+        let target = if self.settings.origin_kind.is_some() { origin } else { held() };
         let Some(target) = target.filter(|_| self.gate_open(call)) else { return self.postpone(id, out) };
         if !self.send(id, target, call, out) {
             self.end(id, out);
@@ -347,9 +403,10 @@
         }
         let cold_level = self.cold_bucket(s, self.weights[h.class]).0 + 1.0;
         let (attempt, sent, aim) = (h.sent, self.now, self.settings.classes[h.class].aim);
+        let asking = h.follow.is_some_and(|(to, ask)| ask && to == server);
         let slow_after = (aim as f64 * PATIENCE) as Micros;
         if let (Some(h), Some(s)) = (self.held.get_mut(&id), self.servers.get_mut(&server)) {
-            (h.sent, h.out, h.may_have_run) = (h.sent + 1, h.out + 1, h.may_have_run + 1);
+            (h.sent, h.out, h.may_have_run, h.follow) = (h.sent + 1, h.out + 1, h.may_have_run + 1, None);
             (s.in_flight, s.cold_level, s.used) = (s.in_flight + 1, cold_level, self.now);
         }
         if call == Call::Cache {
@@ -359,7 +416,7 @@
             self.gate.enter(call);
         }
         self.flights.insert((id, attempt), Flight { server, call, sent, aim, slow_after });
-        out.push(Action::Send { request: id, server, give_up_after: 0 });
+        out.push(Action::Send { request: id, server, give_up_after: 0, asking });
         true
     }
 
@@ -371,7 +428,8 @@
         h.out -= 1;
         h.may_have_run -= u16::from(o.status.proves_not_run());
         h.missed |= o.status == Status::Miss;
-        if flight.call == Call::Cache && o.status != Status::Miss {
+        let away = matches!(o.status, Status::Redirected { .. });
+        if away || (flight.call == Call::Cache && o.status != Status::Miss) {
             h.tried.push(flight.server);
         }
         let (key, others_out, class) = (h.key, h.out > 0, h.class);
@@ -384,6 +442,9 @@
         if others_out && o.status != Status::Miss {
             return; // Their outcomes decide; but what a copy found missing is fetched.
         }
+        if let Status::Redirected { to, ask } = o.status {
+            return self.redirected(o.request, flight.call, to, ask, out);
+        }
         if flight.call != Call::Cache && o.status == Status::Full {
             return self.postpone(o.request, out);
         }
@@ -425,8 +486,8 @@
         }
         // A late answer has been counted when it became late: waiting for its end would lag the overload.
         if self.now - flight.sent < flight.slow_after {
-            let trouble =
-                !matches!(o.status, Status::Served | Status::Miss | Status::NotSent | Status::TimedOut);
+            use Status::{Miss, NotSent, Redirected, Served, TimedOut};
+            let trouble = !matches!(o.status, Served | Miss | NotSent | TimedOut | Redirected { .. });
             self.count_signs(flight.server, f64::from(u8::from(trouble)), 1.0);
         }
     }
@@ -446,7 +507,8 @@
         let was = g.limit;
         if o.status == Status::Served && !slow {
             g.limit = (g.limit + 1.0 / g.limit).min(g.most_out);
-        } else if o.status != Status::NotSent && flight.sent >= g.cut_at {
+        } else if !matches!(o.status, Status::NotSent | Status::Redirected { .. }) && flight.sent >= g.cut_at
+        {
             g.cut_at = self.now; // One cut for all calls that were out together.
             g.limit = (g.limit * GATE_CUT.0).max(g.most_out * GATE_CUT.1);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -6,7 +6,7 @@
 use oorandom::Rand64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::interface::{Action, Key, Micros, RequestId, ServerId, ServerLine};
+use crate::interface::{Action, Key, Micros, RequestId, ServerId, ServerLine, SlotRange};
 
 /// Why an attempt is out.
 #[derive(Clone, Copy, PartialEq)]
@@ -73,6 +73,10 @@
     /// How many attempts run or may have run.
     pub may_have_run: u16,
     pub tried: Vec<ServerId>,
+    /// The key's slot, where the servers form a cluster.
+    pub slot: Option<u16>,
+    /// Where a server of the cluster sent it, and whether in the name of a move.
+    pub follow: Option<(ServerId, bool)>,
     /// Number of the wait that it is in; a wake-up for an older one finds it changed.
     pub wait: u32,
 }
@@ -285,6 +289,43 @@
     }
 }
 
+/// How many slots a cluster has.
+const SLOTS: usize = 16_384;
+
+/// Which servers of a cluster hold which slots; empty where they form none.
+#[derive(Default)]
+pub struct Slots {
+    /// For each slot a place in `homes`, 0 for none known.
+    places: Vec<u32>,
+    homes: Vec<Vec<ServerId>>,
+}
+
+impl Slots {
+    /// Takes a whole map, or a part that counts from now on.
+    pub fn take(&mut self, whole: bool, ranges: Vec<SlotRange>) {
+        if whole || self.places.is_empty() {
+            (self.places, self.homes) = (vec![0; SLOTS], vec![Vec::new()]);
+        }
+        for range in ranges {
+            let known = self.homes.iter().position(|h| *h == range.servers);
+            let place = known.unwrap_or_else(|| {
+                self.homes.push(range.servers);
+                self.homes.len() - 1
+            });
+            let to = usize::from(range.last).min(SLOTS - 1);
+            for slot in usize::from(range.first)..=to {
+                self.places[slot] = place as u32;
+            }
+        }
+    }
+
+    /// The servers that hold a slot, its owner first; none where it is uncovered.
+    pub fn home(&self, slot: Option<u16>) -> &[ServerId] {
+        let place = slot.and_then(|s| self.places.get(usize::from(s)));
+        place.map_or(&[], |p| &self.homes[*p as usize])
+    }
+}
+
 /// Wake-ups in the order of their times; one timer of the node stands for all of them.
 #[derive(Default)]
 pub struct Wakes {
