--- a/src/policy.rs
+++ b/src/policy.rs
@@ -224,8 +224,8 @@
 
     /// A server of a cluster named another for the key: nothing ran. The other counts only where the list has
     /// it ready and the rules let this request go there; else no redirection is followed. What can be fetched
-    /// is then, as after a miss; the rest is postponed, for maps and lists come late, and asks again where the
-    /// slot's home is by then.
+    /// is fetched then, as after a miss; the rest is postponed, for maps and lists come late, and asks again
+    /// where the slot's home is by then.
     fn redirected(
         &mut self,
         id: RequestId,
