RESP3 towards clients, what libraries send as they connect, and a matrix of real ones

Change: mothpier-session (no I/O): answers in both versions of the protocol, HELLO 2|3 settled whole or not at all, RESET, AUTH, INFO by sections, CLIENT INFO; moved there from mothpier-slots. Plain nodes answer too, and say that they are no cluster.

--- a/crates/mothpier-world/src/lib.rs
+++ b/crates/mothpier-world/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fleet;
 pub mod loopback;
 pub mod machine;
+pub mod matrix;
 pub mod origin;
 pub mod wire;
 
--- a/crates/mothpier-world/src/main.rs
+++ b/crates/mothpier-world/src/main.rs
@@ -9,6 +9,7 @@
 use clap::{Parser, Subcommand};
 use mothpier_world::cost::{self, Cost};
 use mothpier_world::demo::{self, Demo};
+use mothpier_world::matrix::{self, Matrix};
 use tokio::task::LocalSet;
 
 /// Stand-ins for what is round a mothpier node.
@@ -48,6 +49,18 @@
         #[arg(long)]
         cluster: bool,
     },
+    /// Plays the client libraries that people use against a node of each kind, while a box dies and the node is started
+    /// again. Libraries are installed below `target/clients`; those whose tool chains are not there are left out.
+    ///
+    /// Exit codes: 0 when all were served, 1 when one lost something, 2 when it could not run.
+    Clients {
+        /// Only ways whose name, as in python/sync, holds this.
+        #[arg(long)]
+        only: Option<String>,
+        /// The repository's root.
+        #[arg(long, default_value = ".")]
+        root: PathBuf,
+    },
     /// Compares the CPU that a request costs programs of the node, in rounds that take turns.
     Cost {
         /// A program; the first is what the others are compared with.
@@ -85,6 +98,7 @@
                     };
                     demo::run(&demo).await
                 }
+                Command::Clients { only, root } => matrix::run(&Matrix { root, only }).await,
                 Command::Cost { nodes, rounds, requests, depth, connections } => {
                     let cost = Cost {
                         nodes,
--- a/crates/mothpier/src/clients.rs
+++ b/crates/mothpier/src/clients.rs
@@ -14,7 +14,8 @@
 use brassrouter::{Micros, Request, RequestId};
 use bytes::{Bytes, BytesMut};
 use mothpier_net::{Listener, Net, Reading, Stream};
-use mothpier_slots::{Tier, commands};
+use mothpier_session::{Connection as Told, Facts, commands};
+use mothpier_slots::Tier;
 use redis_protocol::resp2::types::BytesFrame;
 use tokio::io::AsyncWriteExt;
 use tokio::sync::futures::Notified;
@@ -101,6 +102,10 @@
     site: Site,
     now: Box<dyn Fn() -> Micros>,
     ready: Rc<Cell<bool>>,
+    /// When it began, and how many connections and commands came since.
+    began: Instant,
+    connections: Cell<u64>,
+    commands: Cell<u64>,
     next_request: Cell<RequestId>,
     ids: Ids,
     /// Permits of a KB.
@@ -130,6 +135,9 @@
         events: mpsc::Sender<Input>,
     ) -> Rc<Self> {
         Rc::new(Clients {
+            began: net.now(),
+            connections: Cell::new(0),
+            commands: Cell::new(0),
             net,
             tier,
             site,
@@ -231,6 +239,7 @@
     }
 
     fn start(self: Rc<Self>, stream: N::Stream, number: u64) {
+        self.connections.set(self.connections.get() + 1);
         let evict = Rc::new(Notify::new());
         let entry = Entry { idle: Some(self.net.now()), known: false, evict: evict.clone() };
         self.open.borrow_mut().insert(number, entry);
@@ -238,7 +247,7 @@
         net.spawn(async move {
             stream.set_nodelay();
             let pending = VecDeque::new();
-            let told = commands::Connection::new(number);
+            let told = Told::new(number);
             let mut session = Session {
                 clients: self.clone(),
                 number,
@@ -358,7 +367,7 @@
     /// No more commands are read: the last answer closes.
     ended: bool,
     /// What a slot-aware client has told of its connection.
-    told: commands::Connection,
+    told: Told,
 }
 
 impl<N: Net> Session<N> {
@@ -375,7 +384,7 @@
         let mut rests = connected;
         loop {
             while !self.ended && !buffer.is_empty() {
-                match resp::take_frame(&mut buffer) {
+                match resp::take_command(&mut buffer) {
                     Ok(Some(frame)) => {
                         begun = None;
                         self.command(frame, came).await;
@@ -492,6 +501,7 @@
         let Some(words) = words.filter(|w| !w.is_empty()) else {
             return self.protocol_error(Malformed("a command is an array of bulk strings"));
         };
+        self.clients.commands.set(self.clients.commands.get() + 1);
         match words[0].as_ref() {
             b"CACHE.GET" | b"CACHE.SET" => match self.clients.parse(&words, came) {
                 Ok((request, command)) => {
@@ -500,7 +510,7 @@
                 }
                 Err(e) => self.answer(resp::error(&format!("ERR {e}"))),
             },
-            _ if self.cluster_command(&words) => {}
+            _ if self.aside(&words) => {}
             name if name.eq_ignore_ascii_case(b"PING") => {
                 self.known = true;
                 self.answer(match self.clients.ready.get() {
@@ -516,11 +526,21 @@
         }
     }
 
-    /// Answers what slot-aware clients ask, where they are served; whether it was that.
-    fn cluster_command(&mut self, words: &[Bytes]) -> bool {
-        let Some(tier) = self.clients.tier.clone() else { return false };
+    /// Answers what clients ask as they connect or look round; whether it was that.
+    fn aside(&mut self, words: &[Bytes]) -> bool {
+        let clients = self.clients.clone();
         let words: Vec<&[u8]> = words.iter().map(Bytes::as_ref).collect();
-        let Some(value) = commands::answer(&words, &tier.borrow(), &mut self.told) else { return false };
+        let tier = clients.tier.as_ref().map(|t| t.borrow());
+        let facts = Facts {
+            tier: tier.as_deref(),
+            uptime_s: clients.net.since(clients.began).as_secs(),
+            clients: clients.count() as u64,
+            most_clients: clients.most as u64,
+            connections: clients.connections.get(),
+            commands: clients.commands.get(),
+            open: clients.ids() as u64,
+        };
+        let Some(value) = commands::answer(&words, &facts, &mut self.told) else { return false };
         self.known = true;
         let waiting = self.pending.iter().map(|slot| match &slot.wait {
             Wait::Ready(bytes) => bytes.len(),
@@ -529,7 +549,8 @@
         if waiting.sum::<usize>() > MAX_MAPS {
             self.protocol_error(Malformed("too many long answers wait"));
         } else {
-            self.answer(value.encode().into());
+            // In the version that holds from here on: what was read before is answered in the one of then.
+            self.answer(value.encode(self.told.version()).into());
         }
         true
     }
--- a/crates/mothpier/src/resp.rs
+++ b/crates/mothpier/src/resp.rs
@@ -15,6 +15,8 @@
 /// Elements of one frame, nested ones too.
 const MAX_ELEMENTS: usize = 32;
 
+/// The one command that may come as a line.
+const HELLO: &[u8] = b"HELLO";
 /// Arrays within arrays: the decoder recurses so deep.
 const MAX_DEPTH: usize = 8;
 
@@ -54,6 +56,29 @@
     }
 }
 
+/// Takes a client's first whole command off a buffer: a frame, or `HELLO` as a line of words, the form in which the
+/// RESP3 specification writes it and some libraries send it. No other command may come as a line.
+pub fn take_command(buffer: &mut BytesMut) -> Result<Option<BytesFrame>, Malformed> {
+    if !matches!(buffer.first(), Some(b'H' | b'h')) {
+        return take_frame(buffer);
+    }
+    let name = &buffer[..buffer.len().min(HELLO.len())];
+    if !name.eq_ignore_ascii_case(&HELLO[..name.len()]) {
+        return Err(Malformed("unknown frame type"));
+    }
+    let Some(end) = buffer.iter().take(MAX_LINE).position(|b| *b == b'\n') else {
+        return if buffer.len() >= MAX_LINE { Err(Malformed("line too long")) } else { Ok(None) };
+    };
+    let line = buffer.split_to(end + 1).freeze();
+    let words: Vec<_> = line
+        .split(|b| b.is_ascii_whitespace())
+        .filter(|word| !word.is_empty())
+        .map(|word| BytesFrame::BulkString(line.slice_ref(word)))
+        .collect();
+    let known = matches!(words.first(), Some(BytesFrame::BulkString(w)) if w.len() == HELLO.len());
+    if known { Ok(Some(BytesFrame::Array(words))) } else { Err(Malformed("unknown frame type")) }
+}
+
 /// Where the first frame ends. Walks headers only, so that a value that comes in many parts is not decoded
 /// anew with each, and refuses what is too large or too deep before anything is kept for it.
 fn frame_end(bytes: &[u8], bounds: &Bounds) -> Result<Option<usize>, Malformed> {
@@ -133,6 +158,26 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn hello_may_come_as_a_line_and_nothing_else_may() {
+        let words = |line: &str| match take_command(&mut BytesMut::from(line)) {
+            Ok(Some(BytesFrame::Array(words))) => words.len(),
+            Ok(None) => 0,
+            other => panic!("{line}: {other:?}"),
+        };
+        let whole = "HELLO 3 AUTH me it\r\n";
+        (1..whole.len()).for_each(|cut| assert_eq!(words(&whole[..cut]), 0, "{cut}"));
+        assert_eq!((words(whole), words("hello\n"), words("HELLO  3 \r\n*1\r\n")), (5, 1, 2));
+        let long = format!("HELLO {}", "x".repeat(MAX_LINE));
+        for bad in ["HELP\r\n", "HELLOS 3\r\n", "PING\r\n", "GET k\r\n", &long] {
+            assert!(take_command(&mut BytesMut::from(bad)).is_err(), "{bad:.10}");
+        }
+        // What follows stays where it is.
+        let mut buffer = BytesMut::from("HELLO 3\r\n+PONG\r\n");
+        assert!(take_command(&mut buffer).unwrap().is_some());
+        assert_eq!(buffer, "+PONG\r\n");
+    }
+
     #[test]
     fn a_frame_is_taken_only_whole_and_bad_ones_are_told_apart() {
         let whole = b"*2\r\n$3\r\nGET\r\n$1\r\nk\r\n";
