Client side: any split into reads gives the same commands, shown on 20,000 inputs

Need: RESP3 brought a second form of a command, and what comes in parts must mean what it means whole.

--- a/crates/mothpier/src/resp.rs
+++ b/crates/mothpier/src/resp.rs
@@ -158,6 +158,64 @@
 mod tests {
     use super::*;
 
+    /// What a client sends means the same however it is cut into reads, up to the error that ends it; and nothing that it
+    /// sends is a panic.
+    #[test]
+    fn any_split_into_reads_gives_the_same_commands() {
+        let dice = mothpier_world::Dice::new(9);
+        let parts: [&[u8]; 12] = [
+            b"*1\r\n$4\r\nPING\r\n",
+            b"*4\r\n$9\r\nCACHE.GET\r\n$1\r\nk\r\n$1\r\ni\r\n$9\r\nc=a,d=900\r\n",
+            b"HELLO 3\r\n",
+            b"hello\n",
+            b"*2\r\n$5\r\nHELLO\r\n$1\r\n3\r\n",
+            b"*1\r\n*1\r\n*0\r\n",
+            b"$-1\r\n",
+            b":12\r\n",
+            b"%1\r\n+a\r\n+b\r\n",
+            b"*?\r\n",
+            b"\r\n",
+            b"$3\r\n\xff\x00\r\r\n",
+        ];
+        let all = |reads: &[&[u8]]| {
+            let (mut buffer, mut commands) = (BytesMut::new(), Vec::new());
+            for read in reads {
+                buffer.extend_from_slice(read);
+                loop {
+                    match take_command(&mut buffer) {
+                        Ok(Some(command)) => commands.push(command),
+                        Ok(None) => break,
+                        Err(_) => return (commands, true),
+                    }
+                }
+            }
+            (commands, false)
+        };
+        let mut failed = 0;
+        for _ in 0..20_000 {
+            let count = dice.within(1, 6);
+            let mut bytes: Vec<u8> = (0..count)
+                .flat_map(|_| parts[dice.within(0, parts.len() as u64) as usize].to_vec())
+                .collect();
+            for _ in 0..dice.within(0, 3) {
+                let at = dice.within(0, bytes.len() as u64) as usize;
+                bytes[at] = b"*$:+-%HhELO 0193\r\n\xff"[dice.within(0, 19) as usize];
+            }
+            let whole = all(&[&bytes]);
+            let (mut cuts, mut rest) = (Vec::new(), &bytes[..]);
+            while !rest.is_empty() {
+                let (read, left) = rest.split_at(1 + dice.within(0, rest.len() as u64) as usize);
+                cuts.push(read);
+                rest = left;
+            }
+            assert_eq!(all(&cuts), whole, "{:?}", String::from_utf8_lossy(&bytes));
+            let single: Vec<&[u8]> = bytes.chunks(1).collect();
+            assert_eq!(all(&single), whole, "{:?}", String::from_utf8_lossy(&bytes));
+            failed += u32::from(whole.1);
+        }
+        assert!((2_000..18_000).contains(&failed), "{failed} of 20,000 end in an error");
+    }
+
     #[test]
     fn hello_may_come_as_a_line_and_nothing_else_may() {
         let words = |line: &str| match take_command(&mut BytesMut::from(line)) {
