--- /dev/null
+++ b/crates/mothpier-membership/src/names.rs
@@ -0,0 +1,210 @@
+//! What is held of DNS: the boxes that it named, and the doubt when many vanish at once.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// A box that DNS names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NamedBox {
+    /// Where it is.
+    pub address: SocketAddr,
+    /// Lower ones are used first (RFC 2782).
+    pub priority: u16,
+    /// Its part among those of one priority.
+    pub weight: u16,
+}
+
+/// How far what DNS says may be trusted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Word {
+    /// Nothing was heard yet.
+    Unknown,
+    /// It holds.
+    Fresh,
+    /// It has run out; nothing newer is to be had.
+    Stale,
+    /// There are no boxes, it says.
+    Nothing,
+    /// It is too old to be used.
+    Silent,
+}
+
+impl Word {
+    /// Its name for people.
+    pub fn name(self) -> &'static str {
+        match self {
+            Word::Unknown => "unknown",
+            Word::Fresh => "fresh",
+            Word::Stale => "stale",
+            Word::Nothing => "nothing",
+            Word::Silent => "silent",
+        }
+    }
+}
+
+/// When a source that shrinks is not obeyed at once.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Doubt {
+    /// More than this part of its boxes gone in one answer is doubted; so is an empty answer.
+    pub share: f64,
+    /// Further answers that must say the same.
+    pub confirm: u64,
+    /// And so much time must have passed, milliseconds.
+    pub hold_ms: u64,
+}
+
+impl Default for Doubt {
+    fn default() -> Self {
+        Doubt { share: 0.3, confirm: 3, hold_ms: 30_000 }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+struct Held {
+    named: NamedBox,
+    /// When it was first named here: it counts as started then.
+    since: u64,
+    lost: bool,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+struct Doubted {
+    since: u64,
+    /// The count of answers when it began, and those that have said the same since.
+    answers: u64,
+    confirmed: u64,
+}
+
+/// The boxes that DNS named.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Names {
+    doubt: Doubt,
+    held: BTreeMap<SocketAddr, Held>,
+    doubted: Option<Doubted>,
+    word: Word,
+}
+
+impl Names {
+    /// Nothing yet.
+    pub fn new(doubt: Doubt) -> Self {
+        Names { doubt, held: BTreeMap::new(), doubted: None, word: Word::Unknown }
+    }
+
+    /// Takes what DNS says as of now. `all` is false while some hosts' addresses are not known: nothing is taken away
+    /// then. `answers` counts the answers that were heard.
+    pub fn heard(&mut self, now: u64, word: Word, named: &[NamedBox], all: bool, answers: u64) {
+        self.word = word;
+        match word {
+            Word::Unknown => return,
+            Word::Silent => return self.held.clear(),
+            Word::Fresh | Word::Stale | Word::Nothing => {}
+        }
+        for n in named {
+            let held = self.held.entry(n.address).or_insert(Held { named: *n, since: now, lost: false });
+            (held.named, held.lost) = (*n, false);
+        }
+        if !all && word != Word::Nothing {
+            return;
+        }
+        let mut lost = 0;
+        for (address, held) in &mut self.held {
+            held.lost = !named.iter().any(|n| n.address == *address);
+            lost += usize::from(held.lost);
+        }
+        if lost == 0 {
+            self.doubted = None;
+            return;
+        }
+        let sudden = named.is_empty() || lost as f64 > (self.held.len() as f64 * self.doubt.share).max(1.0);
+        if self.doubted.is_none() && !sudden {
+            return self.held.retain(|_, held| !held.lost);
+        }
+        let doubted = self.doubted.get_or_insert(Doubted { since: now, answers, confirmed: 0 });
+        if doubted.answers != answers {
+            (doubted.answers, doubted.confirmed) = (answers, doubted.confirmed + 1);
+        }
+        if doubted.confirmed >= self.doubt.confirm && now >= doubted.since + self.doubt.hold_ms {
+            self.doubted = None;
+            self.held.retain(|_, held| !held.lost);
+        }
+    }
+
+    /// The boxes that count: each with the time since when it is named, and whether that is doubted.
+    pub fn boxes(&self) -> impl Iterator<Item = (NamedBox, u64, bool)> + '_ {
+        self.held.values().map(|h| (h.named, h.since, h.lost))
+    }
+
+    /// How far it is trusted.
+    pub fn word(&self) -> Word {
+        self.word
+    }
+
+    /// Boxes that vanished and are held all the same.
+    pub fn doubted(&self) -> usize {
+        self.held.values().filter(|h| h.lost).count()
+    }
+
+    /// Whether a box at an address is named, held in doubt included.
+    pub fn has(&self, address: SocketAddr) -> bool {
+        self.held.contains_key(&address)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn boxes(numbers: std::ops::Range<u8>) -> Vec<NamedBox> {
+        let named = |n| NamedBox { address: SocketAddr::from(([10, 1, 0, n], 6379)), priority: 0, weight: 1 };
+        numbers.map(named).collect()
+    }
+
+    /// 40 boxes vanish in one answer and return in the next: nothing happens to them, not even to their age.
+    #[test]
+    fn a_sudden_loss_is_held_until_further_answers_say_the_same_for_long_enough() {
+        let mut names = Names::new(Doubt { share: 0.3, confirm: 2, hold_ms: 10_000 });
+        names.heard(100, Word::Fresh, &boxes(0..60), true, 1);
+        let before: Vec<_> = names.boxes().collect();
+        names.heard(200, Word::Fresh, &boxes(40..60), true, 2);
+        assert_eq!((names.boxes().count(), names.doubted()), (60, 40));
+        names.heard(300, Word::Fresh, &boxes(0..60), true, 3);
+        assert_eq!(names.boxes().collect::<Vec<_>>(), before);
+        // The same answer looked at often is one; time alone is nothing, and answers without time neither.
+        names.heard(400, Word::Fresh, &boxes(40..60), true, 4);
+        (0..50).for_each(|n| names.heard(20_000 + n, Word::Fresh, &boxes(40..60), true, 4));
+        names.heard(20_100, Word::Fresh, &boxes(40..60), true, 5);
+        assert_eq!(names.boxes().count(), 60);
+        names.heard(20_200, Word::Fresh, &boxes(40..60), true, 6);
+        assert_eq!((names.boxes().count(), names.doubted()), (20, 0));
+        names.heard(20_300, Word::Fresh, &boxes(50..60), true, 7);
+        names.heard(20_400, Word::Fresh, &boxes(50..60), true, 8);
+        names.heard(20_500, Word::Fresh, &boxes(50..60), true, 9);
+        assert_eq!(names.boxes().count(), 20, "answers alone, within the hold");
+    }
+
+    #[test]
+    fn a_few_go_at_once_and_none_while_hosts_are_not_known() {
+        let mut names = Names::new(Doubt::default());
+        names.heard(1, Word::Fresh, &boxes(0..10), true, 1);
+        names.heard(2, Word::Fresh, &boxes(0..7), false, 2);
+        assert_eq!(names.boxes().count(), 10);
+        names.heard(3, Word::Fresh, &boxes(0..7), true, 2);
+        assert_eq!(names.boxes().count(), 7);
+        // A single box of two may go: a fleet of two is no fleet whose loss would be sudden.
+        let mut two = Names::new(Doubt::default());
+        two.heard(1, Word::Fresh, &boxes(0..2), true, 1);
+        two.heard(2, Word::Fresh, &boxes(0..1), true, 2);
+        assert_eq!(two.boxes().count(), 1);
+    }
+
+    #[test]
+    fn an_empty_answer_is_doubted_and_a_long_silence_is_not() {
+        let mut names = Names::new(Doubt::default());
+        names.heard(1, Word::Fresh, &boxes(0..1), true, 1);
+        names.heard(2, Word::Nothing, &[], true, 2);
+        names.heard(3, Word::Stale, &boxes(0..1), true, 2);
+        assert_eq!((names.boxes().count(), names.doubted()), (1, 0));
+        names.heard(4, Word::Silent, &[], true, 2);
+        assert_eq!(names.boxes().count(), 0);
+    }
+}
