--- a/crates/mothpier-net/src/lib.rs
+++ b/crates/mothpier-net/src/lib.rs
@@ -54,6 +54,13 @@
     /// Opens a socket for datagrams.
     fn socket(&self, at: SocketAddr) -> impl Future<Output = io::Result<Self::Socket>>;
 
+    /// Chance that nobody outside can guess: for what must not be forged.
+    ///
+    /// # Errors
+    ///
+    /// A machine that has none.
+    fn entropy(&self) -> io::Result<[u8; 32]>;
+
     /// Writes a line to the log; a log that can't be written must not end the program.
     fn log(&self, line: impl Display);
 
@@ -136,6 +143,9 @@
     /// Sends a datagram, or fails where it can't go at once.
     fn try_send_to(&self, bytes: &[u8], to: SocketAddr) -> io::Result<usize>;
 
+    /// Sends a datagram, as soon as it can go.
+    fn send_to(&self, bytes: &[u8], to: SocketAddr) -> impl Future<Output = io::Result<usize>>;
+
     /// Waits for a datagram: its length (cut to the buffer's) and its sender.
     fn recv_from(&self, buffer: &mut [u8]) -> impl Future<Output = io::Result<(usize, SocketAddr)>>;
 
--- a/crates/mothpier-net/src/tokio_net.rs
+++ b/crates/mothpier-net/src/tokio_net.rs
@@ -56,6 +56,12 @@
         UdpSocket::bind(at)
     }
 
+    fn entropy(&self) -> io::Result<[u8; 32]> {
+        let mut seed = [0; 32];
+        getrandom::fill(&mut seed).map_err(io::Error::other)?;
+        Ok(seed)
+    }
+
     fn log(&self, line: impl Display) {
         let _ = writeln!(io::stderr(), "mothpier: {line}");
     }
@@ -106,6 +112,10 @@
         UdpSocket::try_send_to(self, bytes, to)
     }
 
+    async fn send_to(&self, bytes: &[u8], to: SocketAddr) -> io::Result<usize> {
+        UdpSocket::send_to(self, bytes, to).await
+    }
+
     async fn recv_from(&self, buffer: &mut [u8]) -> io::Result<(usize, SocketAddr)> {
         UdpSocket::recv_from(self, buffer).await
     }
--- a/crates/mothpier-session/src/commands.rs
+++ b/crates/mothpier-session/src/commands.rs
@@ -45,6 +45,8 @@
 pub struct Facts<'a> {
     /// Where slot-aware clients are served: the tier that they are shown.
     pub tier: Option<&'a Tier>,
+    /// Where there are more sources of boxes than the list, and they are asked for: lines of what they say.
+    pub sources: Option<&'a str>,
     /// Seconds since its start.
     pub uptime_s: u64,
     /// Client connections that are open.
@@ -311,7 +313,7 @@
 
 /// The sections that were asked for, in their own order; all of them where none was. One that is not there is empty.
 fn info(sections: &[&[u8]], facts: &Facts<'_>) -> Value {
-    let Facts { tier, uptime_s, clients, most_clients, connections, commands, open } = facts;
+    let Facts { tier, sources, uptime_s, clients, most_clients, connections, commands, open } = facts;
     let wanted = |name: &str| {
         let all = |s: &str| matches!(s, "all" | "default" | "everything");
         sections.is_empty() || sections.iter().map(|s| lower(s)).any(|s| s == name || all(&s))
@@ -341,6 +343,9 @@
     section("Replication", "role:master\r\nconnected_slaves:0\r\n".into());
     let node = tier.map(|t| format!("mothpier_node:{}\r\n", t.me())).unwrap_or_default();
     section("Cluster", format!("cluster_enabled:{}\r\n{node}", u8::from(tier.is_some())));
+    if let Some(sources) = sources {
+        section("Sources", (*sources).to_owned());
+    }
     Value::Text(out)
 }
 
@@ -493,8 +498,16 @@
 
     fn said(line: &str, tier: Option<&Tier>, connection: &mut Connection) -> String {
         let words: Vec<&[u8]> = line.split(' ').map(str::as_bytes).collect();
-        let facts =
-            Facts { tier, uptime_s: 5, clients: 2, most_clients: 9, connections: 3, commands: 4, open: 1 };
+        let facts = Facts {
+            tier,
+            uptime_s: 5,
+            clients: 2,
+            most_clients: 9,
+            connections: 3,
+            commands: 4,
+            open: 1,
+            ..Facts::default()
+        };
         let value = answer(&words, &facts, connection);
         value.map_or("none".into(), |v| String::from_utf8(v.encode(connection.version())).unwrap())
     }
--- a/crates/mothpier-sim/src/main.rs
+++ b/crates/mothpier-sim/src/main.rs
@@ -4,6 +4,7 @@
 mod exec;
 mod many;
 mod measure;
+mod names;
 mod net;
 mod oracle;
 mod plan;
@@ -12,6 +13,8 @@
 mod scenarios;
 mod shrink;
 mod slot_cases;
+mod source_cases;
+mod word;
 
 use std::io::Write;
 use std::ops::Range;
@@ -114,6 +117,19 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Measures how soon all nodes know of a new box, a death and a drain, by their sources of boxes and with each out of
+    /// reach, and what DNS is asked.
+    Word {
+        /// Nodes of the tier.
+        #[arg(long, default_value_t = 14, value_parser = clap::value_parser!(u16).range(2..=200))]
+        nodes: u16,
+        /// Boxes.
+        #[arg(long, default_value_t = 15, value_parser = clap::value_parser!(u16).range(4..=200))]
+        boxes: u16,
+        /// The seed of chance.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// Prints a seed's faults, in the form that `replay` takes.
     Plan {
         /// The seed.
@@ -150,9 +166,14 @@
             let tier = measure::Tier { nodes, boxes, keys, rate: f64::from(rate) };
             measure::table(tier, seed, &say).map(|()| true)
         }
+        Command::Word { nodes, boxes, seed } => {
+            let tier = word::Tier { nodes: usize::from(nodes), boxes: usize::from(boxes) };
+            word::tables(tier, seed, &say).map(|()| true)
+        }
         Command::Plan { seed } => {
-            let boxes = plan::Boxes::draw(seed);
-            let kept = Kept { seed, plant: None, boxes: Some(boxes), faults: Some(plan::draw(seed, boxes)) };
+            let (boxes, beside) = (plan::Boxes::draw(seed), plan::Beside::draw(seed));
+            let faults = Some(plan::draw(seed, boxes, beside));
+            let kept = Kept { seed, plant: None, boxes: Some(boxes), beside: Some(beside), faults };
             say(&kept.text(""));
             Ok(true)
         }
--- a/crates/mothpier-sim/src/net.rs
+++ b/crates/mothpier-sim/src/net.rs
@@ -145,6 +145,8 @@
     ports: Cell<u16>,
     /// How datagrams fare.
     pub post: Cell<Post>,
+    /// How many datagrams began with these bytes, and when the last of them was sent, milliseconds.
+    pub posted: RefCell<BTreeMap<[u8; 4], (u64, u64)>>,
     /// One way, nanoseconds: least and most.
     pub latency: (u64, u64),
     /// Part of the writes that the machine takes only in part.
@@ -167,6 +169,7 @@
             numbers: Cell::new(0),
             ports: Cell::new(20_000),
             post: Cell::default(),
+            posted: RefCell::default(),
             latency,
             short_writes,
             tap: RefCell::default(),
@@ -505,12 +508,28 @@
         Ok(SimListener { network: self.network.clone(), at, door })
     }
 
-    async fn socket(&self, at: SocketAddr) -> io::Result<SimSocket> {
+    async fn socket(&self, mut at: SocketAddr) -> io::Result<SimSocket> {
+        let own = self.network.machines.borrow()[self.host].address;
+        if let Some(own) = own.filter(|_| at.ip().is_unspecified()) {
+            at.set_ip(own);
+        }
+        if at.port() == 0 {
+            at.set_port(self.network.port());
+        }
+        if self.network.mail.borrow().contains_key(&at) {
+            return Err(ErrorKind::AddrInUse.into());
+        }
         let mailbox = Rc::new(RefCell::new(Mailbox { mail: VecDeque::new(), waker: None }));
         self.network.mail.borrow_mut().insert(at, mailbox.clone());
         Ok(SimSocket { net: self.clone(), at, mailbox })
     }
 
+    fn entropy(&self) -> io::Result<[u8; 32]> {
+        let mut seed = [0; 32];
+        seed.fill_with(|| self.network.dice.within(0, 256) as u8);
+        Ok(seed)
+    }
+
     fn log(&self, line: impl Display) {
         self.network.exec.trace(format_args!("{} logs: {line}", self.network.name(self.host)));
     }
@@ -773,6 +792,11 @@
     fn try_send_to(&self, bytes: &[u8], to: SocketAddr) -> io::Result<usize> {
         let network = &self.net.network;
         let (post, sent) = (network.post.get(), bytes.len());
+        if let Some(first) = bytes.first_chunk::<4>() {
+            let mut posted = network.posted.borrow_mut();
+            let of = posted.entry(*first).or_default();
+            *of = (of.0 + 1, network.exec.millis());
+        }
         let host = network.machines.borrow().iter().position(|m| m.address == Some(to.ip()));
         let copies = match (network.dice.chance(post.lost), network.dice.chance(post.doubled)) {
             (true, _) => 0,
@@ -800,6 +824,10 @@
         Ok(sent)
     }
 
+    async fn send_to(&self, bytes: &[u8], to: SocketAddr) -> io::Result<usize> {
+        self.try_send_to(bytes, to)
+    }
+
     fn recv_from(&self, buffer: &mut [u8]) -> impl Future<Output = io::Result<(usize, SocketAddr)>> {
         poll_fn(|cx| {
             let mut mailbox = self.mailbox.borrow_mut();
--- a/crates/mothpier-sim/src/oracle.rs
+++ b/crates/mothpier-sim/src/oracle.rs
@@ -76,6 +76,8 @@
     Box(usize),
     /// The origin.
     Origin,
+    /// What no source of boxes names: only forged answers do.
+    Stranger,
 }
 
 /// What a class may suffer.
@@ -595,6 +597,10 @@
             ((Some(role @ (Role::Box(_) | Role::Origin)), Some(node)), 0) => {
                 self.server_wrote(line, node, role, bytes);
             }
+            ((Some(Role::Stranger), Some(node)), 0) => {
+                let what = format!("node {node} sends to {}, which no source names", line.to);
+                self.breaks(Rule::Value, what);
+            }
             _ => {}
         }
     }
--- a/crates/mothpier-sim/src/plan.rs
+++ b/crates/mothpier-sim/src/plan.rs
@@ -113,6 +113,34 @@
     Leave = "leave", 2;
     /// Many more requests come.
     Burst = "burst", 2;
+    /// In a world with DNS: a server answers nothing. Of these faults, all servers have it where `extra` is odd.
+    DnsSilent = "dns-silent", 4;
+    /// In a world with DNS: a server fails.
+    DnsFails = "dns-fails", 3;
+    /// In a world with DNS: there is no such name.
+    DnsNoName = "dns-no-name", 4;
+    /// In a world with DNS: there is the name and nothing under it.
+    DnsEmpty = "dns-empty", 4;
+    /// In a world with DNS: answers are cut short, and TCP is refused.
+    DnsCut = "dns-cut", 3;
+    /// In a world with DNS: answers are cut short, and end half-way over TCP.
+    DnsHalf = "dns-half", 3;
+    /// In a world with DNS: answers come that nobody asked for; they name a stranger.
+    DnsForged = "dns-forged", 6;
+    /// In a world with DNS: lifetimes of 0.
+    DnsNoLife = "dns-no-life", 2;
+    /// In a world with DNS: lifetimes of 2³¹.
+    DnsLongLife = "dns-long-life", 2;
+    /// In a world with DNS: names that stand for each other.
+    DnsCircle = "dns-circle", 2;
+    /// In a world with DNS: answers that can't be read.
+    DnsNoise = "dns-noise", 2;
+    /// In a world with DNS: a server goes on with the records that it had.
+    DnsOld = "dns-old", 3;
+    /// In a world with DNS: each node gets another half of the boxes.
+    DnsPart = "dns-part", 4;
+    /// In a world with DNS: answers come after the next question.
+    DnsLate = "dns-late", 3;
     /// In a cluster: slots change owners, up to half of `extra` hundredths of them at a time.
     Reshuffle = "reshuffle", 10;
     /// In a cluster: the slots of popular keys are on their way to a box, and back, and again.
@@ -142,6 +170,60 @@
     pub fn of_clusters(self) -> bool {
         self >= Kind::Reshuffle
     }
+
+    /// Whether it happens only where DNS is a source of boxes.
+    pub fn of_dns(self) -> bool {
+        (Kind::DnsSilent..Kind::Reshuffle).contains(&self)
+    }
+}
+
+/// Which sources of boxes the nodes of a world have beside the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Beside {
+    /// None.
+    Nothing,
+    /// They tell each other of drains and deaths.
+    Rumours,
+    /// They ask DNS.
+    Dns,
+    /// Both.
+    Both,
+}
+
+impl Beside {
+    /// All.
+    pub const ALL: [Beside; 4] = [Beside::Nothing, Beside::Rumours, Beside::Dns, Beside::Both];
+
+    /// Its name in a file.
+    pub fn name(self) -> &'static str {
+        match self {
+            Beside::Nothing => "list",
+            Beside::Rumours => "list+rumours",
+            Beside::Dns => "list+dns",
+            Beside::Both => "list+dns+rumours",
+        }
+    }
+
+    /// What a seed has: half of all worlds have more sources than the list.
+    pub fn draw(seed: u64) -> Self {
+        let dice = Dice::part(seed, 10);
+        match dice.within(0, 100) {
+            0..50 => Beside::Nothing,
+            50..62 => Beside::Rumours,
+            62..74 => Beside::Dns,
+            _ => Beside::Both,
+        }
+    }
+
+    /// Whether nodes ask DNS.
+    pub fn dns(self) -> bool {
+        matches!(self, Beside::Dns | Beside::Both)
+    }
+
+    /// Whether they tell each other.
+    pub fn rumours(self) -> bool {
+        matches!(self, Beside::Rumours | Beside::Both)
+    }
 }
 
 /// What the boxes of a world are.
@@ -235,9 +317,10 @@
 pub const LAST_MS: u64 = 14_000;
 
 /// The faults of a seed: two to eight, most of them in the same few seconds.
-pub fn draw(seed: u64, boxes: Boxes) -> Vec<Fault> {
+pub fn draw(seed: u64, boxes: Boxes, beside: Beside) -> Vec<Fault> {
     let dice = Dice::part(seed, 3);
-    let kinds = || Kind::ALL.iter().copied().filter(|k| boxes != Boxes::Plain || !k.of_clusters());
+    let here = move |k: &Kind| (boxes != Boxes::Plain || !k.of_clusters()) && (beside.dns() || !k.of_dns());
+    let kinds = || Kind::ALL.iter().copied().filter(here);
     let all: u64 = kinds().map(|k| k.weight()).sum();
     let middle = dice.within(2_500, 9_000);
     let mut faults: Vec<Fault> = (0..dice.within(2, 9))
@@ -284,12 +367,13 @@
     #[test]
     fn a_plan_is_read_as_it_was_written_and_bad_lines_say_what_is_wrong() {
         for seed in 0..200 {
-            for boxes in Boxes::ALL {
-                for fault in draw(seed, boxes) {
+            for (boxes, beside) in Boxes::ALL.into_iter().flat_map(|b| Beside::ALL.map(|s| (b, s))) {
+                for fault in draw(seed, boxes, beside) {
                     assert_eq!(fault.to_string().parse(), Ok(fault.clone()));
                     assert!(boxes != Boxes::Plain || !fault.kind.of_clusters());
+                    assert!(beside.dns() || !fault.kind.of_dns());
                 }
-                assert_eq!(draw(seed, boxes), draw(seed, boxes));
+                assert_eq!(draw(seed, boxes, beside), draw(seed, boxes, beside));
             }
         }
         let bad = |line: &str| line.parse::<Fault>().unwrap_err();
--- a/crates/mothpier-sim/src/play.rs
+++ b/crates/mothpier-sim/src/play.rs
@@ -10,6 +10,8 @@
 use bytes::BytesMut;
 use mothpier::config::{self, Precedence, RefreshBudget};
 use mothpier::{Census, Control, Plant};
+use mothpier_membership::names::Doubt;
+use mothpier_membership::{Like, Settings, rumour};
 use mothpier_net::{Net, Stream};
 use mothpier_world::agent::{Agent, Member};
 use mothpier_world::cache_box::{self, CacheBox};
@@ -22,9 +24,10 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::exec::{EPOCH, Exec, Host};
+use crate::names::Names;
 use crate::net::{Network, Post, SimNet};
 use crate::oracle::{Broken, Care, Oracle, Role, Rule, Tally};
-use crate::plan::{Boxes, Fault, Kind, LAST_MS};
+use crate::plan::{Beside, Boxes, Fault, Kind, LAST_MS};
 use crate::reshuffle::Reshuffle;
 
 /// Clients begin when all nodes have their list.
@@ -37,6 +40,8 @@
 const ASTRAY: u64 = 8;
 /// Judged where a node's part of the questions lets it ask once in so many seconds.
 const ASKS_WITHIN_S: f64 = 5.0;
+/// Of a rumour nothing is told any more so long before the end.
+const RUMOURS_OVER_MS: u64 = 5_000;
 /// And after so long a quiet, nothing is kept of it.
 const QUIET_MS: u64 = 14_000;
 
@@ -60,6 +65,10 @@
     pub size: Option<(usize, usize)>,
     /// What the boxes are; drawn from the seed where neither this nor the size is told.
     pub boxes: Option<Boxes>,
+    /// Which sources of boxes there are beside the list; drawn likewise.
+    pub beside: Option<Beside>,
+    /// The last box starts at this time, milliseconds: DNS has it from then on, and the list is told of it then.
+    pub newcomer_ms: Option<u64>,
     /// Keys that are asked for.
     pub keys: Option<u64>,
     /// Nodes' questions for the slot map, a second of the whole tier.
@@ -90,6 +99,12 @@
         let drawn = if self.size.is_some() { Boxes::Plain } else { Boxes::draw(seed) };
         self.boxes.unwrap_or(drawn)
     }
+
+    /// Which sources of boxes there are beside the list.
+    fn sources(&self, seed: u64) -> Beside {
+        let drawn = if self.size.is_some() { Beside::Nothing } else { Beside::draw(seed) };
+        self.beside.unwrap_or(drawn)
+    }
 }
 
 /// What a directed case does with a world as it starts.
@@ -119,6 +134,8 @@
     down_by: Option<usize>,
     draining: bool,
     replaced: u32,
+    /// The list has been told of it; before, only DNS names it.
+    listed: bool,
 }
 
 struct NodeState {
@@ -150,6 +167,8 @@
     /// Slot-aware clients are served.
     cluster: bool,
     boxes: Boxes,
+    beside: Beside,
+    newcomer_ms: Option<u64>,
     questions_per_s: f64,
 }
 
@@ -166,6 +185,8 @@
     make: Make,
     /// Where the boxes form a cluster.
     slots: Option<Reshuffle>,
+    /// Where DNS is a source of boxes.
+    names: Option<Names>,
     /// Commands that had come to boxes that do not own their slot, when the healed world began to be asked.
     astray: Cell<u64>,
     boxes: RefCell<Vec<BoxState>>,
@@ -195,7 +216,10 @@
 /// Plays a seed.
 pub fn play(seed: u64, options: &Options) -> Report {
     mothpier::plant(options.plant);
-    let faults = options.faults.clone().unwrap_or_else(|| crate::plan::draw(seed, options.kind(seed)));
+    let faults = options
+        .faults
+        .clone()
+        .unwrap_or_else(|| crate::plan::draw(seed, options.kind(seed), options.sources(seed)));
     let exec = Exec::new(seed, options.lines);
     let ran = catch_unwind(AssertUnwindSafe(|| run(seed, options, &faults, &exec)));
     mothpier::plant(None);
@@ -276,6 +300,8 @@
             keys: options.keys.unwrap_or(dice.within(20, 400)),
             cluster: Dice::part(seed, 6).chance(0.5),
             boxes: options.kind(seed),
+            beside: options.sources(seed),
+            newcomer_ms: options.newcomer_ms,
             questions_per_s: options.questions_per_s.unwrap_or(40.0),
         };
         // Under what the boxes can do: overload is not what is judged here.
@@ -295,14 +321,29 @@
                 let host = network.machine(&format!("box{j}"), ip(at), false);
                 oracle.role(at, Role::Box(j));
                 let id = format!("s-{j}");
-                BoxState { host, address: at, id, running: None, down_by: None, draining: false, replaced: 0 }
+                BoxState {
+                    host,
+                    address: at,
+                    id,
+                    running: None,
+                    down_by: None,
+                    draining: false,
+                    replaced: 0,
+                    listed: true,
+                }
             })
             .collect();
+        let mut boxes = boxes;
+        // The list hears late of a box that DNS has already.
+        let late = make.beside.dns() && make.boxes == Boxes::Plain && boxes.len() > 3;
+        if late || make.newcomer_ms.is_some() {
+            boxes.last_mut().expect("some").listed = false;
+        }
         let origin_address = address(2, 0, 0, 80);
         let origin_host = network.machine("origin", ip(origin_address), false);
         oracle.role(origin_address, Role::Origin);
         let mut members: Vec<Member> =
-            boxes.iter().map(|b| member(&b.id, b.address, "m", "ready", 0)).collect();
+            boxes.iter().filter(|b| b.listed).map(|b| member(&b.id, b.address, "m", "ready", 0)).collect();
         if make.boxes != Boxes::Through {
             members.push(member("o-1", origin_address, "origin", "ready", 0));
         }
@@ -338,8 +379,18 @@
                 Clients::new(network.on(host), fleet.clone(), k as u64, seed)
             })
             .collect();
+        let names = make.beside.dns().then(|| {
+            let at: Vec<SocketAddr> = boxes.iter().map(|b| b.address).collect();
+            let names = Names::new(&network, &at, seed);
+            if make.newcomer_ms.is_some() {
+                names.keep(at.len() - 1);
+            }
+            oracle.role(names.stranger, Role::Stranger);
+            names
+        });
         Rc::new_cyclic(|me| World {
             me: me.clone(),
+            names,
             exec,
             network,
             oracle,
@@ -363,7 +414,34 @@
 
     fn start(&self) {
         let count = self.boxes.borrow().len();
-        (0..count).for_each(|j| self.box_starts(j, false));
+        for j in 0..count {
+            let listed = self.boxes.borrow()[j].listed;
+            if let Some(ms) = self.make.newcomer_ms.filter(|_| !listed) {
+                self.at(ms, move |world| {
+                    world.box_starts(j, true);
+                    let at = world.boxes.borrow()[j].address;
+                    world.with_names(|names| names.add(j, at));
+                });
+            } else {
+                self.box_starts(j, !listed);
+            }
+            if !listed {
+                let told = self.dice.within(3_000, 8_000);
+                self.at(self.make.newcomer_ms.unwrap_or(told), move |world| {
+                    let up = {
+                        let b = &mut world.boxes.borrow_mut()[j];
+                        // One that is down is told of when it is back, and one that drains is by now.
+                        let up = b.down_by.is_none() && !b.listed;
+                        b.listed = true;
+                        up
+                    };
+                    if up {
+                        world.notify(j, "ready", (0, 1_500));
+                    }
+                });
+            }
+        }
+        self.with_names(|names| names.start(&self.network));
         let origin = Origin::new(
             self.network.on(self.origin_host),
             self.fleet.clone(),
@@ -423,6 +501,13 @@
         }
     }
 
+    /// Does something to DNS, where it is a source of boxes.
+    pub fn with_names(&self, what: impl FnOnce(&Names)) {
+        if let Some(names) = &self.names {
+            what(names);
+        }
+    }
+
     // Boxes.
 
     fn box_starts(&self, j: usize, cold: bool) {
@@ -577,7 +662,7 @@
 
     /// The list as the platform hands it to a node that starts: what is at work now.
     fn known(&self) -> Vec<(String, SocketAddr)> {
-        let ready = |b: &&BoxState| b.down_by.is_none() && !b.draining;
+        let ready = |b: &&BoxState| b.down_by.is_none() && !b.draining && b.listed;
         let mut known: Vec<_> =
             self.boxes.borrow().iter().filter(ready).map(|b| (b.id.clone(), b.address)).collect();
         if self.make.boxes != Boxes::Through {
@@ -603,6 +688,7 @@
             },
             wait: Duration::from_millis(400),
         });
+        config.sources = self.sources();
         let (control, told) = mpsc::channel(8);
         let host = {
             let node = &mut self.nodes.borrow_mut()[i];
@@ -631,6 +717,27 @@
         });
     }
 
+    /// The further sources of boxes that a node has.
+    fn sources(&self) -> Option<config::sources::Sources> {
+        let beside = self.make.beside;
+        // Where a measurement looks at the view there is one, be it of the list alone.
+        if beside == Beside::Nothing && self.make.newcomer_ms.is_none() {
+            return None;
+        }
+        let rumours = rumour::Settings { trust_ms: 20_000, ..rumour::Settings::default() };
+        let membership = Settings {
+            gone_ms: 60_000,
+            doubt: Doubt { hold_ms: 3_000, ..Doubt::default() },
+            rumours: beside.rumours().then_some(rumours),
+            like: Like { locality: "a".into(), flavor: "m".into(), cell: 0 },
+            origin: Some("origin".into()),
+            fixed: Vec::new(),
+        };
+        let nodes = self.nodes.borrow().len();
+        let dns = self.names.as_ref().map(|names| names.settings(nodes));
+        Some(config::sources::Sources { membership, dns })
+    }
+
     fn node_ended(&self, i: usize, starts: u32, ended: &Result<(), String>) {
         let (host, asked_for) = {
             let node = &mut self.nodes.borrow_mut()[i];
@@ -917,6 +1024,20 @@
             | Kind::MapSilent
             | Kind::MapNoise
             | Kind::MapHuge => self.with_slots(|slots| slots.begins(self, fault, j)),
+            Kind::DnsSilent
+            | Kind::DnsFails
+            | Kind::DnsNoName
+            | Kind::DnsEmpty
+            | Kind::DnsCut
+            | Kind::DnsHalf
+            | Kind::DnsForged
+            | Kind::DnsNoLife
+            | Kind::DnsLongLife
+            | Kind::DnsCircle
+            | Kind::DnsNoise
+            | Kind::DnsOld
+            | Kind::DnsPart
+            | Kind::DnsLate => self.with_names(|names| names.begins(fault)),
         }
     }
 
@@ -990,6 +1111,20 @@
             | Kind::MapSilent
             | Kind::MapNoise
             | Kind::MapHuge => self.with_slots(|slots| slots.ends(fault, j)),
+            Kind::DnsSilent
+            | Kind::DnsFails
+            | Kind::DnsNoName
+            | Kind::DnsEmpty
+            | Kind::DnsCut
+            | Kind::DnsHalf
+            | Kind::DnsForged
+            | Kind::DnsNoLife
+            | Kind::DnsLongLife
+            | Kind::DnsCircle
+            | Kind::DnsNoise
+            | Kind::DnsOld
+            | Kind::DnsPart
+            | Kind::DnsLate => self.with_names(|names| names.ends(fault)),
             Kind::Renumber | Kind::Reload | Kind::BadReload | Kind::Pipeline | Kind::Stall | Kind::Leave => {}
         }
     }
@@ -1072,6 +1207,8 @@
         self.healed.set(true);
         self.traffic.set(0.3);
         self.with_slots(Reshuffle::heal);
+        // DNS is no part of what must be whole: the list is enough to serve everything.
+        self.with_names(|names| names.heal(&self.dice));
     }
 
     /// A healed world must serve everything.
@@ -1149,6 +1286,21 @@
     fn census(&self) {
         let members = self.boxes.borrow().len() + usize::from(self.make.boxes != Boxes::Through);
         let count = self.nodes.borrow().len();
+        let told = self.network.posted.borrow().get(&rumour::MAGIC).copied().unwrap_or_default();
+        if self.make.beside.rumours() && told.1 + RUMOURS_OVER_MS > self.exec.millis() {
+            let what = format!(
+                "{} rumours were told, the last {} ms before the end",
+                told.0,
+                self.exec.millis() - told.1
+            );
+            self.oracle.breaks(Rule::Leak, what);
+        }
+        if let Some(names) = &self.names {
+            let nodes: Vec<IpAddr> = self.nodes.borrow().iter().map(|n| ip(n.address)).collect();
+            if let Some(what) = names.not_asked(&nodes, self.exec.millis()) {
+                self.oracle.breaks(Rule::Progress, what);
+            }
+        }
         for i in 0..count {
             let agent = self.agents.borrow()[i][self.nodes.borrow()[i].agent].clone();
             let ((after, _), revision) = (agent.asked.get(), agent.revision.get());
@@ -1201,6 +1353,49 @@
         self.boxes.borrow().len()
     }
 
+    /// A node's agent answers nothing, or does again.
+    pub fn list_out(&self, node: usize, out: bool) {
+        self.agents.borrow()[node].iter().for_each(|a| if out { a.silent.set(true) } else { a.speak() });
+    }
+
+    /// How many nodes there are.
+    pub fn nodes(&self) -> usize {
+        self.nodes.borrow().len()
+    }
+
+    /// A box's process ends, and the list is told of it as ever; for measurements.
+    pub fn box_dies_for_good(&self, j: usize) {
+        self.box_ends(j);
+        self.notify(j, "gone", (600, 3_500));
+    }
+
+    /// A box is told to drain, as ever.
+    pub fn drains(&self, j: usize) {
+        self.boxes.borrow_mut()[j].draining = true;
+        self.notify(j, "draining", (50, 1_500));
+    }
+
+    /// Asks a node for its boxes and their sources: each address that takes requests in its view.
+    pub fn look(&self, node: usize, then: impl FnOnce(Vec<String>) + 'static) {
+        let (_, host) = self.client(node);
+        let (net, at) = (self.network.on(host), self.nodes.borrow()[node].address);
+        self.on(host, async move {
+            let text = ask_once(&net, at, &["INFO", "sources"]).await.unwrap_or_default();
+            let lines = text.lines().filter_map(|l| l.strip_prefix("box:"));
+            let ready = lines.filter_map(|l| {
+                let mut parts = l.split(',').skip(1);
+                let at = parts.next()?;
+                (parts.next() == Some("ready")).then(|| at.to_owned())
+            });
+            then(ready.collect());
+        });
+    }
+
+    /// Where a box stands.
+    pub fn box_at(&self, j: usize) -> SocketAddr {
+        self.boxes.borrow()[j].address
+    }
+
     /// The machines of a node and of a box; for directed cases.
     pub fn machines(&self, node: usize, server: usize) -> (Host, Host) {
         (self.nodes.borrow()[node].host, self.boxes.borrow()[server].host)
--- a/crates/mothpier-sim/src/shrink.rs
+++ b/crates/mothpier-sim/src/shrink.rs
@@ -6,7 +6,7 @@
 use mothpier::Plant;
 
 use crate::oracle::Rule;
-use crate::plan::{Boxes, Fault};
+use crate::plan::{Beside, Boxes, Fault};
 use crate::play::{Options, play};
 
 /// A run as a file keeps it.
@@ -18,6 +18,8 @@
     pub plant: Option<Plant>,
     /// What its boxes are; drawn from the seed where that is not told.
     pub boxes: Option<Boxes>,
+    /// Which sources of boxes its nodes have beside the list; drawn likewise.
+    pub beside: Option<Beside>,
     /// The faults in place of the seed's; `None` leaves those.
     pub faults: Option<Vec<Fault>>,
 }
@@ -53,8 +55,9 @@
     ///
     /// The first line that can't be read, and why.
     pub fn parse(text: &str) -> Result<Self, String> {
-        // Files of before there were clusters do not tell.
-        let (mut kept, mut seed) = (Kept { boxes: Some(Boxes::Plain), ..Kept::default() }, None);
+        // Files of before there were clusters, or more sources, do not tell.
+        let (boxes, beside) = (Some(Boxes::Plain), Some(Beside::Nothing));
+        let (mut kept, mut seed) = (Kept { boxes, beside, ..Kept::default() }, None);
         for (number, line) in text.lines().enumerate() {
             let at = |e: String| format!("line {}: {e}", number + 1);
             let line = line.split('#').next().unwrap_or_default().trim();
@@ -71,11 +74,19 @@
                         boxes.ok_or_else(|| at(format!("{name:?} is none of plain, cluster, through")))?;
                     kept.boxes = Some(boxes);
                 }
+                ("sources", name) => {
+                    let beside = Beside::ALL.into_iter().find(|b| b.name() == name.trim());
+                    let names = Beside::ALL.map(Beside::name).join(", ");
+                    let beside = beside.ok_or_else(|| at(format!("{name:?} is none of {names}")))?;
+                    kept.beside = Some(beside);
+                }
                 ("none", _) => kept.faults = Some(Vec::new()),
                 ("fault", rest) => {
                     kept.faults.get_or_insert_default().push(rest.parse().map_err(at)?);
                 }
-                (word, _) => return Err(at(format!("{word:?} is none of seed, plant, boxes, fault, none"))),
+                (word, _) => {
+                    return Err(at(format!("{word:?} is none of seed, plant, boxes, sources, fault, none")));
+                }
             }
         }
         kept.seed = seed.ok_or("no line \"seed NUMBER\"")?;
@@ -105,6 +116,9 @@
         if let Some(boxes) = self.boxes {
             let _ = writeln!(text, "boxes {}", boxes.name());
         }
+        if let Some(beside) = self.beside {
+            let _ = writeln!(text, "sources {}", beside.name());
+        }
         match &self.faults {
             Some(faults) if faults.is_empty() => text += "none\n",
             Some(faults) => faults.iter().for_each(|f| {
@@ -117,7 +131,8 @@
 
     /// How it is played.
     pub fn options(&self) -> Options {
-        Options { faults: self.faults.clone(), plant: self.plant, boxes: self.boxes, ..Options::default() }
+        let Kept { plant, boxes, beside, .. } = *self;
+        Options { faults: self.faults.clone(), plant, boxes, beside, ..Options::default() }
     }
 }
 
@@ -126,7 +141,8 @@
     let report = play(start.seed, &start.options());
     let rule = report.broken?.rule;
     let boxes = start.boxes.unwrap_or_else(|| Boxes::draw(start.seed));
-    let start = Kept { boxes: Some(boxes), ..start.clone() };
+    let beside = start.beside.unwrap_or_else(|| Beside::draw(start.seed));
+    let start = Kept { boxes: Some(boxes), beside: Some(beside), ..start.clone() };
     let (mut best, mut runs) = (Kept { faults: Some(report.faults), ..start.clone() }, 1);
     let mut still = |faults: Vec<Fault>| {
         runs += 1;
@@ -168,12 +184,14 @@
     #[test]
     fn a_kept_run_is_read_as_it_was_written_and_bad_lines_are_named() {
         for plant in Plant::ALL {
-            let faults = crate::plan::draw(7, Boxes::Through);
-            let kept =
-                Kept { seed: 7, plant: Some(plant), boxes: Some(Boxes::Through), faults: Some(faults) };
+            let (boxes, beside) = (Boxes::Through, Beside::Both);
+            let faults = crate::plan::draw(7, boxes, beside);
+            let (boxes, beside) = (Some(boxes), Some(beside));
+            let kept = Kept { seed: 7, plant: Some(plant), boxes, beside, faults: Some(faults) };
             assert_eq!(Kept::parse(&kept.text("two\nlines")), Ok(kept));
         }
-        let none = Kept { seed: 1, boxes: Some(Boxes::Plain), faults: Some(Vec::new()), ..Kept::default() };
+        let (boxes, beside) = (Some(Boxes::Plain), Some(Beside::Nothing));
+        let none = Kept { seed: 1, boxes, beside, faults: Some(Vec::new()), ..Kept::default() };
         assert_eq!(Kept::parse(&none.text("")), Ok(none));
         assert_eq!(Kept::parse("").unwrap_err(), "no line \"seed NUMBER\"");
         assert!(
--- a/crates/mothpier-world/src/lib.rs
+++ b/crates/mothpier-world/src/lib.rs
@@ -11,11 +11,13 @@
 pub mod cluster;
 pub mod cost;
 pub mod demo;
+pub mod dns;
 pub mod fleet;
 pub mod loopback;
 pub mod machine;
 pub mod matrix;
 pub mod origin;
+pub mod resolvers;
 pub mod wire;
 
 use std::cell::{Cell, RefCell};
--- a/crates/mothpier-world/src/machine.rs
+++ b/crates/mothpier-world/src/machine.rs
@@ -79,6 +79,10 @@
         Tokio.socket(at)
     }
 
+    fn entropy(&self) -> io::Result<[u8; 32]> {
+        Tokio.entropy()
+    }
+
     fn log(&self, line: impl Display) {
         Tokio.log(line);
     }
--- a/crates/mothpier-world/src/main.rs
+++ b/crates/mothpier-world/src/main.rs
@@ -10,6 +10,7 @@
 use mothpier_world::cost::{self, Cost};
 use mothpier_world::demo::{self, Demo};
 use mothpier_world::matrix::{self, Matrix};
+use mothpier_world::resolvers;
 use tokio::task::LocalSet;
 
 /// Stand-ins for what is round a mothpier node.
@@ -61,6 +62,13 @@
         #[arg(long, default_value = ".")]
         root: PathBuf,
     },
+    /// Shows what other resolvers make of DNS servers that do things wrong. Those whose tool chains are not there are left
+    /// out.
+    Resolvers {
+        /// The repository's root.
+        #[arg(long, default_value = ".")]
+        root: PathBuf,
+    },
     /// Compares the CPU that a request costs programs of the node, in rounds that take turns.
     Cost {
         /// A program; the first is what the others are compared with.
@@ -99,6 +107,7 @@
                     demo::run(&demo).await
                 }
                 Command::Clients { only, root } => matrix::run(&Matrix { root, only }).await,
+                Command::Resolvers { root } => resolvers::run(&root).await,
                 Command::Cost { nodes, rounds, requests, depth, connections } => {
                     let cost = Cost {
                         nodes,
--- a/crates/mothpier-world/src/matrix.rs
+++ b/crates/mothpier-world/src/matrix.rs
@@ -198,7 +198,7 @@
 }
 
 /// A program that runs, with the lines that it says.
-struct Program {
+pub(crate) struct Program {
     child: Child,
     lines: mpsc::UnboundedReceiver<String>,
 }
@@ -212,7 +212,7 @@
 }
 
 impl Program {
-    fn start(root: &Path, words: &[String]) -> Result<Program, String> {
+    pub(crate) fn start(root: &Path, words: &[String]) -> Result<Program, String> {
         let mut command = Command::new(&words[0]);
         command.args(&words[1..]).current_dir(root);
         command.stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(Stdio::piped());
@@ -248,6 +248,16 @@
         }
     }
 
+    /// The next line that it says on its standard output; `None` where none comes.
+    pub(crate) async fn line(&mut self, within: Duration) -> Option<String> {
+        loop {
+            let line = Tokio.timeout(within, self.lines.recv()).await??;
+            if !line.starts_with("! ") {
+                return Some(line);
+            }
+        }
+    }
+
     fn go_on(&mut self) {
         if let Some(input) = &mut self.child.stdin {
             // One that has ended shows it by its next phase.
@@ -302,7 +312,7 @@
 }
 
 /// Runs a step to its end; the error is its last line.
-async fn step(root: &Path, words: &[String]) -> Result<(), String> {
+pub(crate) async fn step(root: &Path, words: &[String]) -> Result<(), String> {
     let mut program = Program::start(root, words)?;
     let mut last = String::new();
     while let Some(line) = program.lines.recv().await {
--- a/crates/mothpier-world/tests/reshuffle.rs
+++ b/crates/mothpier-world/tests/reshuffle.rs
@@ -2,12 +2,15 @@
 //! resets and a drain among it. Every item is answered exactly once, and no unsafe write runs twice, counted at the
 //! boxes. What happens is driven by the count of answers, not by a clock.
 
+mod common;
+
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use common::{CLASSES, GRACE, configuration};
 use mothpier::Control;
 use mothpier::config::{self, Boxes, Precedence, RefreshBudget};
 use mothpier_net::{Net, Tokio};
@@ -25,12 +28,6 @@
 const BETWEEN: usize = 2;
 const CLIENTS: u64 = 6;
 const KEYS: u64 = 300;
-/// Nothing new may come to a box so long after its node was told that it drains (the rule's 500 ms, and 50).
-const GRACE: Duration = Duration::from_millis(550);
-
-const CLASSES: [(&str, &str); 3] =
-    [("browse", "pure"), ("send-message", "side_effect"), ("send-interest", "token")];
-
 #[derive(Default)]
 struct Watch {
     ends: RefCell<BTreeMap<End, u64>>,
@@ -80,28 +77,6 @@
     }
 }
 
-fn configuration(listen: SocketAddr, discovery: SocketAddr) -> String {
-    let classes: Vec<String> = CLASSES
-        .iter()
-        .map(|(name, effect)| {
-            format!(
-                r#"{{"name":"{name}","goalTimeUs":1000000,"deadlineUs":30000000,"lateValue":1.0,"gain":1.0,
-                "effect":"{effect}","dedupScope":"all","dedupWindowUs":60000000}}"#
-            )
-        })
-        .collect();
-    format!(
-        r#"{{"listen":"{listen}","discovery":"{discovery}","seed":"7","limits":{{"memory_mb":192,"sockets":1024}},
-        "settings":{{"balancers":1,"me":0,"classes":[{}],"realms":[{{"name":"acme","quotaPerS":100000}}],
-        "discovery":"push","zones":["a"],"machineTypes":["m"],"specifics":{{"mode":"through"}},
-        "report":{{"fields":["lat_ms","busy"]}},
-        "limits":{{"maxAttempts":3,"mayDuplicate":true,"mayCancel":true,"multiplex":32,"idleCloseUs":30000000,
-        "connectTimeoutUs":5000000,"maxOpen":1000,"maxRetryAfterUs":600000}},
-        "guarantees":{{"coldUs":1000000,"coldShare":0.5}},"periodUs":1000}}}}"#,
-        classes.join(",")
-    )
-}
-
 async fn play() {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let watch = Rc::new(Watch::default());
--- a/crates/mothpier/src/clients.rs
+++ b/crates/mothpier/src/clients.rs
@@ -22,6 +22,7 @@
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::membership::Membership;
 use crate::messages::{Answer, Claim, ClientEvent, Command, Ids, Input};
 use crate::resp::{self, MAX_VALUE, Malformed};
 use crate::{Plant, planted};
@@ -92,6 +93,8 @@
     pub stopping: Rc<Stopping>,
     /// Where slot-aware clients are served: the tier that they are shown.
     pub tier: Option<Rc<RefCell<Tier>>>,
+    /// Where there are more sources of boxes than the list: what they say.
+    pub membership: Option<Membership>,
 }
 
 /// What all client connections share.
@@ -99,6 +102,8 @@
     net: N,
     /// Where slot-aware clients are served: the tier that they are shown.
     tier: Option<Rc<RefCell<Tier>>>,
+    /// Where there are more sources of boxes than the list: what they say.
+    membership: Option<Membership>,
     site: Site,
     now: Box<dyn Fn() -> Micros>,
     ready: Rc<Cell<bool>>,
@@ -130,7 +135,7 @@
         net: N,
         site: Site,
         now: Box<dyn Fn() -> Micros>,
-        State { ready, stopping, tier }: State,
+        State { ready, stopping, tier, membership }: State,
         (most, memory): (usize, usize),
         events: mpsc::Sender<Input>,
     ) -> Rc<Self> {
@@ -140,6 +145,7 @@
             commands: Cell::new(0),
             net,
             tier,
+            membership,
             site,
             now,
             ready,
@@ -531,7 +537,12 @@
         let clients = self.clients.clone();
         let words: Vec<&[u8]> = words.iter().map(Bytes::as_ref).collect();
         let tier = clients.tier.as_ref().map(|t| t.borrow());
+        // Made only where it is asked for: it has a line for each box.
+        let wanted = words.first().is_some_and(|w| w.eq_ignore_ascii_case(b"INFO"))
+            && words[1..].iter().any(|w| w.eq_ignore_ascii_case(b"SOURCES"));
+        let sources = clients.membership.as_ref().filter(|_| wanted).map(Membership::text);
         let facts = Facts {
+            sources: sources.as_deref(),
             tier: tier.as_deref(),
             uptime_s: clients.net.since(clients.began).as_secs(),
             clients: clients.count() as u64,
--- a/crates/mothpier/src/config.rs
+++ b/crates/mothpier/src/config.rs
@@ -1,5 +1,7 @@
 //! What the node is told at its start: the environment and the JSON file that it names.
 
+pub mod sources;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -10,6 +12,9 @@
 
 use crate::messages::List;
 
+/// With fewer descriptors a node can't work.
+const LEAST_SOCKETS: usize = 32;
+
 /// Everything that the node is told.
 pub struct Config {
     /// What it calls itself in its log.
@@ -38,6 +43,8 @@
     pub cluster: Option<Vec<SocketAddr>>,
     /// The boxes form a cluster.
     pub boxes: Option<Boxes>,
+    /// There are more sources of boxes than the list.
+    pub sources: Option<sources::Sources>,
 }
 
 /// How boxes that form a cluster are dealt with.
@@ -146,6 +153,14 @@
         let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
         config.boxes = parse_boxes(&text).map_err(|e| format!("{path}: {e}"))?;
     }
+    if let Some(path) = env("MOTHPIER_SOURCES") {
+        let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
+        let read = sources::parse(&text, &config.site).map_err(|e| format!("{path}: {e}"))?;
+        if read.dns.is_some() && config.sockets < LEAST_SOCKETS + sources::DESCRIPTORS {
+            return Err(format!("limits.sockets: {} are too few to ask DNS, too", config.sockets));
+        }
+        config.sources = Some(read);
+    }
     Ok(config)
 }
 
@@ -223,7 +238,7 @@
         Precedence::Environment => told.or(file.discovery),
         Precedence::File => file.discovery.or(told),
     };
-    if file.limits.sockets < 32 {
+    if file.limits.sockets < LEAST_SOCKETS {
         return Err(format!("limits.sockets: {} are too few to work with", file.limits.sockets));
     }
     Ok(Config {
@@ -240,6 +255,7 @@
         site,
         cluster: None,
         boxes: None,
+        sources: None,
     })
 }
 
--- a/crates/mothpier/src/discovery.rs
+++ b/crates/mothpier/src/discovery.rs
@@ -30,7 +30,8 @@
 pub struct Numbers(HashMap<String, ServerId>, HashSet<ServerId>);
 
 impl Numbers {
-    fn of(&mut self, id: &str) -> ServerId {
+    /// The number of an id.
+    pub fn of(&mut self, id: &str) -> ServerId {
         if let Some(number) = self.0.get(id) {
             return *number;
         }
--- a/crates/mothpier/src/lib.rs
+++ b/crates/mothpier/src/lib.rs
@@ -1,14 +1,16 @@
 //! The node as a library: the network code round the decisions of `brassrouter`, over any [`Net`].
 //!
-//! Arrows point one way: `clients`, `servers`, `origin`, `discovery` and `peers` know `messages` and not each other;
-//! `node` owns the decision module and drives them; [`run`] puts all together.
+//! Arrows point one way: `clients`, `servers`, `origin`, `discovery`, `names` and `peers` know `messages` and not each
+//! other; `node` owns the decision module and drives them; [`run`] puts all together.
 
 mod clients;
 mod clock;
 pub mod config;
 mod discovery;
 mod http;
+mod membership;
 mod messages;
+mod names;
 mod node;
 mod origin;
 mod peers;
@@ -70,7 +72,9 @@
     let idle_close = Duration::from_micros(site.idle_close);
     let connect_timeout = Duration::from_micros(site.decisions.connect_timeout);
     // Half for clients, half for servers: neither can leave the other without.
-    let descriptors = (config.sockets - OWN_DESCRIPTORS) / 2;
+    let asks_dns = config.sources.as_ref().is_some_and(|s| s.dns.is_some());
+    let own = OWN_DESCRIPTORS + if asks_dns { config::sources::DESCRIPTORS } else { 0 };
+    let descriptors = config.sockets.saturating_sub(own) / 2;
     let limits = servers::Limits {
         balancers: site.decisions.balancers as usize,
         // A request that may have one attempt out must close the connection of one given up, so that no other
@@ -133,8 +137,12 @@
         let asker = topology::Asker::new(net.clone(), boxes.wait, events.clone());
         (Pool::new(boxes.read_copies, budget, config.seed, clock.now() / 1000), asker)
     });
+    let membership = config.sources.as_ref().map(|sources| {
+        membership::Membership::new(sources.membership.clone(), config.seed, clock.now() / 1000)
+    });
     let parts = Parts {
         cluster,
+        membership: membership.clone(),
         servers: servers::Servers::new(net.clone(), limits, events.clone()),
         origins: origin::Origins::new(
             net.clone(),
@@ -159,10 +167,18 @@
         net.clone(),
         site.clone(),
         Box::new(move || now.now()),
-        clients::State { ready: ready.clone(), stopping: stopping.clone(), tier: tier.clone() },
+        clients::State {
+            ready: ready.clone(),
+            stopping: stopping.clone(),
+            tier: tier.clone(),
+            membership: membership.clone(),
+        },
         bounds,
         events.clone(),
     );
+    if let Some(dns) = config.sources.and_then(|sources| sources.dns) {
+        net.spawn(names::run(net.clone(), dns, clock.clone(), events.clone()));
+    }
     let node = Node::new(net.clone(), site, config.seed, clock, parts);
     // Dropped with their tasks: whoever waits for the other end learns that they have ended, however.
     let (lives, mut node_ended) = oneshot::channel::<()>();
--- /dev/null
+++ b/crates/mothpier/src/membership.rs
@@ -0,0 +1,118 @@
+//! The sources of boxes as the node's parts share them: the list's form on one side, the view's on the other. What
+//! they are together is decided in `mothpier-membership`.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use mothpier_membership::rumour::Rumours;
+use mothpier_membership::{Line, NamedBox, Phase, Settings, Sources, Word};
+use mothpier_names::View;
+
+use crate::messages::{List, Member};
+use crate::{Plant, planted};
+
+/// The sources of one node.
+#[derive(Clone)]
+pub struct Membership(Rc<RefCell<Sources>>);
+
+impl Membership {
+    pub fn new(mut settings: Settings, seed: u64, now: u64) -> Self {
+        if planted(Plant::StaleRecord) {
+            settings.gone_ms = 0;
+        }
+        if let Some(rumours) = settings.rumours.as_mut().filter(|_| planted(Plant::EndlessRumour)) {
+            rumours.tells = u32::MAX;
+        }
+        Membership(Rc::new(RefCell::new(Sources::new(settings, seed, now))))
+    }
+
+    /// Takes the list, whole or changes only.
+    pub fn list(&self, now: u64, list: List) {
+        let lines = list.members.into_iter().map(line).collect();
+        self.0.borrow_mut().list(now, list.complete, lines);
+    }
+
+    pub fn list_out(&self) {
+        self.0.borrow_mut().list_out();
+    }
+
+    /// Takes what DNS says.
+    pub fn names(&self, now: u64, view: &View) {
+        use mothpier_names::Word as Said;
+        let word = match view.word {
+            Said::Unknown => Word::Unknown,
+            Said::Fresh => Word::Fresh,
+            Said::Stale => Word::Stale,
+            Said::Nothing => Word::Nothing,
+            Said::Silent => Word::Silent,
+        };
+        let mut sources = self.0.borrow_mut();
+        if word == Word::Nothing && planted(Plant::EmptyAnswer) {
+            sources.list(now, true, Vec::new());
+        }
+        let named = view.named.iter();
+        let named: Vec<NamedBox> =
+            named.map(|n| NamedBox { address: n.address, priority: n.priority, weight: n.weight }).collect();
+        sources.names(now, word, &named, view.pending == 0, view.answers);
+    }
+
+    /// Whether a message of another node is for the sources.
+    pub fn is_message(bytes: &[u8]) -> bool {
+        Rumours::is_message(bytes)
+    }
+
+    pub fn heard(&self, now: u64, bytes: &[u8]) {
+        self.0.borrow_mut().heard(now, bytes);
+    }
+
+    pub fn tell(&self, now: u64) -> Option<Vec<u8>> {
+        self.0.borrow_mut().tell(now)
+    }
+
+    pub fn due(&self, now: u64) -> Option<u64> {
+        self.0.borrow().due(now)
+    }
+
+    /// What changed in the view, as changes of a list, and which ids became others.
+    pub fn changes(&self, now: u64) -> (List, Vec<(String, String)>) {
+        let changes = self.0.borrow_mut().changes(now);
+        let members = changes.lines.into_iter().map(member).collect();
+        (List { revision: 0, complete: false, members }, changes.renamed)
+    }
+
+    /// What the sources say, for people.
+    pub fn text(&self) -> String {
+        self.0.borrow().text()
+    }
+}
+
+fn line(m: Member) -> Line {
+    let phase = match m.phase.as_str() {
+        "ready" => Phase::Ready,
+        "draining" => Phase::Draining,
+        _ => Phase::Gone,
+    };
+    Line {
+        id: m.id,
+        host_port: m.host_port,
+        locality: m.locality,
+        flavor: m.flavor,
+        cell: m.cell,
+        size: m.size,
+        up_since_ms: m.up_since_ms,
+        phase,
+    }
+}
+
+fn member(l: Line) -> Member {
+    Member {
+        id: l.id,
+        host_port: l.host_port,
+        locality: l.locality,
+        flavor: l.flavor,
+        cell: l.cell,
+        phase: l.phase.name().into(),
+        size: l.size,
+        up_since_ms: l.up_since_ms,
+    }
+}
--- a/crates/mothpier/src/messages.rs
+++ b/crates/mothpier/src/messages.rs
@@ -39,6 +39,8 @@
         server: ServerId,
         heard: Option<mothpier_slots::table::Heard>,
     },
+    /// What DNS says of the boxes as of now.
+    Names(mothpier_names::View),
     Census(oneshot::Sender<Census>),
 }
 
--- a/crates/mothpier/src/node.rs
+++ b/crates/mothpier/src/node.rs
@@ -21,6 +21,7 @@
 
 use crate::clock::Clock;
 use crate::discovery::Numbers;
+use crate::membership::Membership;
 use crate::messages::{Answer, AttemptId, Census, ClientEvent, Command, Heard, Input, List, Wanted};
 use crate::origin::{self, Origins};
 use crate::peers::Peers;
@@ -70,6 +71,8 @@
     GiveUp(AttemptId),
     /// Servers of a cluster are to be asked for their slot map.
     Refresh,
+    /// Something that a source of boxes said ends, or is to be told on.
+    Sources,
 }
 
 /// The parts that the node drives.
@@ -79,6 +82,8 @@
     pub servers: Servers<N>,
     pub origins: Origins<N>,
     pub peers: Option<Rc<Peers<N>>>,
+    /// Where there are more sources of boxes than the list.
+    pub membership: Option<Membership>,
     pub wanted: watch::Sender<Wanted>,
     pub ready: Rc<Cell<bool>>,
 }
@@ -98,6 +103,8 @@
     due: BinaryHeap<Reverse<(Instant, Due)>>,
     /// When the wake-up for the next refresh is set.
     refresh_at: Option<Instant>,
+    /// When the wake-up for the sources is set.
+    sources_at: Option<Instant>,
     /// When a server's word was last logged.
     said_at: Option<Instant>,
     /// Events that actions gave rise to: they come after the actions before them.
@@ -120,6 +127,7 @@
             last_attempt: 0,
             due: BinaryHeap::new(),
             refresh_at: None,
+            sources_at: None,
             said_at: None,
             events: VecDeque::new(),
             actions: Vec::new(),
@@ -129,7 +137,7 @@
     /// Runs until every sender of inputs is gone.
     pub async fn run(mut self, known: Option<List>, mut inputs: mpsc::Receiver<Input>) {
         let known = known.unwrap_or(List { revision: 0, complete: true, members: Vec::new() });
-        self.list(known, ListKind::Cached);
+        self.heard_list(known, ListKind::Cached);
         self.settle();
         self.plan_refresh();
         loop {
@@ -155,6 +163,10 @@
                 Some(Reverse((_, Due::Timer(token)))) => self.events.push_back(Event::Timer(token)),
                 Some(Reverse((_, Due::GiveUp(id)))) => self.give_up(id, Status::TimedOut),
                 Some(Reverse((_, Due::Refresh))) => self.refresh(),
+                Some(Reverse((_, Due::Sources))) => {
+                    self.sources_at = None;
+                    self.view_boxes(ListKind::Delta);
+                }
                 None => {}
             }
             self.settle();
@@ -200,9 +212,12 @@
             Input::Discovery(Heard::List(list)) => {
                 self.parts.ready.set(true);
                 let kind = if list.complete { ListKind::Full } else { ListKind::Delta };
-                self.list(list, kind);
+                self.heard_list(list, kind);
             }
             Input::Discovery(Heard::Failed) => {
+                if let Some(membership) = &self.parts.membership {
+                    membership.list_out();
+                }
                 // Only one that asks is told so; what is pushed goes on by itself.
                 if self.site.decisions.ask_discovery {
                     self.parts.wanted.send_modify(|w| w.watch = false);
@@ -219,10 +234,59 @@
                 });
             }
             Input::Topology { server, heard } => self.topology(server, heard),
+            Input::Names(view) => {
+                if let Some(membership) = &self.parts.membership {
+                    membership.names(self.clock.now() / 1000, &view);
+                    self.view_boxes(ListKind::Delta);
+                }
+            }
+            Input::Peer { bytes, .. } if Membership::is_message(&bytes) => {
+                if let Some(membership) = &self.parts.membership {
+                    membership.heard(self.clock.now() / 1000, &bytes);
+                    self.view_boxes(ListKind::Delta);
+                }
+            }
             Input::Peer { from, bytes } => self.events.push_back(Event::PeerMessage { from, bytes }),
         }
     }
 
+    /// Takes the list: as it is, or as one source of boxes among others.
+    fn heard_list(&mut self, list: List, kind: ListKind) {
+        match &self.parts.membership {
+            None => self.list(list, kind),
+            Some(membership) => {
+                membership.list(self.clock.now() / 1000, list);
+                // What is made of it are always changes, but for the first time.
+                self.view_boxes(if kind == ListKind::Cached { kind } else { ListKind::Delta });
+            }
+        }
+    }
+
+    /// Takes over what the sources of boxes together say, tells other nodes what they are to be told, and sets the next
+    /// wake-up.
+    fn view_boxes(&mut self, kind: ListKind) {
+        let now = self.clock.now() / 1000;
+        let Some(membership) = &self.parts.membership else { return };
+        let (list, renamed) = membership.changes(now);
+        for (old, new) in renamed {
+            let (old, new) = (self.numbers.of(&old), self.numbers.of(&new));
+            self.parts.servers.renamed(old, new);
+        }
+        if let (Some(peers), Some(message)) = (&self.parts.peers, membership.tell(now)) {
+            peers.tell_all(self.site.decisions.me as usize, &message);
+        }
+        let due = membership.due(now);
+        if kind != ListKind::Delta || !list.members.is_empty() {
+            self.list(list, kind);
+        }
+        let Some(due) = due else { return };
+        let at = self.net.now() + Duration::from_millis(due.saturating_sub(now).max(1));
+        if self.sources_at.is_none_or(|set| at < set) {
+            self.sources_at = Some(at);
+            self.due.push(Reverse((at, Due::Sources)));
+        }
+    }
+
     fn list(&mut self, mut list: List, kind: ListKind) {
         let lines = self.numbers.lines(&self.net, &mut list, &self.site);
         let named: HashSet<ServerId> = lines.iter().map(|(line, _)| line.id).collect();
@@ -652,6 +716,7 @@
                 servers: Servers::new(Tokio, limits, events.clone()),
                 origins: Origins::new(Tokio, Duration::from_secs(60), Duration::from_secs(30), 8, events),
                 peers: None,
+                membership: None,
                 wanted: watch::channel(Wanted::default()).0,
                 ready: Rc::default(),
             };
--- a/crates/mothpier/src/plants.rs
+++ b/crates/mothpier/src/plants.rs
@@ -38,11 +38,21 @@
     RedirectIsNews,
     /// Of two slot maps the one with the lower epoch counts.
     StaleMapWins,
+    /// What DNS still names is used, though the list took it away.
+    StaleRecord,
+    /// A DNS answer without boxes is taken for a fleet without boxes.
+    EmptyAnswer,
+    /// A DNS answer with another id, from anybody, is believed.
+    ForgedAnswer,
+    /// Lifetimes of DNS answers are not kept: what came once counts for good.
+    NoLifetimes,
+    /// A rumour goes on being told for ever.
+    EndlessRumour,
 }
 
 impl Plant {
     /// All of them.
-    pub const ALL: [Plant; 17] = [
+    pub const ALL: [Plant; 22] = [
         Plant::ResetNeverRan,
         Plant::DoubleAnswer,
         Plant::DrainingIsReady,
@@ -60,6 +70,11 @@
         Plant::AskNeverRan,
         Plant::RedirectIsNews,
         Plant::StaleMapWins,
+        Plant::StaleRecord,
+        Plant::EmptyAnswer,
+        Plant::ForgedAnswer,
+        Plant::NoLifetimes,
+        Plant::EndlessRumour,
     ];
 }
 
--- a/crates/mothpier/src/servers.rs
+++ b/crates/mothpier/src/servers.rs
@@ -31,6 +31,9 @@
 /// not is spoilt, and what waits behind it waits in vain.
 const BEGUN: Duration = Duration::from_millis(250);
 
+/// A server's former number is known for so long: longer than any attempt is out.
+const REMEMBERED: Duration = Duration::from_secs(600);
+
 /// Read from a connection at once.
 const READ: usize = 4096;
 
@@ -113,6 +116,8 @@
 
 #[derive(Default)]
 struct Shared {
+    /// Its server's present number.
+    server: Cell<ServerId>,
     line: RefCell<Line>,
     wake: Notify,
 }
@@ -175,6 +180,8 @@
     limits: Limits,
     events: mpsc::Sender<Input>,
     numbers: u64,
+    /// Former numbers of servers, for as long as attempts may be out that know them by those.
+    renamed: BTreeMap<ServerId, (ServerId, Instant)>,
     /// Connections to all servers, and how many servers take new requests: asked with every attempt.
     all: Rc<Cell<usize>>,
     ready: usize,
@@ -182,7 +189,39 @@
 
 impl<N: Net> Servers<N> {
     pub fn new(net: N, limits: Limits, events: mpsc::Sender<Input>) -> Self {
-        Servers { net, pools: BTreeMap::new(), limits, events, numbers: 0, all: Rc::default(), ready: 0 }
+        Servers {
+            net,
+            pools: BTreeMap::new(),
+            limits,
+            events,
+            numbers: 0,
+            renamed: BTreeMap::new(),
+            all: Rc::default(),
+            ready: 0,
+        }
+    }
+
+    /// A server has another number from now on: its connections and what they carry stay.
+    pub fn renamed(&mut self, old: ServerId, new: ServerId) {
+        let now = self.net.now();
+        self.renamed.retain(|_, (_, at)| now.saturating_duration_since(*at) < REMEMBERED);
+        if self.pools.contains_key(&new) {
+            return;
+        }
+        if let Some(pool) = self.pools.remove(&old) {
+            pool.connections.iter().for_each(|c| c.shared.server.set(new));
+            self.pools.insert(new, pool);
+            self.renamed.values_mut().filter(|(to, _)| *to == old).for_each(|(to, _)| *to = new);
+            self.renamed.insert(old, (new, now));
+        }
+    }
+
+    /// The number that a server has now.
+    fn present(&self, server: ServerId) -> ServerId {
+        match self.renamed.get(&server) {
+            Some((new, _)) if !self.pools.contains_key(&server) => *new,
+            _ => server,
+        }
     }
 
     /// Takes a line of the list. Returns the attempts that were not begun to be written to a server that now
@@ -233,7 +272,7 @@
 
     /// Where a server stands.
     pub fn address(&self, server: ServerId) -> Option<SocketAddr> {
-        self.pools.get(&server).and_then(|p| p.address)
+        self.pools.get(&self.present(server)).and_then(|p| p.address)
     }
 
     /// Those that take requests.
@@ -299,7 +338,7 @@
 
     /// Takes what a connection tells and returns the attempts that this ends.
     pub fn event(&mut self, server: ServerId, number: u64, event: Event) -> Vec<(AttemptId, Ended)> {
-        let now = self.net.now();
+        let (now, server) = (self.net.now(), self.present(server));
         let Some(pool) = self.pools.get_mut(&server) else { return Vec::new() };
         let mut ended = Vec::new();
         match event {
@@ -327,6 +366,7 @@
 
     /// Takes back an attempt that has not begun to be written; whether it had not.
     pub fn withdraw(&mut self, server: ServerId, attempt: AttemptId) -> bool {
+        let server = self.present(server);
         let Some(pool) = self.pools.get_mut(&server) else { return false };
         let waiting = pool.waiting.len();
         pool.waiting.retain(|c| c.attempt != attempt);
@@ -344,6 +384,7 @@
     /// Stops waiting for an attempt; whether it may have run. Others on its connection go on: it is closed
     /// only when nothing else is left on it.
     pub fn give_up(&mut self, server: ServerId, attempt: AttemptId) -> bool {
+        let server = self.present(server);
         let Some(pool) = self.pools.get_mut(&server) else { return false };
         pool.waiting.retain(|c| c.attempt != attempt);
         let mut written = false;
@@ -387,17 +428,17 @@
         events: &mpsc::Sender<Input>,
         all: Rc<Cell<usize>>,
     ) {
-        let shared = Rc::new(Shared::default());
+        let shared = Rc::new(Shared { server: Cell::new(server), ..Shared::default() });
         let (line, events, limits) = (shared.clone(), events.clone(), limits.clone());
         let machine = net.clone();
         let task = net.spawn(async move {
-            let refused = drive(&machine, (server, number), address, &limits, &line, &events).await;
+            let refused = drive(&machine, number, address, &limits, &line, &events).await;
             let mut state = std::mem::take(&mut *line.line.borrow_mut());
             let written = state.sent.drain(..).filter(|s| s.owed != Owed::Word).map(|s| s.attempt).collect();
             let unwritten =
                 state.writing.take().into_iter().chain(state.unsent.drain(..).map(|c| c.attempt)).collect();
             let event = Event::Down { refused, written, unwritten };
-            let _ = events.send(Input::Server { server, number, event }).await;
+            let _ = events.send(Input::Server { server: line.server.get(), number, event }).await;
         });
         let used = net.now();
         self.connections.push(Connection { number, shared, task, used, retired: false, all });
@@ -457,7 +498,7 @@
 /// Makes a connection and carries its commands until it ends; whether it was refused.
 async fn drive<N: Net>(
     net: &N,
-    (server, number): (ServerId, u64),
+    number: u64,
     address: SocketAddr,
     limits: &Limits,
     shared: &Shared,
@@ -470,7 +511,8 @@
     };
     stream.set_nodelay();
     shared.line.borrow_mut().up = true;
-    if events.send(Input::Server { server, number, event: Event::Up }).await.is_err() {
+    let told = |event| events.send(Input::Server { server: shared.server.get(), number, event });
+    if told(Event::Up).await.is_err() {
         return false;
     }
     let (reading, mut writing) = stream.split();
@@ -524,8 +566,7 @@
             // Before the node hears of it, which may have something more to write.
             let waits = !shared.line.borrow().sent.is_empty();
             shared.line.borrow_mut().ending = !good || !(buffer.is_empty() || waits);
-            let told = events.send(Input::Server { server, number, event }).await;
-            if told.is_err() || !good {
+            if told(event).await.is_err() || !good {
                 return net.log(format_args!("{address}: an answer that can't be read"));
             }
         }
@@ -577,6 +618,54 @@
     use super::*;
 
     /// A rule of drains: what still waits for its connection when the notice comes is never written.
+    /// A server that gets another number keeps its connection and what is out on it.
+    #[test]
+    fn a_server_with_another_number_keeps_its_connection_and_its_attempts() {
+        use tokio::io::{AsyncReadExt, AsyncWriteExt};
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            let (events, mut inputs) = mpsc::channel(8);
+            let limits = Limits {
+                balancers: 1,
+                multiplex: 1,
+                idle_close: Duration::from_secs(60),
+                connect_timeout: Duration::from_secs(30),
+                descriptors: 8,
+                read_copies: false,
+            };
+            let mut servers = Servers::new(Tokio, limits, events);
+            servers.listed(1, Some(address), true);
+            let command = |attempt| {
+                let bytes = resp::command(["GET".into(), "k".into()]);
+                Command { attempt, bytes, probe: false, asking: false }
+            };
+            assert!(servers.send(1, command(7)));
+            let (mut stream, _) = listener.accept().await.unwrap();
+            // The word that it is up is on its way under the old number.
+            let Some(Input::Server { server, number, event }) = inputs.recv().await else { panic!() };
+            assert_eq!(server, 1);
+            servers.renamed(1, 2);
+            servers.listed(2, Some(address), true);
+            assert!(servers.listed(1, Some(address), false).is_empty());
+            assert!(servers.event(server, number, event).is_empty());
+            let mut read = [0; 64];
+            let length = stream.read(&mut read).await.unwrap();
+            assert!(read[..length].ends_with(b"k\r\n"));
+            stream.write_all(b"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n").await.unwrap();
+            let Some(Input::Server { server, number, event }) = inputs.recv().await else { panic!() };
+            assert_eq!(server, 2);
+            let ended = servers.event(server, number, event);
+            assert!(matches!(&ended[..], [(7, Ended::Answered(_))]));
+            // An attempt that knows it by its old number can be given up, and is written on the same connection.
+            assert!(servers.send(2, command(8)));
+            assert!(stream.read(&mut read).await.unwrap() > 0);
+            assert!(servers.give_up(1, 8), "it may have run");
+            assert_eq!(servers.address(1), Some(address));
+        });
+    }
+
     #[test]
     fn what_waits_for_a_connection_is_not_sent_after_the_notice_of_a_drain() {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
