The last word of a server that is forgotten meanwhile still ends its attempt

Cause: Servers::event returned at once where the server's pool was gone. A connection counts as owing nothing once its answer has been taken off, before the node has it; a list that came between, with the server gone or draining, forgot the pool, and the answer in the queue was dropped. The request then waited for its deadline: a write that had run failed, a read was refused late.

Change: events end their attempts whether or not the pool is still there. The simulation judges it too: a value that came whole in good time must be the answer; the plant last-word-lost drops what a draining server says.

The unit test fails on the old code.

--- a/crates/mothpier-sim/src/oracle.rs
+++ b/crates/mothpier-sim/src/oracle.rs
@@ -17,6 +17,11 @@
 /// Every time limit is so much longer on sockets.
 const SLACK_MS: u64 = 50;
 
+/// A value that has come to a node is passed on within this time.
+const PASSED_ON_MS: u64 = 100;
+/// One whose pieces are further apart may be given up as it comes.
+const IN_ONE_MS: u64 = 200;
+
 /// How the error lines of boxes begin that prove that a command has not run: those of the user's table, and of the
 /// Redis Cluster specification.
 const NEVER_RAN: [&str; 8] =
@@ -114,6 +119,8 @@
     begun: u64,
     wrote: BytesMut,
     came: BytesMut,
+    /// When the first byte of what is in `came` arrived, nanoseconds.
+    came_since: u64,
     /// What has no answer yet, in order: the request's id and the attempt's place; `None` for what is no request.
     out: VecDeque<Option<(String, usize)>>,
     /// What came can't be read any more.
@@ -129,6 +136,8 @@
     answered: Option<u64>,
     refused: bool,
     effects: u32,
+    /// When a box's value for it had come whole to its node, while it had no final answer.
+    value_came: Option<u64>,
 }
 
 #[derive(Default)]
@@ -363,13 +372,22 @@
         if now > until && now > before + SLACK_MS * 1_000_000 {
             self.breaks(Rule::Answer, format!("request {id} was answered {} us late", (now - until) / 1000));
         }
-        let (may_have_run, care) = {
+        let (may_have_run, care, value_came) = {
             let mut requests = self.requests.borrow_mut();
             let r = requests.entry(id.clone()).or_default();
             r.answered = Some(self.writes.get());
             r.refused = matches!(answer, Answer::Busy(_));
-            (r.attempts.iter().any(|a| !a.0) || r.effects > 0, r.care.unwrap_or(Care::Safe))
+            (r.attempts.iter().any(|a| !a.0) || r.effects > 0, r.care.unwrap_or(Care::Safe), r.value_came)
         };
+        // In good time: near its end the request may have been given up, and its answer may wait for those before it.
+        let in_time = |came: &u64| came + (PASSED_ON_MS + SLACK_MS) * 1_000_000 < until.min(now);
+        if let Some(came) = value_came.filter(in_time)
+            && !matches!(answer, Answer::Value(_))
+        {
+            let before = (now - came) / 1_000_000;
+            let what = format!("request {id} ends as {answer:?}; its value had come {before} ms before");
+            self.breaks(Rule::Progress, what);
+        }
         match answer {
             Answer::Value(value) if !value.contains(&format!("|{id}|")) => {
                 self.breaks(Rule::Value, format!("request {id} was served with {value:?}"));
@@ -540,13 +558,26 @@
 
     /// What a box answered: whether the command is known not to have run.
     fn box_said(&self, line: &Line, bytes: &[u8]) {
+        let now = self.exec.nanos();
         let mut servers = self.servers.borrow_mut();
         let s = servers.entry(line.number).or_default();
+        if s.came.is_empty() {
+            s.came_since = now;
+        }
         s.came.extend_from_slice(bytes);
         while !s.spoilt {
+            // One that came in pieces, with long pauses, may be taken for spoilt.
+            let value = is_value(&s.came) && now < s.came_since + IN_ONE_MS * 1_000_000;
             match wire::said(&mut s.came) {
                 Ok(Some(error)) => {
                     let of = s.out.pop_front().flatten();
+                    if let Some((id, _)) = of.as_ref().filter(|_| value) {
+                        let mut requests = self.requests.borrow_mut();
+                        let r = requests.entry(id.clone()).or_default();
+                        if r.answered.is_none() {
+                            r.value_came.get_or_insert(now);
+                        }
+                    }
                     let kind = error.as_deref().and_then(|e| e.split(' ').next()).unwrap_or_default();
                     if matches!(kind, "MOVED" | "ASK") {
                         self.tally.borrow_mut().redirections += 1;
@@ -568,6 +599,13 @@
     }
 }
 
+/// Whether a box's answer begins as one with a value does: an array whose first part is not null.
+fn is_value(answer: &[u8]) -> bool {
+    let second = answer.iter().position(|b| *b == b'\n').map(|end| &answer[end + 1..]);
+    answer.first() == Some(&b'*')
+        && second.is_some_and(|s| s.first() == Some(&b'$') && s.get(1) != Some(&b'-'))
+}
+
 impl List {
     fn leaves(&mut self, id: &str, now: u64) {
         if let Some(address) = self.ready.remove(id) {
--- a/crates/mothpier/src/plants.rs
+++ b/crates/mothpier/src/plants.rs
@@ -38,6 +38,8 @@
     RedirectIsNews,
     /// Of two slot maps the one with the lower epoch counts.
     StaleMapWins,
+    /// What a server says that wants nothing new any more is dropped.
+    LastWordLost,
     /// What DNS still names is used, though the list took it away.
     StaleRecord,
     /// A DNS answer without boxes is taken for a fleet without boxes.
@@ -52,7 +54,7 @@
 
 impl Plant {
     /// All of them.
-    pub const ALL: [Plant; 22] = [
+    pub const ALL: [Plant; 23] = [
         Plant::ResetNeverRan,
         Plant::DoubleAnswer,
         Plant::DrainingIsReady,
@@ -70,6 +72,7 @@
         Plant::AskNeverRan,
         Plant::RedirectIsNews,
         Plant::StaleMapWins,
+        Plant::LastWordLost,
         Plant::StaleRecord,
         Plant::EmptyAnswer,
         Plant::ForgedAnswer,
--- a/crates/mothpier/src/servers.rs
+++ b/crates/mothpier/src/servers.rs
@@ -339,27 +339,35 @@
     /// Takes what a connection tells and returns the attempts that this ends.
     pub fn event(&mut self, server: ServerId, number: u64, event: Event) -> Vec<(AttemptId, Ended)> {
         let (now, server) = (self.net.now(), self.present(server));
-        let Some(pool) = self.pools.get_mut(&server) else { return Vec::new() };
+        // What a connection told before its server was forgotten still ends its attempts: a server that owes nothing any
+        // more is one whose last word may be on its way here.
+        let mut pool = self.pools.get_mut(&server);
+        if pool.as_ref().is_some_and(|p| !p.ready) && planted(Plant::LastWordLost) {
+            return Vec::new();
+        }
         let mut ended = Vec::new();
         match event {
             Event::Up => {}
             Event::Answer(attempt, frame) => {
-                if let Some(c) = pool.connections.iter_mut().find(|c| c.number == number) {
-                    c.used = now;
-                }
+                let connections = pool.iter_mut().flat_map(|p| &mut p.connections);
+                connections.filter(|c| c.number == number).for_each(|c| c.used = now);
                 ended.push((attempt, Ended::Answered(frame)));
             }
             Event::Spoilt(attempt) => ended.push((attempt, Ended::Spoilt)),
             Event::Down { refused, written, unwritten } => {
-                pool.connections.retain(|c| c.number != number);
-                if refused {
-                    pool.alone_until = now + REFUSED_PAUSE;
+                if let Some(pool) = &mut pool {
+                    pool.connections.retain(|c| c.number != number);
+                    if refused {
+                        pool.alone_until = now + REFUSED_PAUSE;
+                    }
                 }
                 ended.extend(written.into_iter().map(|id| (id, Ended::Reset)));
                 ended.extend(unwritten.into_iter().map(|id| (id, Ended::NotConnected)));
             }
         }
-        pool.pump(self.limits.multiplex, now, &mut ended);
+        if let Some(pool) = pool {
+            pool.pump(self.limits.multiplex, now, &mut ended);
+        }
         self.tidy(server);
         ended
     }
@@ -618,6 +626,53 @@
     use super::*;
 
     /// A rule of drains: what still waits for its connection when the notice comes is never written.
+    /// A server leaves the list while its answer is on its way from the connection to the node: the answer counts.
+    #[test]
+    fn the_last_word_of_a_server_that_is_forgotten_still_ends_its_attempt() {
+        use tokio::io::{AsyncReadExt, AsyncWriteExt};
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            for answers in [true, false] {
+                let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+                let (events, mut inputs) = mpsc::channel(8);
+                let mut servers = Servers::new(Tokio, limits(1), events);
+                servers.listed(1, listener.local_addr().ok(), true);
+                let bytes = resp::command(["GET".into(), "k".into()]);
+                assert!(servers.send(1, Command { attempt: 7, bytes, probe: false, asking: false }));
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let Some(Input::Server { number, event, .. }) = inputs.recv().await else { panic!() };
+                servers.event(1, number, event);
+                let mut read = [0; 64];
+                assert!(stream.read(&mut read).await.unwrap() > 0);
+                if answers {
+                    stream.write_all(b"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n").await.unwrap();
+                } else {
+                    drop(stream);
+                }
+                let Some(Input::Server { server, number, event }) = inputs.recv().await else { panic!() };
+                servers.listed(1, None, false);
+                assert_eq!(servers.len(), 0, "it owes nothing any more");
+                let ended = servers.event(server, number, event);
+                match &ended[..] {
+                    [(7, Ended::Answered(_))] if answers => {}
+                    [(7, Ended::Reset)] if !answers => {}
+                    _ => panic!("{} ends", ended.len()),
+                }
+            }
+        });
+    }
+
+    fn limits(multiplex: usize) -> Limits {
+        Limits {
+            balancers: 1,
+            multiplex,
+            idle_close: Duration::from_secs(60),
+            connect_timeout: Duration::from_secs(30),
+            descriptors: 8,
+            read_copies: false,
+        }
+    }
+
     /// A server that gets another number keeps its connection and what is out on it.
     #[test]
     fn a_server_with_another_number_keeps_its_connection_and_its_attempts() {
@@ -627,15 +682,7 @@
             let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
             let address = listener.local_addr().unwrap();
             let (events, mut inputs) = mpsc::channel(8);
-            let limits = Limits {
-                balancers: 1,
-                multiplex: 1,
-                idle_close: Duration::from_secs(60),
-                connect_timeout: Duration::from_secs(30),
-                descriptors: 8,
-                read_copies: false,
-            };
-            let mut servers = Servers::new(Tokio, limits, events);
+            let mut servers = Servers::new(Tokio, limits(1), events);
             servers.listed(1, Some(address), true);
             let command = |attempt| {
                 let bytes = resp::command(["GET".into(), "k".into()]);
@@ -673,15 +720,7 @@
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
         tokio::task::LocalSet::new().block_on(&runtime, async {
             let (events, mut inputs) = mpsc::channel(8);
-            let limits = Limits {
-                balancers: 1,
-                multiplex: 32,
-                idle_close: Duration::from_secs(60),
-                connect_timeout: Duration::from_secs(30),
-                descriptors: 8,
-                read_copies: false,
-            };
-            let mut servers = Servers::new(Tokio, limits, events);
+            let mut servers = Servers::new(Tokio, limits(32), events);
             let ping = |attempt| Command {
                 attempt,
                 bytes: resp::command(["PING".into()]),
