--- a/crates/mothpier-membership/src/sources.rs
+++ b/crates/mothpier-membership/src/sources.rs
@@ -12,6 +12,7 @@
 //!
 //! The list alone may empty the view: its word that boxes drain or are gone binds.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write as _;
 use std::net::SocketAddr;
@@ -330,7 +331,8 @@
         view
     }
 
-    /// Boxes of the list that rumours take out: those heard of first, and never more than the share, nor all.
+    /// Boxes of the list that rumours take out: those heard of last, whose word is the likeliest to hold still, and never
+    /// more than the share, nor all.
     fn hushed(&self, now: u64) -> BTreeSet<String> {
         let (Some(rumours), Some(settings)) = (&self.rumours, &self.settings.rumours) else {
             return BTreeSet::new();
@@ -338,8 +340,8 @@
         let ready: Vec<&Line> =
             self.list.values().filter(|l| l.phase == Phase::Ready && !self.is_origin(l)).collect();
         let most = ((ready.len() as f64 * settings.share) as usize).max(1).min(ready.len().saturating_sub(1));
-        let said = |l: &&Line| Some((rumours.of(now, l.hash(), l.up_since_ms)?, l.id.clone()));
-        let mut said: Vec<(u64, String)> = ready.iter().filter_map(said).collect();
+        let said = |l: &&Line| Some((Reverse(rumours.of(now, l.hash(), l.up_since_ms)?), l.id.clone()));
+        let mut said: Vec<(Reverse<u64>, String)> = ready.iter().filter_map(said).collect();
         said.sort();
         said.into_iter().take(most).map(|(_, id)| id).collect()
     }
--- a/crates/mothpier-membership/tests/sources.rs
+++ b/crates/mothpier-membership/tests/sources.rs
@@ -162,7 +162,7 @@
     b.list_out();
     a.list(NOW + 10, false, vec![line(1, Phase::Draining), line(2, Phase::Gone), line(3, Phase::Draining)]);
     assert!(b.heard(NOW + 12, &a.tell(NOW + 11).unwrap()));
-    // Half of the four may be hushed; which of them: those heard of first, then by id.
+    // Half of the four may be hushed; which of them: those heard of last, then by id.
     assert_eq!(ready(&mut b, NOW + 12), ["s-3", "s-4"]);
     assert_eq!(b.listed().iter().filter(|l| l.why == Why::Rumour).count(), 2);
     assert_eq!(ready(&mut b, NOW + 10 + 20_000), ["s-1", "s-2", "s-3", "s-4"]);
--- a/crates/mothpier-names/src/resolver.rs
+++ b/crates/mothpier-names/src/resolver.rs
@@ -1,7 +1,8 @@
 //! The resolver's state: what is held of the service and of each of its hosts, what is asked for, and what comes next.
 //!
 //! One asking at a time for a name and kind. A failed asking goes to the next server at once, within the budget; when all
-//! have failed, the name rests for a while that doubles, and what is held goes on being used until it is too old.
+//! have failed, the name rests for a while that doubles, and what is held goes on being used until it is too old. A server that
+//! says nothing rests, too; while none answers, one question at a time is asked of those that have rested.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
@@ -307,17 +308,20 @@
             .filter_map(|e| e.asking.as_ref().filter(|a| a.lost_at <= now).map(|a| a.ticket))
             .collect();
         lost.into_iter().for_each(|ticket| self.failed(now, ticket, Failure::TimedOut));
-        // The service before its hosts, and of these the one that has waited longest.
-        let mut due: Vec<(bool, u64, Key)> = self
+        // The service before its hosts; of these first what is not known, then what has waited longest.
+        let mut due: Vec<(bool, bool, u64, Key)> = self
             .entries
             .iter()
             .filter(|(_, e)| e.asking.is_none() && e.next <= now)
-            .map(|(key, e)| (key.1 != Kind::Srv, e.next, key.clone()))
+            .map(|(key, e)| (key.1 != Kind::Srv, e.usable(now).is_some(), e.next, key.clone()))
             .collect();
         due.sort();
         let mut asks = Vec::new();
-        for (_, _, key) in due {
-            if self.tickets.len() >= MOST_OUT || !self.budget.take(now) {
+        for (.., key) in due {
+            if self.tickets.len() >= self.most_out()
+                || self.servers.awake_at() > now
+                || !self.budget.take(now)
+            {
                 break;
             }
             asks.extend(self.ask(now, key));
@@ -325,6 +329,11 @@
         asks
     }
 
+    /// How many askings may be out.
+    fn most_out(&self) -> usize {
+        if self.servers.any_well() { MOST_OUT } else { 1 }
+    }
+
     fn ask(&mut self, now: u64, key: Key) -> Option<Ask> {
         let entry = self.entries.get_mut(&key)?;
         let (server, transport) = match entry.over_tcp.take() {
@@ -372,7 +381,7 @@
                     (entry.over_tcp, entry.next) = (Some(asking.server), now);
                 }
             }
-            Ok(Reply::Truncated) => self.useless(now, key, asking.server, "cut short over TCP, too".into()),
+            Ok(Reply::Truncated) => self.useless(now, key, &asking, "cut short over TCP, too".into()),
             Ok(reply) => {
                 self.servers.did_well(asking.server);
                 self.counts.answered += 1;
@@ -384,14 +393,18 @@
                     entry.next = now;
                 }
             }
-            Err(e) => self.useless(now, key, asking.server, e.to_string()),
+            Err(e) => self.useless(now, key, &asking, e.to_string()),
         }
     }
 
     /// Nothing came.
     pub fn failed(&mut self, now: u64, ticket: u64, failure: Failure) {
         if let Some((key, asking)) = self.take(ticket) {
-            self.useless(now, key, asking.server, failure.to_string());
+            // One that answers, only not this, is no worse for other names; nor is one without TCP.
+            if asking.transport == Transport::Udp {
+                self.servers.failed(now, asking.server);
+            }
+            self.useless(now, key, &asking, failure.to_string());
         }
     }
 
@@ -402,9 +415,9 @@
         Some((key, asking))
     }
 
-    fn useless(&mut self, now: u64, key: Key, server: usize, why: String) {
+    fn useless(&mut self, now: u64, key: Key, asking: &Asking, why: String) {
+        let server = asking.server;
         self.counts.failed += 1;
-        self.servers.failed(now, server);
         self.trouble = Some(format!("{} {:?}: {} says: {why}", key.0, key.1, self.servers.get(server).at));
         let most = self.servers.len().max(2);
         let chance = self.rng.random_range(0.75..1.25);
@@ -560,8 +573,8 @@
     /// When to come back at the latest.
     pub fn due(&mut self, now: u64) -> u64 {
         // With as many out as may be, the next begins when one of them ends.
-        let full = self.tickets.len() >= MOST_OUT;
-        let token = if full { u64::MAX } else { self.budget.due(now) };
+        let full = self.tickets.len() >= self.most_out();
+        let token = if full { u64::MAX } else { self.budget.due(now).max(self.servers.awake_at()) };
         let mut due = u64::MAX;
         for entry in self.entries.values() {
             due = due.min(match &entry.asking {
--- a/crates/mothpier-names/src/servers.rs
+++ b/crates/mothpier-names/src/servers.rs
@@ -42,6 +42,16 @@
         &self.all[number]
     }
 
+    /// When the first of them is awake; at once where one is.
+    pub fn awake_at(&self) -> u64 {
+        self.all.iter().map(|s| s.rests_until).min().unwrap_or(0)
+    }
+
+    /// Whether one of them answered when it was last asked: while none did, one question at a time is enough to see.
+    pub fn any_well(&self) -> bool {
+        self.all.iter().any(|s| s.failures == 0)
+    }
+
     /// Which to ask, leaving out those tried already: the first that does not rest, else the one whose rest ends first.
     pub fn choose(&self, now: u64, tried: &[usize]) -> Option<usize> {
         let order = (0..self.all.len()).map(|n| (self.first + n) % self.all.len());
@@ -56,7 +66,7 @@
         (server.failures, server.rests_until) = (0, 0);
     }
 
-    /// It did not, or not with anything of use.
+    /// It said nothing.
     pub fn failed(&mut self, now: u64, number: usize) {
         let server = &mut self.all[number];
         let rest = REST.0.saturating_mul(1 << server.failures.min(16)).min(REST.1);
@@ -91,7 +101,9 @@
         assert_eq!(servers.choose(4_200, &[]), Some(2));
         assert_eq!(servers.choose(4_200, &[2]), Some(0));
         assert_eq!(servers.choose(4_200, &[0, 1, 2]), None);
+        assert_eq!((servers.awake_at(), servers.any_well()), (5_000, false));
         servers.did_well(1);
         assert_eq!(servers.choose(4_200, &[]), Some(1));
+        assert_eq!((servers.awake_at(), servers.any_well()), (0, true));
     }
 }
