One kind of word and of named box for DNS and the sources; the longest name in a test

Need: the resolver and the sources had the same two types, mapped onto each other field by field in the node. The longest name was in no test.

Change: mothpier-names takes both from mothpier-membership, and the node hands them through.

--- a/crates/mothpier-names/src/lib.rs
+++ b/crates/mothpier-names/src/lib.rs
@@ -19,6 +19,4 @@
 pub use hickory_proto::rr::Name;
 pub use lifetime::Lifetimes;
 pub use question::{Kind, Match, Question};
-pub use resolver::{
-    Ask, BadSettings, Counts, Failure, MOST_OUT, Named, Resolver, Settings, Transport, View, Word,
-};
+pub use resolver::{Ask, BadSettings, Counts, Failure, MOST_OUT, Resolver, Settings, Transport, View};
--- a/crates/mothpier-names/src/resolver.rs
+++ b/crates/mothpier-names/src/resolver.rs
@@ -11,6 +11,7 @@
 use hickory_proto::rr::Name;
 use hickory_proto::rr::rdata::SRV;
 use ipnet::IpNet;
+use mothpier_membership::{NamedBox, Word};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -122,39 +123,13 @@
     }
 }
 
-/// A box that DNS names.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Named {
-    /// Where it is.
-    pub address: SocketAddr,
-    /// Lower ones are to be used first (RFC 2782).
-    pub priority: u16,
-    /// Its part among those of one priority.
-    pub weight: u16,
-}
-
-/// What DNS has to say as of now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Word {
-    /// Nothing was heard yet.
-    Unknown,
-    /// What it named holds.
-    Fresh,
-    /// What it named has run out, and no new answer is to be had.
-    Stale,
-    /// It says that there are no boxes.
-    Nothing,
-    /// What it named is too old to be used.
-    Silent,
-}
-
 /// What is known of the service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct View {
     /// How far it may be trusted.
     pub word: Word,
     /// The boxes, each once, in order.
-    pub named: Vec<Named>,
+    pub named: Vec<NamedBox>,
     /// Hosts whose addresses are not known yet: the boxes are not all.
     pub pending: usize,
     /// Counts the answers of the service itself: a change in it is a further look, not the same one again.
@@ -548,13 +523,13 @@
                                 outside += 1;
                                 continue;
                             }
-                            let named = Named {
+                            let named = NamedBox {
                                 address: SocketAddr::new(ip, r.port),
                                 priority: r.priority,
                                 weight: r.weight,
                             };
                             // A box that is named twice counts once, as it is named first.
-                            let entry = at.entry(named.address).or_insert_with(|| named.clone());
+                            let entry = at.entry(named.address).or_insert(named);
                             if named.priority < entry.priority {
                                 *entry = named;
                             }
--- a/crates/mothpier-names/tests/resolver.rs
+++ b/crates/mothpier-names/tests/resolver.rs
@@ -5,7 +5,8 @@
 use hickory_proto::op::{Message, MessageType, OpCode, Query, ResponseCode};
 use hickory_proto::rr::rdata::{A, CNAME, SOA, SRV};
 use hickory_proto::rr::{Name, RData, Record, RecordType};
-use mothpier_names::{Ask, Failure, Kind, Lifetimes, Match, Resolver, Settings, Transport, Word};
+use mothpier_membership::Word;
+use mothpier_names::{Ask, Failure, Kind, Lifetimes, Match, Resolver, Settings, Transport};
 use proptest::prelude::*;
 
 const NOW: u64 = 5_000_000;
@@ -508,6 +509,30 @@
     assert_eq!(r.view(NOW + 1_600).word, Word::Unknown, "its ticket is over");
 }
 
+/// The longest name that there is: 255 bytes on the wire. A longer one is none.
+#[test]
+fn a_service_may_have_the_longest_name_that_there_is() {
+    let label = "a".repeat(63);
+    let longest = format!("{label}.{label}.{label}.{}.", "a".repeat(61));
+    assert!(
+        Name::from_ascii(longest.replacen('a', "ab", 1)).is_err()
+            && Name::from_ascii(format!("b.{longest}")).is_err()
+    );
+    let service = name(&longest);
+    let mut r = Resolver::new(Settings { service, ..settings() }, [7; 32], NOW).unwrap();
+    let ask = one(&mut r, NOW);
+    r.heard(
+        NOW,
+        ask.ticket,
+        &reply(&ask, |m| {
+            let target = RData::SRV(SRV::new(0, 1, 6379, name("pb1.example.org.")));
+            m.add_answer(Record::from_rdata(ask.question.name.clone(), 30, target));
+            m.add_additional(a("pb1.example.org.", 1, 30));
+        }),
+    );
+    assert_eq!(hosts(&mut r, NOW), ["10.1.0.1:6379"]);
+}
+
 #[test]
 fn settings_that_can_not_work_are_refused() {
     let bad = |settings| Resolver::new(settings, [0; 32], 0).err().unwrap().to_string();
--- a/crates/mothpier/src/membership.rs
+++ b/crates/mothpier/src/membership.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use mothpier_membership::rumour::Rumours;
-use mothpier_membership::{Line, NamedBox, Phase, Settings, Sources, Word};
+use mothpier_membership::{Line, Phase, Settings, Sources, Word};
 use mothpier_names::View;
 
 use crate::messages::{List, Member};
@@ -38,22 +38,11 @@
 
     /// Takes what DNS says.
     pub fn names(&self, now: u64, view: &View) {
-        use mothpier_names::Word as Said;
-        let word = match view.word {
-            Said::Unknown => Word::Unknown,
-            Said::Fresh => Word::Fresh,
-            Said::Stale => Word::Stale,
-            Said::Nothing => Word::Nothing,
-            Said::Silent => Word::Silent,
-        };
         let mut sources = self.0.borrow_mut();
-        if word == Word::Nothing && planted(Plant::EmptyAnswer) {
+        if view.word == Word::Nothing && planted(Plant::EmptyAnswer) {
             sources.list(now, true, Vec::new());
         }
-        let named = view.named.iter();
-        let named: Vec<NamedBox> =
-            named.map(|n| NamedBox { address: n.address, priority: n.priority, weight: n.weight }).collect();
-        sources.names(now, word, &named, view.pending == 0, view.answers);
+        sources.names(now, view.word, &view.named, view.pending == 0, view.answers);
     }
 
     /// Whether a message of another node is for the sources.
