--- a/crates/mothpier-world/tests/drains.rs
+++ b/crates/mothpier-world/tests/drains.rs
@@ -10,18 +10,21 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bytes::BytesMut;
 use common::{CLASSES, GRACE, configuration};
 use mothpier::Control;
 use mothpier::config::{self, Precedence, sources::Sources};
 use mothpier_membership::{Like, Settings};
 use mothpier_names::{Lifetimes, Name};
-use mothpier_net::{Net, Tokio};
+use mothpier_net::{Net, Stream, Tokio};
 use mothpier_world::agent::{Agent, Member};
 use mothpier_world::cache_box::{CacheBox, Make};
 use mothpier_world::client::{Ask, Clients, End};
 use mothpier_world::dns::{DnsServer, Entry, Zone};
 use mothpier_world::fleet::Fleet;
+use mothpier_world::wire::{self, Answer};
 use mothpier_world::{Dice, Seen, Warmth};
+use tokio::io::AsyncWriteExt;
 use tokio::sync::mpsc;
 
 const BOXES: usize = 24;
@@ -183,6 +186,12 @@
             answered.recv().await.expect("clients go on");
         }
         taken_out += out.len();
+        if phase == "gone" {
+            let text = info(listen).await;
+            let said = |what: &str| text.lines().filter(|l| l.ends_with(what)).count();
+            assert_eq!((said(",gone,taken-away"), said(",ready,list")), (OUT, BOXES - OUT), "{text}");
+            assert!(text.contains("source_list:in-reach,boxes=8\r\nsource_dns:"), "{text}");
+        }
         out.iter().for_each(|n| agent.change(member(*n, "ready")));
         while !watch.out.borrow().is_empty() {
             answered.recv().await.expect("clients go on");
@@ -209,6 +218,19 @@
     control.send(Control::Stop).await.unwrap();
 }
 
+/// What the node says of its sources.
+async fn info(node: SocketAddr) -> String {
+    let (reading, mut writing) = Tokio.connect(node).await.unwrap().split();
+    writing.write_all(&wire::encode(&["INFO", "sources"])).await.unwrap();
+    let mut buffer = BytesMut::new();
+    loop {
+        if let Some(Answer::Value(text)) = wire::answer(&mut buffer).unwrap() {
+            return text;
+        }
+        assert!(wire::read_more(&reading, &mut buffer).await.unwrap(), "the node closes");
+    }
+}
+
 #[test]
 fn what_the_list_takes_out_stays_out_though_dns_names_it() {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
