--- a/crates/mothpier-membership/src/rumour.rs
+++ b/crates/mothpier-membership/src/rumour.rs
@@ -236,7 +236,7 @@
 mod tests {
     use super::*;
 
-    const NOW: u64 = 1_000_000;
+    const NOW: u64 = 1_000_000_000;
 
     fn rumours() -> Rumours {
         Rumours::new(Settings { trust_ms: 10_000, share: 0.25, tells: 3 }, 7)
@@ -305,6 +305,22 @@
         assert_eq!(r.of(NOW + 400_000, 5, 150), None);
     }
 
+    /// A machine whose clock has jumped by an hour, either way, is not believed, and believes nobody.
+    #[test]
+    fn clocks_that_are_far_apart_cost_the_rumour_and_nothing_else() {
+        let mut told = rumours();
+        told.told(NOW, 5, 100, Phase::Gone);
+        let message = told.tell(NOW).unwrap();
+        for (now, believed) in
+            [(NOW - 3_600_000, 0), (NOW + 3_600_000, 0), (NOW - 2_001, 0), (NOW - 2_000, 1), (NOW + 9_999, 1)]
+        {
+            let mut hears = rumours();
+            assert_eq!(hears.heard(now, &message), believed, "{now}");
+            // One that runs behind holds it no longer than the trust by its own clock.
+            assert!(hears.ends(now).is_none_or(|ends| ends <= now + 10_000));
+        }
+    }
+
     #[test]
     fn what_is_no_rumour_changes_nothing() {
         let mut r = rumours();
--- a/crates/mothpier/src/config/sources.rs
+++ b/crates/mothpier/src/config/sources.rs
@@ -245,6 +245,8 @@
         let none = read("{}").unwrap();
         assert_eq!(none.dns, None);
         assert_eq!(none.membership, Settings { origin: Some("origin".into()), ..Settings::default() });
+        let rumours = parse(include_bytes!("../../../../deploy/rumours.json"), &site).unwrap();
+        assert!(rumours.dns.is_none() && rumours.membership.rumours.is_some());
         let deployed = include_bytes!("../../../../deploy/sources.json");
         let whole = brassrouter::settings::read(SITE.replace("\"m\"", "\"full-box\"").as_bytes()).unwrap();
         let set = parse(deployed, &whole).unwrap();
