Policy: shares of the origin below one call, taken in turns; routes and a budget of retries

Need: hundreds of sidecars divide what the origin takes, and a part comes below one call. Each balancer had two calls at least, so 200 of them might have 400 out where 80 are taken; a cold server's bucket held one attempt of each.

Change: where settings state what the origin takes from all (Shares), a balancer's part comes in turns by its number and the shared clock, with as many balancers open in each turn as the cap allows for the time that calls take; the rate is saved up, four calls at most. A cold server's part below one attempt is taken in turns alike. Classes may be bound to servers, the budget of retries and the multiple for cold servers are settings. Without Shares nothing changes.

--- a/crates/mothpier/src/discovery.rs
+++ b/crates/mothpier/src/discovery.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use brassrouter::settings::Site;
+use brassrouter::settings::{Site, server_number};
 use brassrouter::{Condition, ServerId, ServerLine};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -38,7 +38,7 @@
         // Two ids of one hash must not merge: the later one takes the next hash that is free.
         let mut seed = 0;
         let number = loop {
-            let number = xxh3_64_with_seed(id.as_bytes(), seed) as ServerId;
+            let number = server_number(id, seed);
             if !self.1.contains(&number) {
                 break number;
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -54,6 +54,22 @@
     pub fall_after: Micros,
     /// Idle connections to a draining server must be closed within this time; `None` where no rule says so.
     pub drain_close: Option<Micros>,
+    /// What the origin takes from all balancers together, where that is stated; else each has parts of its own.
+    pub shares: Option<Shares>,
+    /// A cold server gets this multiple of a warm one's attempts, times its present part of capacity.
+    pub cold_rate: f64,
+    /// What each request adds to the budget of retries; 0 leaves none but of what never ran.
+    pub retry_budget: f64,
+}
+
+/// What the origin takes from all balancers together. One balancer's part may be less than a call: it is taken in turns,
+/// which the balancers' numbers and the clock that all share tell.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Shares {
+    /// Calls out at once.
+    pub origin_out: f64,
+    /// Calls a second; infinite where nothing is stated.
+    pub origin_per_s: f64,
 }
 
 impl Default for Settings {
@@ -79,6 +95,9 @@
             fall_multiple: 3.0,
             fall_after: 2_000_000,
             drain_close: None,
+            shares: None,
+            cold_rate: 1.5,
+            retry_budget: 0.2,
         }
     }
 }
@@ -100,6 +119,8 @@
     pub only_zones: Option<Vec<u8>>,
     /// The only machine kinds that it may be sent to, besides the origin; `None` for all.
     pub only_kinds: Option<Vec<u16>>,
+    /// The only servers that it may be sent to, besides the origin; `None` for all.
+    pub only_servers: Option<Vec<ServerId>>,
 }
 
 impl Default for Class {
@@ -112,6 +133,7 @@
             effect: Effect::Safe,
             only_zones: None,
             only_kinds: None,
+            only_servers: None,
         }
     }
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -42,16 +42,21 @@
 const TELL: (u32, u32, u32) = (4, 2, 16);
 /// Each part of a key has at most this part of a server's mean share; longest aims over which shares fade.
 const HEAT: (f64, f64) = (1.0, 10.0);
-/// Retry budget, a token bucket: what each request adds, and what it holds.
-const RETRY: (f64, f64) = (0.2, 5.0);
+/// Retry budget, a token bucket: it holds so many times what each request adds.
+const RETRY: f64 = 25.0;
 /// A connection rests after this part of the longest aim; part of the attempts whose connection is not made
 /// in time, from which all are kept; what a review keeps of that count.
 const REST: (f64, f64, f64) = (0.3, 0.015, 0.99);
 /// Weights of kinds: step of a review for a difference in busy cores; least; what a review keeps of reports.
 const KINDS: (f64, f64, f64) = (0.03, 0.25, 0.98);
-/// A cold server gets this multiple of a warm one's attempts, times its present part of capacity.
-const COLD_RATE: f64 = 1.5;
-
+/// Stated shares: a turn, part of the shortest aim; part of each call in the time that calls take of late, and in
+/// the usual one; how fast a review brings the first back to the second, or one slow call would be held against
+/// the origin until the next; the time of calls before the first, part of the shortest aim.
+const TURN: (f64, f64, f64, f64, f64) = (0.1, 0.3, 0.02, 0.02, 0.25);
+
+/// Calls of a stated rate that a balancer may save up: with one it would refuse a second request that comes
+/// soon after the first, though both are within its rate.
+const SAVED: f64 = 4.0;
 /// The decisions of one balancer.
 #[derive(Default)]
 pub struct Policy {
@@ -96,7 +101,12 @@
         let aims = settings.classes.iter().map(|c| c.aim);
         let quotas: f64 = settings.tenants.iter().map(|t| t.quota_per_s).sum();
         let quota_share = quotas / f64::from(settings.balancers.max(1));
-        let most_out = (GATE_OUT.1 / f64::from(settings.balancers.max(1))).clamp(2.0, GATE_OUT.0);
+        let most_out = match settings.shares {
+            Some(all) => all.origin_out / f64::from(settings.balancers.max(1)),
+            None => (GATE_OUT.1 / f64::from(settings.balancers.max(1))).clamp(2.0, GATE_OUT.0),
+        };
+        let usual = aims.clone().min().unwrap_or(1_000_000) as f64 * TURN.4;
+        let stride = stride(settings.balancers);
         let mut policy = Policy {
             aim: aims.clone().max().unwrap_or(1_000_000).max(1),
             origin_aim: aims.min().unwrap_or(1_000_000),
@@ -106,9 +116,17 @@
             rng: Random::new(seed),
             last_told: seed as u32 >> 1,
             level: LEVEL.1,
-            retry_budget: RETRY.1,
+            retry_budget: settings.retry_budget * RETRY,
             // Calls of an earlier life of this balancer may still run: the gate opens gradually.
-            gate: Gate { limit: most_out / 2.0, most_out, quota_share, ..Gate::default() },
+            gate: Gate {
+                limit: if most_out < 1.0 { most_out } else { most_out / 2.0 },
+                most_out,
+                quota_share,
+                stride,
+                took: usual,
+                usual,
+                ..Gate::default()
+            },
             settings,
             ..Policy::default()
         };
@@ -171,7 +189,8 @@
             return self.end(r.id, out);
         }
         self.admitted.count();
-        self.retry_budget = (self.retry_budget + RETRY.0).min(RETRY.1);
+        let earns = self.settings.retry_budget;
+        self.retry_budget = (self.retry_budget + earns).min(earns * RETRY);
         self.wake(ends - self.now, Wake::End(r.id));
         self.step(r.id, out);
     }
@@ -313,7 +332,8 @@
         let c = &self.settings.classes[class];
         let among = |zones: &Option<Vec<u8>>| zones.as_ref().is_none_or(|z| z.contains(&s.line.zone));
         let kind = |kinds: &Option<Vec<u16>>| kinds.as_ref().is_none_or(|k| k.contains(&s.line.kind));
-        s.origin || (among(&c.only_zones) && kind(&c.only_kinds))
+        let servers = c.only_servers.as_ref().is_none_or(|ids| ids.contains(&s.line.id));
+        s.origin || (servers && among(&c.only_zones) && kind(&c.only_kinds))
     }
 
     fn weight(&self, s: &Server) -> f64 {
@@ -343,9 +363,29 @@
 
     /// Level and depth of the bucket of attempts at a server, as cold as it is.
     fn cold_bucket(&self, s: &Server, total: f64) -> (f64, f64) {
-        let rate = COLD_RATE * self.warmth(s) * self.admitted.per_s * self.weight(s) / total.max(0.01) / 1e6;
+        let part = self.settings.cold_rate * self.warmth(s) * self.admitted.per_s * self.weight(s);
+        let rate = part / total.max(0.01) / 1e6;
         let level = s.cold_level - rate * (self.now - s.used) as f64;
-        (level.max(0.0), (rate * self.settings.fall_after as f64 / 2.0).max(1.0))
+        let (span, depth) = (self.settings.fall_after / 2, rate * self.settings.fall_after as f64 / 2.0);
+        // Of hundreds of balancers each may have no more than a part of one attempt.
+        let depth = match self.settings.shares {
+            Some(_) if depth < 1.0 => self.turns(depth, span, u64::from(s.line.id)),
+            _ => depth.max(1.0),
+        };
+        (level.max(0.0), depth)
+    }
+
+    /// A part of calls as whole ones: what is over comes to some balancers in each turn and to all of them in
+    /// the end, by their numbers and the clock, so that the sum holds and nobody asks another.
+    fn turns(&self, part: f64, span: Micros, offset: u64) -> f64 {
+        let (nodes, turn) = (u64::from(self.settings.balancers.max(1)), self.now / span.max(1));
+        let whole = part.floor();
+        let open = (part - whole) * nodes as f64;
+        // Less than one call of all balancers is one at a time: none at all would be for ever.
+        let open = if whole > 0.0 { open } else { open.max(1.0) };
+        let skipped = (turn % nodes) * self.gate.stride + offset % nodes;
+        let place = (u64::from(self.settings.me) + skipped) % nodes;
+        whole + f64::from(u8::from(place as f64 + 1.0 <= open))
     }
 
     fn origin_call(&mut self, id: RequestId, out: &mut Vec<Action>) {
@@ -364,6 +404,9 @@
 
     /// Whether the outstanding cap and the windowed tally let one more call through.
     fn gate_open(&mut self, call: Call) -> bool {
+        if let Some(all) = self.settings.shares {
+            return self.turn_open(call, all);
+        }
         let share = if self.gate.quota_share > 0.0 { self.gate.quota_share } else { self.admitted.per_s };
         let window = self.aim as f64 * GATE_RATE.2;
         let tally = (share * GATE_RATE.0).max(GATE_RATE.1) * window / 1e6;
@@ -374,6 +417,24 @@
         open(0, 1.0) && (call == Call::Write || open(1, GATE_FETCHES))
     }
 
+    /// The gate where the origin's limits are stated for all balancers: this one's part of the cap comes in turns,
+    /// and its part of the rate is saved up. A call may reach into the next turn, whose callers must find room: the
+    /// longer calls take, the fewer begin.
+    fn turn_open(&mut self, call: Call, all: Shares) -> bool {
+        let nodes = f64::from(self.settings.balancers.max(1));
+        let span = ((self.origin_aim as f64 * TURN.0) as Micros).max(1);
+        let reach = span as f64 / (span as f64 + self.gate.took);
+        let per_s = all.origin_per_s / nodes;
+        if per_s.is_finite() {
+            self.gate.earn(self.now, per_s, (per_s * span as f64 / 1e6).max(SAVED));
+        } else {
+            self.gate.credit = 1.0;
+        }
+        let cap = |part: f64| self.turns(self.gate.limit * reach * part, span, 0);
+        let room = |i: usize, part: f64| f64::from(self.gate.out[i] + 1) <= cap(part);
+        self.gate.credit >= 1.0 && room(0, 1.0) && (call == Call::Write || room(1, GATE_FETCHES))
+    }
+
     /// Parks a request that a shut gate stops, for a random delay, while its answer can still earn.
     fn postpone(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let h = &self.held[&id];
@@ -504,10 +565,14 @@
         let slow = self.now - flight.sent > (self.origin_aim as f64 * GATE_CUT.2) as Micros;
         let g = &mut self.gate;
         g.leave(flight.call);
+        g.took += (o.took as f64 - g.took) * TURN.1;
+        g.usual += (o.took as f64 - g.usual) * TURN.2;
         let was = g.limit;
         if o.status == Status::Served && !slow {
             g.limit = (g.limit + 1.0 / g.limit).min(g.most_out);
-        } else if !matches!(o.status, Status::NotSent | Status::Redirected { .. }) && flight.sent >= g.cut_at
+        } else if g.most_out >= 1.0
+            // Of less than one call nothing is cut: that calls take longer leaves fewer turns already.
+            && !matches!(o.status, Status::NotSent | Status::Redirected { .. }) && flight.sent >= g.cut_at
         {
             g.cut_at = self.now; // One cut for all calls that were out together.
             g.limit = (g.limit * GATE_CUT.0).max(g.most_out * GATE_CUT.1);
@@ -675,6 +740,7 @@
         self.strain.fade(FADE);
         self.heat.fade(1.0 - period as f64 / (HEAT.1 * self.aim as f64));
         self.admitted.roll(period);
+        self.gate.took += (self.gate.usual - self.gate.took) * TURN.3;
         self.senders.iter_mut().for_each(|s| s.rate.roll(period));
         self.reviews += 1;
         self.peers.forget_silent_since(self.now.saturating_sub(period * Micros::from(TELL.0 * TELL.1)));
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,8 +1,9 @@
 //! The settings text, read into the module's own [`Settings`] and into what a node round it needs besides. The
 //! adapter and the node share this reader, so that both decide by the same figures.
 
-use crate::interface::{Class, Effect, Group, LoadField, Micros, Settings, Tenant};
+use crate::interface::{Class, Effect, Group, LoadField, Micros, ServerId, Settings, Tenant};
 use serde::Deserialize;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// A deployment's settings: what the module acts on, and the names and limits that only a node on sockets needs.
 #[derive(Debug, Clone)]
@@ -63,6 +64,7 @@
     dedup_window_us: f64,
     runs_in: Option<Vec<u8>>,
     bound_to: Option<Vec<u16>>,
+    only_servers: Option<Vec<String>>,
 }
 
 #[derive(Deserialize, Default)]
@@ -145,6 +147,7 @@
             dedup_window_us: 0.0,
             runs_in: None,
             bound_to: None,
+            only_servers: None,
         }
     }
 }
@@ -215,6 +218,7 @@
         fall_multiple: wire.guarantees.fall_multiple,
         fall_after: micros(wire.guarantees.tip_after_us),
         drain_close: wire.guarantees.drain_release_us.filter(|t| *t > 0.0).map(micros),
+        ..Settings::default()
     };
     Ok(Site {
         decisions,
@@ -252,9 +256,16 @@
         effect,
         only_zones: c.runs_in.clone(),
         only_kinds: c.bound_to.clone(),
+        only_servers: c.only_servers.as_ref().map(|ids| ids.iter().map(|id| server_number(id, 0)).collect()),
     })
 }
 
+/// The number of a server's id: made from the id alone, so that every balancer has the same and the order of servers is
+/// shared. Where two ids of one list clash, the later one takes its next try.
+pub fn server_number(id: &str, attempt: u64) -> ServerId {
+    xxh3_64_with_seed(id.as_bytes(), attempt) as ServerId
+}
+
 fn load_field(name: &str) -> LoadField {
     match name {
         "rif" => LoadField::InFlight,
--- a/src/state.rs
+++ b/src/state.rs
@@ -102,6 +102,14 @@
     pub cut_at: Micros,
     /// This balancer's equal part of all quotas, 0 where there are none.
     pub quota_share: f64,
+    /// Calls earned of a stated rate and not made yet, and until when they are reckoned.
+    pub credit: f64,
+    pub earned_at: Micros,
+    /// By how much this balancer's place moves from turn to turn.
+    pub stride: u64,
+    /// How long calls take of late, and usually.
+    pub took: f64,
+    pub usual: f64,
 }
 
 impl Gate {
@@ -111,6 +119,14 @@
             self.out[i] += 1;
             self.tally[i] += 1;
         }
+        self.credit -= 1.0;
+    }
+
+    /// Earns calls of a rate a second up to a bound: a rate below one call in a window is saved up over longer ones.
+    pub fn earn(&mut self, now: Micros, per_s: f64, most: f64) {
+        let earned = per_s * now.saturating_sub(self.earned_at) as f64 / 1e6;
+        self.credit = (self.credit + earned).min(most);
+        self.earned_at = now;
     }
 
     /// Begins a new tally when the window of the present one is over.
@@ -193,6 +209,20 @@
     }
 }
 
+/// The step from turn to turn: about the golden section of the balancers, so that turns of each lie evenly apart however
+/// many are open at once; without a divisor in common with their number, or some would never have a turn.
+pub fn stride(balancers: u32) -> u64 {
+    let nodes = u64::from(balancers.max(1));
+    let divisor = |mut a: u64, mut b: u64| {
+        while b > 0 {
+            (a, b) = (b, a % b);
+        }
+        a
+    };
+    let near = (nodes as f64 * 0.618).round() as u64;
+    (1..=near).rev().find(|step| divisor(*step, nodes) == 1).unwrap_or(1)
+}
+
 /// Events a second, smoothed over about a second.
 #[derive(Default, Clone)]
 pub struct Rate {
