--- a/crates/mothpier-net/src/lib.rs
+++ b/crates/mothpier-net/src/lib.rs
@@ -5,6 +5,7 @@
 //! that a program for production holds nothing of the simulation.
 
 mod tokio_net;
+mod unix;
 
 use std::fmt::Display;
 use std::future::{Future, poll_fn};
@@ -17,7 +18,8 @@
 use bytes::BytesMut;
 use tokio::io::{AsyncRead, AsyncWrite};
 
-pub use tokio_net::Tokio;
+pub use tokio_net::{Door, Duplex, DuplexReading, DuplexWriting, Tokio};
+pub use unix::UnixPlace;
 
 /// A machine: where sockets, time and tasks come from.
 pub trait Net: Clone + 'static {
@@ -51,6 +53,12 @@
     /// Opens a listener.
     fn listen(&self, at: SocketAddr) -> impl Future<Output = io::Result<Self::Listener>>;
 
+    /// Opens a listener in the file system. Machines without one have none.
+    fn listen_unix(&self, at: &UnixPlace) -> impl Future<Output = io::Result<Self::Listener>> {
+        let _ = at;
+        async { Err(io::ErrorKind::Unsupported.into()) }
+    }
+
     /// Opens a socket for datagrams.
     fn socket(&self, at: SocketAddr) -> impl Future<Output = io::Result<Self::Socket>>;
 
--- a/crates/mothpier-net/src/tokio_net.rs
+++ b/crates/mothpier-net/src/tokio_net.rs
@@ -4,14 +4,16 @@
 use std::future::Future;
 use std::io::{self, Write};
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::BytesMut;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpStream, UdpSocket, UnixStream, tcp, unix};
 use tokio::task::AbortHandle;
 
+use crate::unix::{Bound, UnixPlace, bind};
 use crate::{Listener, Net, Reading, Socket, Stream, Task};
 
 /// The machine that the program runs on.
@@ -19,8 +21,8 @@
 pub struct Tokio;
 
 impl Net for Tokio {
-    type Stream = TcpStream;
-    type Listener = TcpListener;
+    type Stream = Duplex;
+    type Listener = Door;
     type Socket = UdpSocket;
     type Task = AbortHandle;
 
@@ -44,12 +46,16 @@
         tokio::task::spawn_local(task).abort_handle()
     }
 
-    fn connect(&self, to: SocketAddr) -> impl Future<Output = io::Result<TcpStream>> {
-        TcpStream::connect(to)
+    async fn connect(&self, to: SocketAddr) -> io::Result<Duplex> {
+        TcpStream::connect(to).await.map(Duplex::Tcp)
     }
 
-    fn listen(&self, at: SocketAddr) -> impl Future<Output = io::Result<TcpListener>> {
-        TcpListener::bind(at)
+    async fn listen(&self, at: SocketAddr) -> io::Result<Door> {
+        TcpListener::bind(at).await.map(Door::Tcp)
+    }
+
+    async fn listen_unix(&self, at: &UnixPlace) -> io::Result<Door> {
+        bind(at).map(Door::Unix)
     }
 
     fn socket(&self, at: SocketAddr) -> impl Future<Output = io::Result<UdpSocket>> {
@@ -67,43 +73,148 @@
     }
 }
 
-impl Stream for TcpStream {
-    type Reading = OwnedReadHalf;
-    type Writing = OwnedWriteHalf;
+/// A connection over TCP or a Unix socket.
+pub enum Duplex {
+    /// Over TCP.
+    Tcp(TcpStream),
+    /// Within this machine.
+    Unix(UnixStream),
+}
+
+/// The half of it that reads.
+pub enum DuplexReading {
+    /// Over TCP.
+    Tcp(tcp::OwnedReadHalf),
+    /// Within this machine.
+    Unix(unix::OwnedReadHalf),
+}
+
+/// The half of it that writes.
+pub enum DuplexWriting {
+    /// Over TCP.
+    Tcp(tcp::OwnedWriteHalf),
+    /// Within this machine.
+    Unix(unix::OwnedWriteHalf),
+}
+
+/// Where connections come in.
+pub enum Door {
+    /// Over TCP.
+    Tcp(TcpListener),
+    /// Within this machine.
+    Unix(Bound),
+}
+
+/// Calls the same of whichever it is.
+macro_rules! either {
+    ($of:ident, $it:expr, $one:ident => $call:expr) => {
+        match $it {
+            $of::Tcp($one) => $call,
+            $of::Unix($one) => $call,
+        }
+    };
+}
+
+impl AsyncRead for Duplex {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, to: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        either!(Duplex, self.get_mut(), s => Pin::new(s).poll_read(cx, to))
+    }
+}
+
+/// Both ends write alike.
+macro_rules! writes {
+    ($of:ident) => {
+        impl AsyncWrite for $of {
+            fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+                either!($of, self.get_mut(), s => Pin::new(s).poll_write(cx, bytes))
+            }
+
+            fn poll_write_vectored(
+                self: Pin<&mut Self>,
+                cx: &mut Context<'_>,
+                parts: &[io::IoSlice<'_>],
+            ) -> Poll<io::Result<usize>> {
+                either!($of, self.get_mut(), s => Pin::new(s).poll_write_vectored(cx, parts))
+            }
+
+            fn is_write_vectored(&self) -> bool {
+                either!($of, self, s => s.is_write_vectored())
+            }
+
+            fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+                either!($of, self.get_mut(), s => Pin::new(s).poll_flush(cx))
+            }
+
+            fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+                either!($of, self.get_mut(), s => Pin::new(s).poll_shutdown(cx))
+            }
+        }
+    };
+}
+
+writes!(Duplex);
+writes!(DuplexWriting);
+
+impl Stream for Duplex {
+    type Reading = DuplexReading;
+    type Writing = DuplexWriting;
 
-    fn split(self) -> (OwnedReadHalf, OwnedWriteHalf) {
-        self.into_split()
+    fn split(self) -> (DuplexReading, DuplexWriting) {
+        match self {
+            Duplex::Tcp(s) => {
+                let (reading, writing) = s.into_split();
+                (DuplexReading::Tcp(reading), DuplexWriting::Tcp(writing))
+            }
+            Duplex::Unix(s) => {
+                let (reading, writing) = s.into_split();
+                (DuplexReading::Unix(reading), DuplexWriting::Unix(writing))
+            }
+        }
     }
 
     fn set_nodelay(&self) {
-        let _ = TcpStream::set_nodelay(self, true);
+        if let Duplex::Tcp(s) = self {
+            let _ = s.set_nodelay(true);
+        }
     }
 
     fn reset(self) {
-        // A linger of no time makes the close a reset.
-        let _ = self.set_zero_linger();
+        // A linger of no time makes the close a reset; within a machine there are none.
+        if let Duplex::Tcp(s) = self {
+            let _ = s.set_zero_linger();
+        }
     }
 }
 
-impl Reading for OwnedReadHalf {
+impl Reading for DuplexReading {
     async fn readable(&self) -> io::Result<()> {
-        OwnedReadHalf::readable(self).await
+        either!(DuplexReading, self, s => s.readable().await)
     }
 
     fn try_read_buf(&self, buffer: &mut BytesMut) -> io::Result<usize> {
-        OwnedReadHalf::try_read_buf(self, buffer)
+        either!(DuplexReading, self, s => s.try_read_buf(buffer))
     }
 }
 
-impl Listener for TcpListener {
-    type Stream = TcpStream;
+impl Listener for Door {
+    type Stream = Duplex;
 
-    fn poll_accept(&self, cx: &mut Context<'_>) -> Poll<io::Result<(TcpStream, SocketAddr)>> {
-        TcpListener::poll_accept(self, cx)
+    fn poll_accept(&self, cx: &mut Context<'_>) -> Poll<io::Result<(Duplex, SocketAddr)>> {
+        match self {
+            Door::Tcp(door) => door.poll_accept(cx).map_ok(|(s, from)| (Duplex::Tcp(s), from)),
+            // Who connects there has no address.
+            Door::Unix(door) => {
+                let nobody = SocketAddr::from(([0, 0, 0, 0], 0));
+                door.listener.poll_accept(cx).map_ok(|(s, _)| (Duplex::Unix(s), nobody))
+            }
+        }
     }
 
     fn local_addr(&self) -> io::Result<SocketAddr> {
-        TcpListener::local_addr(self)
+        match self {
+            Door::Tcp(door) => door.local_addr(),
+            Door::Unix(_) => Err(io::ErrorKind::Unsupported.into()),
+        }
     }
 }
 
