Sidecars: a tool that writes and checks their files, and a node that keeps to one application

Need: a node beside each application.

A sidecar puts in its tenant and default class, refuses another's with -NOPERM, listens on loopback or a Unix socket, takes its part of the origin in turns, and may hand on to the shared tier (hops counted, retries left to the tier).

--- /dev/null
+++ b/crates/mothpier-config/tests/properties.rs
@@ -0,0 +1,182 @@
+//! No input panics; what is written back is read alike; names of the schema and of the reader are the same.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::Path;
+
+use mothpier_config::changes::settings;
+use mothpier_config::profile::{Answers, Named, PROFILES, words, write};
+use mothpier_config::render::render;
+use mothpier_config::{Form, Hosts, Severity, check, code, refused};
+use proptest::prelude::*;
+
+fn file(name: &str) -> Vec<u8> {
+    fs::read(Path::new(env!("CARGO_MANIFEST_DIR")).join("corpus/good").join(name)).unwrap()
+}
+
+const FORMS: [(Form, &str); 3] =
+    [(Form::Hcl, "plain.hcl"), (Form::Toml, "plain.toml"), (Form::Json, "plain.json")];
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 1_500, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn no_bytes_panic(bytes in proptest::collection::vec(any::<u8>(), 0..300), form in 0usize..3) {
+        let checked = check(&bytes, FORMS[form].0, &Hosts::default());
+        prop_assert!(refused(&checked.findings), "random bytes are no configuration");
+    }
+
+    /// A good file with a part of it cut out, doubled, or spoilt: findings or none, all within the text.
+    #[test]
+    fn no_spoilt_file_panics(
+        form in 0usize..3,
+        from in 0usize..4_000,
+        long in 0usize..60,
+        put in prop_oneof![
+            Just(Vec::new()),
+            proptest::collection::vec(any::<u8>(), 0..8),
+            "[\\[\\]{}()\"'=:,!?$%<>&|+*/#\\\\ \n-]{0,40}".prop_map(String::into_bytes),
+            prop::sample::select(vec!["1e999", "-1", "null", "\"\"", "nan", "true", "[[", "99999999999999999999"])
+                .prop_map(|s| s.as_bytes().to_vec()),
+        ],
+    ) {
+        let mut bytes = file(FORMS[form].1);
+        let from = from % bytes.len();
+        let to = (from + long).min(bytes.len());
+        bytes.splice(from..to, put);
+        let checked = check(&bytes, FORMS[form].0, &Hosts::default());
+        for f in &checked.findings {
+            prop_assert!(f.span.start <= f.span.end && f.span.end <= checked.text.len().max(f.span.end.min(1)));
+            let _ = f.line(&checked.text);
+        }
+        prop_assert!(checked.app.is_some() || refused(&checked.findings), "not read, and not said why");
+    }
+}
+
+/// Every combination of what `new` is told: no finding, not even a warning; and what a node is started with passes too.
+#[test]
+fn what_is_written_passes_and_is_read_alike_in_every_form() {
+    let mut count = 0;
+    for (_, profile) in PROFILES {
+        for form in [Form::Hcl, Form::Toml] {
+            for bits in 0..64u32 {
+                let on = |bit: u32| bits & (1 << bit) != 0;
+                let tier = on(0);
+                let mut boxes = vec![Named { id: "n1".into(), address: "10.1.0.1:6379".into() }];
+                if !tier && on(1) {
+                    boxes.clear();
+                }
+                let answers = Answers {
+                    app: "profiles".into(),
+                    profile,
+                    tenant: "silverlight".into(),
+                    listen: if on(2) { "/run/mothpier/p.sock".into() } else { "127.0.0.1:6379".into() },
+                    discovery: (!tier).then(|| "127.0.0.1:8500".into()),
+                    nodes: if on(3) { 200 } else { 1 },
+                    me: if on(3) { 199 } else { 0 },
+                    boxes,
+                    origin: on(4).then(|| "10.2.0.1:80".into()),
+                    origin_takes: (80.0, 400.0),
+                    quota: 150.0,
+                    copies: on(5),
+                    machine: on(1).then(|| "web-1".into()),
+                    form,
+                };
+                let text = write(&answers, "--app profiles");
+                assert_eq!(words(&text), Some("--app profiles"));
+                let checked = check(text.as_bytes(), form, &Hosts::default());
+                assert!(checked.findings.is_empty(), "{text}\n{:#?}", checked.findings);
+                let app = checked.app.unwrap();
+                let json = render(&app).to_string();
+                let back = check(json.as_bytes(), Form::Json, &Hosts::default());
+                assert!(back.findings.is_empty(), "{json}\n{:#?}", back.findings);
+                // What a node is started with says the same, but for what only people need.
+                let (said, node) = (settings(&app), settings(&back.app.unwrap()));
+                for s in
+                    said.iter().filter(|s| !s.path.starts_with("listen.mode") && s.path != "origin.address")
+                {
+                    let same = node.iter().find(|n| n.path == s.path).map(|n| &n.value);
+                    assert_eq!(same, Some(&s.value), "{}", s.path);
+                }
+                count += 1;
+            }
+        }
+    }
+    assert_eq!(count, 3 * 2 * 64);
+}
+
+/// The names that a block knows, as the finding for an unknown one lists them.
+fn known(block: &str) -> BTreeSet<String> {
+    let text = match block {
+        "" => "zzzzzz = 1\n".to_owned(),
+        "class" | "quota" | "box" => format!("{block} \"a\" {{\n  zzzzzz = 1\n}}\n"),
+        _ => format!("{block} {{\n  zzzzzz = 1\n}}\n"),
+    };
+    let checked = check(text.as_bytes(), Form::Hcl, &Hosts::default());
+    let found = checked.findings.iter().find(|f| f.code == code::UNKNOWN_KEY && f.what.contains("zzzzzz"));
+    let mend = &found.unwrap_or_else(|| panic!("{block}: {:?}", checked.findings)).mend;
+    mend.strip_prefix("known here: ")
+        .unwrap_or_else(|| panic!("{mend}"))
+        .split(", ")
+        .map(str::to_owned)
+        .collect()
+}
+
+#[test]
+fn the_schema_knows_the_names_that_the_reader_knows() {
+    let schema = mothpier_config::schema::schema();
+    let names = |part: &serde_json::Value| -> BTreeSet<String> {
+        part["properties"].as_object().unwrap().keys().cloned().collect()
+    };
+    assert_eq!(names(&schema), known(""));
+    let blocks = [
+        ("listen", "Listen"),
+        ("discovery", "Discovery"),
+        ("peers", "Peers"),
+        ("limits", "Limits"),
+        ("origin", "Origin"),
+        ("cold", "Cold"),
+        ("drain", "Drain"),
+        ("retries", "Retries"),
+        ("machine", "Machine"),
+        ("traffic", "Traffic"),
+        ("class", "Class"),
+        ("quota", "Quota"),
+        ("box", "BoxLine"),
+    ];
+    for (block, name) in blocks {
+        assert_eq!(names(&schema["$defs"][name]), known(block), "{block}");
+    }
+}
+
+#[test]
+fn a_change_of_any_setting_is_told_with_what_it_takes() {
+    use mothpier_config::changes::{When, changes};
+    let plain = String::from_utf8(file("plain.hcl")).unwrap();
+    let app = |text: &str| check(text.as_bytes(), Form::Hcl, &Hosts::default()).app.unwrap();
+    assert!(changes(&app(&plain), &app(&plain)).is_empty());
+    let mut told = 0;
+    for (old, new, path) in [
+        ("127.0.0.1:8500", "127.0.0.1:8501", "discovery.address"),
+        ("sockets = 512", "sockets = 513", "limits.sockets"),
+        ("copies = true", "copies = false", "retries.copies"),
+        ("aim = \"750ms\"", "aim = \"740ms\"", "class.browse.aim"),
+        ("per_s = 150", "per_s = 151", "quota.silverlight"),
+        ("10.1.0.8:6379", "10.1.0.9:6379", "box.pb8.address"),
+        ("outstanding = 80", "outstanding = 81", "origin.outstanding"),
+        ("class \"send-interest\"", "class \"send-hello\"", "class.send-hello.effect"),
+    ] {
+        let all = changes(&app(&plain), &app(&plain.replacen(old, new, 1)));
+        let change = all.iter().find(|c| c.path == path).unwrap_or_else(|| panic!("{path}: {all:?}"));
+        let when = if path == "discovery.address" { When::Reload } else { When::Restart };
+        assert_eq!(change.when, when, "{path}");
+        told += 1;
+    }
+    assert_eq!(told, 8);
+    assert!(
+        check(plain.as_bytes(), Form::Hcl, &Hosts::default())
+            .findings
+            .iter()
+            .all(|f| f.severity != Severity::Error)
+    );
+}
--- a/crates/mothpier/src/clients.rs
+++ b/crates/mothpier/src/clients.rs
@@ -22,6 +22,7 @@
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::binding::{self, Binding};
 use crate::membership::Membership;
 use crate::messages::{Answer, Claim, ClientEvent, Command, Ids, Input};
 use crate::resp::{self, MAX_VALUE, Malformed};
@@ -95,6 +96,8 @@
     pub tier: Option<Rc<RefCell<Tier>>>,
     /// Where there are more sources of boxes than the list: what they say.
     pub membership: Option<Membership>,
+    /// Where it is one application's sidecar: what that may ask for.
+    pub binding: Option<Binding>,
 }
 
 /// What all client connections share.
@@ -104,6 +107,7 @@
     tier: Option<Rc<RefCell<Tier>>>,
     /// Where there are more sources of boxes than the list: what they say.
     membership: Option<Membership>,
+    binding: Option<Binding>,
     site: Site,
     now: Box<dyn Fn() -> Micros>,
     ready: Rc<Cell<bool>>,
@@ -135,7 +139,7 @@
         net: N,
         site: Site,
         now: Box<dyn Fn() -> Micros>,
-        State { ready, stopping, tier, membership }: State,
+        State { ready, stopping, tier, membership, binding }: State,
         (most, memory): (usize, usize),
         events: mpsc::Sender<Input>,
     ) -> Rc<Self> {
@@ -146,6 +150,7 @@
             net,
             tier,
             membership,
+            binding,
             site,
             now,
             ready,
@@ -278,51 +283,44 @@
     /// Reads a command's words; the error is answered to the client.
     fn parse(&self, words: &[Bytes], came: Micros) -> Result<(Request, Command), String> {
         let [name, key, id, extras, value @ ..] = words else {
-            return Err("wrong number of arguments".into());
+            return Err("ERR wrong number of arguments".into());
         };
         let write = name.as_ref() == b"CACHE.SET";
         if value.len() != usize::from(write) {
-            return Err("wrong number of arguments".into());
+            return Err("ERR wrong number of arguments".into());
         }
         if key.is_empty() || id.is_empty() || key.len() > 1024 || id.len() > 1024 || extras.len() > 4096 {
-            return Err("key, id or extras of a wrong length".into());
+            return Err("ERR key, id or extras of a wrong length".into());
         }
         // They go into headers at the origin, and what a cache server can't read costs all that wait there.
         if !id.iter().chain(extras.iter()).all(|b| b.is_ascii_graphic()) {
-            return Err("id and extras must be printable".into());
+            return Err("ERR id and extras must be printable".into());
         }
         let text = String::from_utf8_lossy(extras);
-        let mut names = Vec::new();
-        for part in text.split(',') {
-            // A name that comes twice would mean one thing here and another at a server.
-            match part.split_once('=') {
-                Some((name, value)) if !name.is_empty() && !names.iter().any(|(n, _)| *n == name) => {
-                    names.push((name, value));
-                }
-                _ => return Err("extras are names and values, each name once".into()),
-            }
-        }
+        let names = names(&text)?;
+        let bound = binding::bind(self.binding.as_ref(), write, &names).map_err(|e| e.to_string())?;
+        let names = bound.as_deref().map(self::names).transpose()?.unwrap_or(names);
         let extra = |name: &str| names.iter().find(|(n, _)| *n == name).map(|(_, v)| *v);
         let digits = |v: &str| v.bytes().all(|b| b.is_ascii_digit() || b == b'.');
         let figure = |name: &str| match extra(name).map(|v| v.parse::<f64>().ok().filter(|_| digits(v))) {
             None => Ok(None),
             Some(Some(f)) if f.is_finite() => Ok(Some(f)),
-            Some(_) => Err(format!("{name} is no figure")),
+            Some(_) => Err(format!("ERR {name} is no figure")),
         };
         let class = extra("c").and_then(|c| self.site.classes.iter().position(|n| n == c));
-        let class = class.ok_or("unknown class")?;
+        let class = class.ok_or("ERR unknown class")?;
         let tenant = match extra("t") {
             _ if self.site.tenants.is_empty() => Some(0),
             tenant => tenant.and_then(|t| self.site.tenants.iter().position(|n| n == t)),
         };
-        let asked_for = figure("d")?.ok_or("no d: how long the answer is waited for")?;
+        let asked_for = figure("d")?.ok_or("ERR no d: how long the answer is waited for")?;
         // No longer than the class allows: what is kept for a request must not stay for as long as anyone says.
         let deadline = self.site.decisions.classes[class].deadline;
         let time_left = ((asked_for * 1000.0) as Micros).min(deadline);
         let request = Request {
             id: self.next_request.replace(self.next_request.get() + 1),
             class,
-            tenant: tenant.ok_or("unknown tenant")?,
+            tenant: tenant.ok_or("ERR unknown tenant")?,
             key: xxh3_64(key).max(1), // 0 would mean none.
             write,
             repeat: extra("r") == Some("1"),
@@ -335,13 +333,13 @@
         };
         // Two open requests of one id could not be told apart by servers; the first one stays as it is.
         let claim =
-            Claim::of(&self.ids, &Bytes::copy_from_slice(id)).ok_or("a request of this id is open")?;
+            Claim::of(&self.ids, &Bytes::copy_from_slice(id)).ok_or("ERR a request of this id is open")?;
         // Copies: a slice would keep all that was read at once for as long as the request is open.
         let command = Command {
             name: Bytes::from_static(if write { b"CACHE.SET" } else { b"CACHE.GET" }),
             key: Bytes::copy_from_slice(key),
             id: claim.id().clone(),
-            extras: Bytes::copy_from_slice(extras),
+            extras: bound.map_or_else(|| Bytes::copy_from_slice(extras), Bytes::from),
             value: value.first().map(|v| Bytes::copy_from_slice(v)),
             write,
             claim,
@@ -350,6 +348,21 @@
     }
 }
 
+/// The names and values of extras.
+fn names(text: &str) -> Result<Vec<(&str, &str)>, String> {
+    let mut names: Vec<(&str, &str)> = Vec::new();
+    for part in text.split(',') {
+        // A name that comes twice would mean one thing here and another at a server.
+        match part.split_once('=') {
+            Some((name, value)) if !name.is_empty() && !names.iter().any(|(n, _)| *n == name) => {
+                names.push((name, value));
+            }
+            _ => return Err("ERR extras are names and values, each name once".into()),
+        }
+    }
+    Ok(names)
+}
+
 enum Wait {
     Ready(Bytes),
     Node(RequestId, oneshot::Receiver<Answer>),
@@ -514,7 +527,7 @@
                     self.known = true;
                     self.ask(request, Box::new(command)).await;
                 }
-                Err(e) => self.answer(resp::error(&format!("ERR {e}"))),
+                Err(e) => self.answer(resp::error(&e)),
             },
             _ if self.aside(&words) => {}
             name if name.eq_ignore_ascii_case(b"PING") => {
--- a/crates/mothpier/src/config.rs
+++ b/crates/mothpier/src/config.rs
@@ -1,11 +1,14 @@
 //! What the node is told at its start: the environment and the JSON file that it names.
 
+pub mod sidecar;
 pub mod sources;
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use brassrouter::settings::{self, Site};
+use mothpier_config::{Form, Hosts, Severity};
+use mothpier_net::UnixPlace;
 pub use mothpier_slots::refresh::Budget as RefreshBudget;
 use serde::Deserialize;
 use xxhash_rust::xxh3::xxh3_64;
@@ -19,10 +22,10 @@
 pub struct Config {
     /// What it calls itself in its log.
     pub name: String,
-    /// The one address to listen on for clients.
-    pub listen: SocketAddr,
-    /// Where the list of servers is.
-    pub discovery: SocketAddr,
+    /// The one place to listen at for clients.
+    pub listen: Listen,
+    /// Where the list of servers is; none where the servers are the nodes of a tier, which the file names.
+    pub discovery: Option<SocketAddr>,
     /// Of its random numbers.
     pub seed: u64,
     /// File descriptors that the process may hold.
@@ -45,6 +48,28 @@
     pub boxes: Option<Boxes>,
     /// There are more sources of boxes than the list.
     pub sources: Option<sources::Sources>,
+    /// It is one application's sidecar.
+    pub sidecar: Option<sidecar::Sidecar>,
+    /// What the checks of its file found that does not keep it from starting, a line each.
+    pub warnings: Vec<String>,
+}
+
+/// Where clients connect.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Listen {
+    /// On the network.
+    Address(SocketAddr),
+    /// Within the machine.
+    Unix(UnixPlace),
+}
+
+impl std::fmt::Display for Listen {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Listen::Address(address) => address.fmt(f),
+            Listen::Unix(place) => place.path.display().fmt(f),
+        }
+    }
 }
 
 /// How boxes that form a cluster are dealt with.
@@ -104,6 +129,7 @@
     peers_all: Option<String>,
     known: Option<List>,
     settings: serde_json::Value,
+    sidecar: Option<sidecar::Section>,
 }
 
 #[derive(Deserialize)]
@@ -156,6 +182,11 @@
     if let Some(path) = env("MOTHPIER_SOURCES") {
         let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
         let read = sources::parse(&text, &config.site).map_err(|e| format!("{path}: {e}"))?;
+        if config.sources.is_some() {
+            return Err(format!(
+                "{path}: the file of the node has a pool of its own; name its boxes in `fixed` here"
+            ));
+        }
         if read.dns.is_some() && config.sockets < LEAST_SOCKETS + sources::DESCRIPTORS {
             return Err(format!("limits.sockets: {} are too few to ask DNS, too", config.sockets));
         }
@@ -219,8 +250,17 @@
     env: &dyn Fn(&str) -> Option<String>,
     precedence: Precedence,
 ) -> Result<Config, String> {
+    let checked = mothpier_config::check(text, Form::Json, &Hosts::default());
+    let lines = |of: Severity| -> Vec<String> {
+        checked.findings.iter().filter(|f| f.severity == of).map(|f| f.line(&checked.text)).collect()
+    };
+    let errors = lines(Severity::Error);
+    if let Some(first) = errors.first() {
+        let more = if errors.len() > 1 { format!(" (and {} more)", errors.len() - 1) } else { String::new() };
+        return Err(format!("{first}{more}"));
+    }
     let file: File = serde_json::from_slice(text).map_err(|e| format!("unreadable: {e}"))?;
-    let site = settings::read(file.settings.to_string().as_bytes())?;
+    let mut site = settings::read(file.settings.to_string().as_bytes())?;
     if site.classes.is_empty() {
         return Err("unreadable settings: no classes".into());
     }
@@ -241,10 +281,18 @@
     if file.limits.sockets < LEAST_SOCKETS {
         return Err(format!("limits.sockets: {} are too few to work with", file.limits.sockets));
     }
+    let unix = file.sidecar.as_ref().and_then(sidecar::Section::unix);
+    let sidecar = file.sidecar.map(|section| section.take(&mut site)).transpose()?;
+    let to_tier = sidecar.as_ref().is_some_and(|s| s.tier);
+    let pool = sidecar.as_ref().map(|s| s.pool.as_slice()).unwrap_or_default();
+    let sources = sources::pool(pool, &site)?;
     Ok(Config {
         name: env("ROUTER_NAME").or(file.name).unwrap_or_else(|| "mothpier".into()),
-        listen: address("listen", env("ROUTER_LISTEN").or(file.listen))?,
-        discovery: address("discovery", discovery)?,
+        listen: match unix {
+            Some(place) => Listen::Unix(place),
+            None => Listen::Address(address("listen", env("ROUTER_LISTEN").or(file.listen))?),
+        },
+        discovery: if to_tier { None } else { Some(address("discovery", discovery)?) },
         seed,
         sockets: file.limits.sockets,
         memory: (file.limits.memory_mb.clamp(16.0, 1e6) * 1048576.0) as usize,
@@ -255,7 +303,9 @@
         site,
         cluster: None,
         boxes: None,
-        sources: None,
+        sources,
+        sidecar,
+        warnings: lines(Severity::Warning),
     })
 }
 
--- a/crates/mothpier/src/config/sources.rs
+++ b/crates/mothpier/src/config/sources.rs
@@ -177,6 +177,29 @@
     Ok(Sources { membership, dns })
 }
 
+/// The sources of a sidecar whose file names boxes that are used whatever the list says.
+///
+/// # Errors
+///
+/// A box that is no ADDRESS:PORT, or settings that name no zone or kind that it could be of.
+pub fn pool(boxes: &[String], site: &Site) -> Result<Option<Sources>, String> {
+    if boxes.is_empty() {
+        return Ok(None);
+    }
+    let fixed: Vec<SocketAddr> = each("sidecar.pool", boxes, "ADDRESS:PORT")?;
+    let first = |names: &[String], what: &str| {
+        names
+            .first()
+            .cloned()
+            .ok_or_else(|| format!("sidecar.pool: the settings name no {what} for its boxes"))
+    };
+    let like =
+        LikeFile { zone: first(&site.zones, "zone")?, kind: first(&site.kinds, "machine type")?, cell: 0 };
+    let like = taken_for(like, site)?;
+    let origin = site.decisions.origin_kind.and_then(|kind| site.kinds.get(usize::from(kind)).cloned());
+    Ok(Some(Sources { membership: Settings { like, origin, fixed, ..Settings::default() }, dns: None }))
+}
+
 fn taken_for(like: LikeFile, site: &Site) -> Result<Like, String> {
     let LikeFile { zone, kind, cell } = like;
     if !site.zones.contains(&zone) {
--- a/crates/mothpier/src/lib.rs
+++ b/crates/mothpier/src/lib.rs
@@ -3,6 +3,7 @@
 //! Arrows point one way: `clients`, `servers`, `origin`, `discovery`, `names` and `peers` know `messages` and not each
 //! other; `node` owns the decision module and drives them; [`run`] puts all together.
 
+mod binding;
 mod clients;
 mod clock;
 pub mod config;
@@ -31,7 +32,7 @@
 
 use clients::{Clients, Stopping};
 use clock::Clock;
-use config::Config;
+use config::{Config, Listen};
 use node::{Node, Parts};
 
 pub use messages::Census;
@@ -47,6 +48,8 @@
 const WITHOUT_DISCOVERY: Duration = Duration::from_secs(1);
 /// How often the tier is looked at; it tells the others less often.
 const TIER_LOOK: Duration = Duration::from_millis(100);
+/// Findings of the checks that are logged at the start; the checker tells all.
+const MOST_WARNINGS: usize = 8;
 /// Descriptors for the listener, the peers, discovery, the runtime and the standard streams.
 const OWN_DESCRIPTORS: usize = 16;
 
@@ -84,7 +87,9 @@
         connect_timeout,
         descriptors: descriptors * 3 / 4,
         read_copies: config.boxes.as_ref().is_some_and(|b| b.read_copies),
+        tier: config.sidecar.as_ref().is_some_and(|s| s.tier),
     };
+    config.warnings.iter().take(MOST_WARNINGS).for_each(|line| net.log(line));
     let me = site.decisions.me as usize;
     let telling = config.peer_listen.is_some() && site.decisions.may_tell_peers;
     let tier = match config.cluster {
@@ -156,12 +161,17 @@
         ready: ready.clone(),
     };
     let revision = config.known.as_ref().map(|l| l.revision);
-    let listener = net.listen(config.listen).await;
+    let listener = match &config.listen {
+        Listen::Address(address) => net.listen(*address).await,
+        Listen::Unix(place) => net.listen_unix(place).await,
+    };
     let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
-    let listening = listener.local_addr().map_err(|e| e.to_string())?;
+    // A port that the machine chose is known only now.
+    let listening = listener.local_addr().map_or(config.listen, Listen::Address);
     let stopping = Rc::new(Stopping::default());
     let longest: Micros = site.decisions.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
-    let bounds = (descriptors, config.memory / 2);
+    let connections = config.sidecar.as_ref().and_then(|s| s.connections).unwrap_or(usize::MAX);
+    let bounds = (descriptors.min(connections), config.memory / 2);
     let now = clock.clone();
     let clients = Clients::new(
         net.clone(),
@@ -172,6 +182,7 @@
             stopping: stopping.clone(),
             tier: tier.clone(),
             membership: membership.clone(),
+            binding: config.sidecar.map(|s| s.binding),
         },
         bounds,
         events.clone(),
@@ -186,8 +197,15 @@
         let _lives = lives;
         node.run(config.known, inputs).await;
     });
-    let (discovery, addresses) = watch::channel(config.discovery);
-    net.spawn(discovery::run(net.clone(), addresses, revision, wishes, events.clone()));
+    // Without a list the servers that the file names are all that there are.
+    let discovery = config.discovery.map(|at| {
+        let (discovery, addresses) = watch::channel(at);
+        net.spawn(discovery::run(net.clone(), addresses, revision, wishes, events.clone()));
+        discovery
+    });
+    if discovery.is_none() {
+        ready.set(true);
+    }
     let (accepts, accepting) = oneshot::channel::<()>();
     let accept = clients.clone().accept(listener);
     net.spawn(async move {
@@ -205,7 +223,7 @@
             biased;
             told = control.recv() => match told {
                 Some(Control::Stop) | None => break,
-                Some(Control::Reload(read)) => reload(&net, &discovery, read),
+                Some(Control::Reload(read)) => reload(&net, discovery.as_ref(), read),
                 Some(Control::Census(asked)) => census(&clients, &events, asked).await,
             },
             _ = &mut node_ended => return Err("the node ended by itself".into()),
@@ -234,13 +252,16 @@
 
 /// Goes over to the discovery that the configuration, read again, names. All else is fixed at the start. A file that
 /// can't be read must not cost the node what it has.
-fn reload<N: Net>(net: &N, discovery: &watch::Sender<SocketAddr>, read: Result<Box<Config>, String>) {
+fn reload<N: Net>(net: &N, discovery: Option<&watch::Sender<SocketAddr>>, read: Result<Box<Config>, String>) {
     match read {
         Ok(config) => {
-            let to = if planted(Plant::ReloadForgotten) { *discovery.borrow() } else { config.discovery };
+            let (Some(discovery), Some(told)) = (discovery, config.discovery) else {
+                return net.log("configuration read again: whether there is a list is fixed at the start");
+            };
+            let to = if planted(Plant::ReloadForgotten) { *discovery.borrow() } else { told };
             let moved = discovery.send_if_modified(|a| std::mem::replace(a, to) != to);
             let what = if moved { "now" } else { "still" };
-            net.log(format_args!("configuration read again: discovery is {what} at {}", config.discovery));
+            net.log(format_args!("configuration read again: discovery is {what} at {told}"));
         }
         Err(e) => net.log(format_args!("the configuration stays as it was: {e}")),
     }
--- a/crates/mothpier/src/node.rs
+++ b/crates/mothpier/src/node.rs
@@ -499,7 +499,12 @@
                 let status = if value.is_some() { Status::Served } else { Status::Miss };
                 self.end(attempt, status, note, load, value);
             }
-            // Only to a probe: servers.rs lets nothing else through.
+            // From a node of the tier; from a server only to a probe: servers.rs lets nothing else through.
+            BytesFrame::BulkString(value)
+                if self.flights.get(&attempt).is_some_and(|f| f.attempt.is_some()) =>
+            {
+                self.end(attempt, Status::Served, Note::None, Load::default(), Some(value));
+            }
             BytesFrame::BulkString(report) => {
                 let load = load(&self.site, &String::from_utf8_lossy(&report));
                 self.end(attempt, Status::Served, Note::None, load, None);
@@ -710,6 +715,7 @@
                 connect_timeout: Duration::from_secs(30),
                 descriptors: 8,
                 read_copies: false,
+                tier: false,
             };
             let parts = Parts {
                 cluster: None,
--- a/crates/mothpier/src/servers.rs
+++ b/crates/mothpier/src/servers.rs
@@ -60,6 +60,8 @@
     pub descriptors: usize,
     /// Servers that hold copies may be read: each connection begins by saying so.
     pub read_copies: bool,
+    /// The servers are nodes of the shared tier, which answer as nodes do.
+    pub tier: bool,
 }
 
 /// A command that is to be written.
@@ -489,11 +491,13 @@
 
 /// Whether a frame can be the answer to a command: an array of the value or null, how it went and the load report,
 /// whose form matters to nobody but the module; or an error line. A probe is answered with the report alone.
-fn fits(frame: &BytesFrame, owed: Owed) -> bool {
+fn fits(frame: &BytesFrame, owed: Owed, tier: bool) -> bool {
     match frame {
         BytesFrame::Error(_) => true,
         BytesFrame::SimpleString(_) => owed == Owed::Word,
-        BytesFrame::BulkString(_) => owed == Owed::Report,
+        // A node of the tier answers with the value alone.
+        BytesFrame::BulkString(_) => owed == Owed::Report || (tier && owed == Owed::Answer),
+        BytesFrame::Array(_) if tier => false,
         BytesFrame::Array(parts) if owed == Owed::Answer => {
             let [value, how, _report] = parts.as_slice() else { return false };
             matches!(value, BytesFrame::BulkString(_) | BytesFrame::Null)
@@ -563,12 +567,14 @@
             if sent.owed == Owed::Word {
                 // What it says of the command itself follows: an error here shows there.
                 match taken {
-                    Ok(Some(frame)) if fits(&frame, sent.owed) => continue,
+                    Ok(Some(frame)) if fits(&frame, sent.owed, limits.tier) => continue,
                     _ => return net.log(format_args!("{address}: a word that can't be read")),
                 }
             }
             let (event, good) = match taken {
-                Ok(Some(frame)) if fits(&frame, sent.owed) => (Event::Answer(sent.attempt, frame), true),
+                Ok(Some(frame)) if fits(&frame, sent.owed, limits.tier) => {
+                    (Event::Answer(sent.attempt, frame), true)
+                }
                 _ => (Event::Spoilt(sent.attempt), false),
             };
             // Before the node hears of it, which may have something more to write.
@@ -670,6 +676,7 @@
             connect_timeout: Duration::from_secs(30),
             descriptors: 8,
             read_copies: false,
+            tier: false,
         }
     }
 
