Simulation: fleets of sidecars, and sidecars in three tenths of the plain worlds

Need: shares below one call must hold at 200 sidecars with faults, and the stated sum at the origin must be counted.

Change: mothpier-sim sidecars plays a fleet with a cold box and a moment at which all copies are void, counts calls at the origin, and compares with the node's own limits. A part of the drawn worlds has sidecars with shares drawn from the seed.

--- a/crates/mothpier-sim/src/main.rs
+++ b/crates/mothpier-sim/src/main.rs
@@ -12,6 +12,7 @@
 mod reshuffle;
 mod scenarios;
 mod shrink;
+mod sidecars;
 mod slot_cases;
 mod source_cases;
 mod word;
@@ -130,6 +131,43 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Plays fleets of sidecars, each of which has less than one call of what the origin takes: the four rules, and what
+    /// the origin got against what it was said to take.
+    Sidecars {
+        /// The first seed and the one behind the last.
+        #[arg(long, value_name = "FROM..TO", value_parser = seeds, default_value = "0..500")]
+        seeds: Range<u64>,
+        /// Sidecars.
+        #[arg(long, default_value_t = 200, value_parser = clap::value_parser!(u16).range(1..=250))]
+        nodes: u16,
+        /// Boxes, one of which starts cold.
+        #[arg(long, default_value_t = 18, value_parser = clap::value_parser!(u16).range(3..=200))]
+        boxes: u16,
+        /// Requests a second of all of them.
+        #[arg(long, default_value_t = 300, value_parser = clap::value_parser!(u32).range(1..=10_000))]
+        rate: u32,
+        /// Keys that are asked for.
+        #[arg(long, default_value_t = 2_000, value_parser = clap::value_parser!(u64).range(1..=1_000_000))]
+        keys: u64,
+        /// Calls at once that the origin takes.
+        #[arg(long, default_value_t = 80)]
+        outstanding: u32,
+        /// Calls a second that it takes.
+        #[arg(long, default_value_t = 400)]
+        per_s: u32,
+        /// The origin takes so many times as long for five seconds, from the moment at which every copy is void.
+        #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u16).range(1..=100))]
+        slow: u16,
+        /// No faults, and beside it the same seeds with the node's own parts in place of shares.
+        #[arg(long)]
+        compare: bool,
+        /// Threads; as many as cores when not told.
+        #[arg(long)]
+        jobs: Option<usize>,
+        /// No progress on standard error.
+        #[arg(long, short)]
+        quiet: bool,
+    },
     /// Prints a seed's faults, in the form that `replay` takes.
     Plan {
         /// The seed.
@@ -170,6 +208,30 @@
             let tier = word::Tier { nodes: usize::from(nodes), boxes: usize::from(boxes) };
             word::tables(tier, seed, &say).map(|()| true)
         }
+        Command::Sidecars {
+            seeds,
+            nodes,
+            boxes,
+            rate,
+            keys,
+            outstanding,
+            per_s,
+            slow,
+            compare,
+            jobs,
+            quiet,
+        } => {
+            let fleet = sidecars::Fleet {
+                nodes: usize::from(nodes),
+                boxes: usize::from(boxes),
+                rate: f64::from(rate),
+                keys,
+                shares: Some((f64::from(outstanding), f64::from(per_s))),
+                slow: f64::from(slow),
+                faults: !compare,
+            };
+            play_sidecars(fleet, &seeds, compare, jobs.unwrap_or_else(cores), quiet)
+        }
         Command::Plan { seed } => {
             let (boxes, beside) = (plan::Boxes::draw(seed), plan::Beside::draw(seed));
             let faults = Some(plan::draw(seed, boxes, beside));
@@ -233,6 +295,40 @@
     Ok(sum.broken.is_empty())
 }
 
+fn play_sidecars(
+    fleet: sidecars::Fleet,
+    seeds: &Range<u64>,
+    compare: bool,
+    jobs: usize,
+    quiet: bool,
+) -> Result<bool, String> {
+    let (all, from) = (seeds.end - seeds.start, (seeds.start, seeds.end));
+    let progress = move |runs: u64| {
+        if !quiet && runs.is_multiple_of(10) {
+            let _ = writeln!(std::io::stderr(), "{runs} of {all}");
+        }
+    };
+    let (most, per_s) = fleet.shares.unwrap_or_default();
+    say(&format!(
+        "{} sidecars, {} boxes, {:.0} requests a second, {} keys; the origin takes {most} calls at once, {per_s} a second\n\n{}",
+        fleet.nodes,
+        fleet.boxes,
+        fleet.rate,
+        fleet.keys,
+        sidecars::HEAD
+    ));
+    let shown = sidecars::many(fleet, from, jobs, &progress);
+    say(&sidecars::line("shares in turns", &shown));
+    if compare {
+        let own = sidecars::many(sidecars::Fleet { shares: None, ..fleet }, from, jobs, &progress);
+        say(&sidecars::line("each its own", &own));
+    }
+    for (seed, what) in &shown.broken {
+        say(&format!("seed {seed}: {what}\n"));
+    }
+    Ok(shown.broken.is_empty())
+}
+
 fn replay(run: &str, trace: bool, plant: Option<Plant>) -> Result<bool, String> {
     let kept = kept(run, plant)?;
     let report = play::play(kept.seed, &play::Options { lines: trace, ..kept.options() });
--- a/crates/mothpier-sim/src/play.rs
+++ b/crates/mothpier-sim/src/play.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use mothpier::config::{self, Precedence, RefreshBudget};
+use mothpier::config::{self, Listen, Precedence, RefreshBudget};
 use mothpier::{Census, Control, Plant};
 use mothpier_membership::names::Doubt;
 use mothpier_membership::{Like, Settings, rumour};
@@ -89,6 +89,10 @@
     pub writes: Option<f64>,
     /// Time after which idle connections to boxes are closed, milliseconds.
     pub idle_ms: Option<u64>,
+    /// Calls that the origin works on at once, and that may wait there.
+    pub origin: Option<(usize, usize)>,
+    /// The nodes are sidecars, which share so many calls at once and a second at the origin.
+    pub shares: Option<(f64, f64)>,
     /// What a directed case does at its times, besides its faults.
     pub script: Option<Script>,
 }
@@ -170,6 +174,11 @@
     beside: Beside,
     newcomer_ms: Option<u64>,
     questions_per_s: f64,
+    origin: Option<(usize, usize)>,
+    /// Where the nodes are sidecars: what the origin takes from all of them.
+    shares: Option<(f64, f64)>,
+    /// Nodes tell each other what they see; a fleet of sidecars does not.
+    peers: bool,
 }
 
 /// A world in a run.
@@ -213,6 +222,20 @@
     at.ip()
 }
 
+/// Where a sidecar's file says that it listens.
+const HERE: SocketAddr = SocketAddr::new(IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 6379);
+/// Part of the plain worlds whose nodes are sidecars.
+const SIDECARS: f64 = 0.3;
+
+/// Whether the nodes are sidecars, and what the origin takes from all of them: drawn where a case fixes neither the size
+/// nor what the boxes are.
+fn draw_shares(seed: u64, options: &Options) -> Option<(f64, f64)> {
+    let dice = Dice::part(seed, 12);
+    let free = options.size.is_none() && options.kind(seed) == Boxes::Plain;
+    let sidecars = free && dice.chance(SIDECARS);
+    sidecars.then(|| (dice.within(1, 40) as f64, dice.within(20, 400) as f64))
+}
+
 /// Plays a seed.
 pub fn play(seed: u64, options: &Options) -> Report {
     mothpier::plant(options.plant);
@@ -303,6 +326,9 @@
             beside: options.sources(seed),
             newcomer_ms: options.newcomer_ms,
             questions_per_s: options.questions_per_s.unwrap_or(40.0),
+            origin: options.origin,
+            peers: options.shares.is_none(),
+            shares: options.shares.or_else(|| draw_shares(seed, options)),
         };
         // Under what the boxes can do: overload is not what is judged here.
         let can = boxes as f64 * make.slots as f64 / make.work.as_secs_f64();
@@ -442,10 +468,12 @@
             }
         }
         self.with_names(|names| names.start(&self.network));
+        let drawn = (self.dice.within(3, 8) as usize, 24);
+        let drawn = self.make.origin.unwrap_or(drawn);
         let origin = Origin::new(
             self.network.on(self.origin_host),
             self.fleet.clone(),
-            (self.dice.within(3, 8) as usize, 24),
+            drawn,
             Duration::from_millis(self.dice.within(15, 50)),
             Duration::from_secs(3),
             self.make.seed,
@@ -638,10 +666,10 @@
             "discovery":"push","zones":["a"],"machineTypes":["m","origin"],
             "specifics":{{"mode":"{}","originKind":1}},"report":{{"fields":["lat_ms","busy"]}},
             "limits":{{"maxAttempts":3,"mayDuplicate":{},"mayCancel":true,"multiplex":{},"idleCloseUs":{},
-            "connectTimeoutUs":{},"maxOpen":1000,"maxRetryAfterUs":600000,"peers":true}},
+            "connectTimeoutUs":{},"maxOpen":1000,"maxRetryAfterUs":600000,"peers":{}}},
             "guarantees":{{"coldUs":{},"coldShare":{},"drainGraceUs":500000,"fallMultiple":3.0,"tipAfterUs":2000000}},
-            "periodUs":5000}}}}"#,
-            node.address,
+            "periodUs":5000}}{}}}"#,
+            if self.make.shares.is_some() { HERE } else { node.address },
             address(3, node.agent as u8, i, 8500),
             self.make.seed ^ (u64::from(node.starts) << 32 | i as u64),
             address(0, 0, i, 7946),
@@ -654,9 +682,25 @@
             self.make.duplicate,
             self.make.multiplex,
             self.make.idle.as_micros(),
-            self.make.connect_ms * 1000,
+            // A sidecar's file with time-outs beyond its deadlines does not start.
+            self.make.connect_ms.min(if self.make.shares.is_some() { 200 } else { u64::MAX }) * 1000,
+            self.make.peers,
             self.make.warm.1.as_micros(),
             self.make.warm.0,
+            self.sidecar(),
+        )
+    }
+
+    /// The section that makes a node a sidecar.
+    fn sidecar(&self) -> String {
+        let Some((outstanding, per_s)) = self.make.shares else { return String::new() };
+        let classes = CLASSES.map(|(name, care, ..)| {
+            let command = if care == Care::Safe { "read" } else { "write" };
+            format!(r#"{{"name":"{name}","command":"{command}","default":{}}}"#, care == Care::Safe)
+        });
+        format!(
+            r#","sidecar":{{"app":"app","tenant":"acme","classes":[{}],"origin_outstanding":{outstanding},"origin_per_s":{per_s}}}"#,
+            classes.join(",")
         )
     }
 
@@ -675,6 +719,8 @@
         let text = self.config(i);
         let config = config::parse(text.as_bytes(), &|_| None, Precedence::Environment);
         let mut config = config.expect("the simulation's own configuration");
+        // A sidecar's file names loopback; here each machine has an address of its own, under which clients find it.
+        config.listen = Listen::Address(self.nodes.borrow()[i].address);
         if self.make.cluster {
             let nodes = self.nodes.borrow();
             config.cluster = Some(nodes.iter().map(|n| n.address).collect());
@@ -1329,6 +1375,23 @@
         self.exec.clear();
     }
 
+    /// Calls that came to the origin so far, and the most that were there at once.
+    pub fn origin_calls(&self) -> (u64, usize) {
+        self.origin.borrow().as_ref().map_or((0, 0), |o| (o.came.get(), o.most.get()))
+    }
+
+    /// The origin's work takes so many times as long.
+    pub fn origin_slows(&self, times: f64) {
+        self.with_origin(|o| o.slow.set(times));
+    }
+
+    /// Every copy of every key is void.
+    pub fn voids_all(&self) {
+        for j in 0..self.boxes() {
+            self.with_box(j, |b| (0..self.make.keys).for_each(|k| b.void(&format!("k{k}"))));
+        }
+    }
+
     /// Sets how exactly every box and the origin answer; for directed cases.
     pub fn exactly(&self, time: Option<Duration>) {
         let boxes = self.boxes.borrow().len();
--- a/crates/mothpier-world/src/origin.rs
+++ b/crates/mothpier-world/src/origin.rs
@@ -55,6 +55,12 @@
     pub exactly: Cell<Option<Duration>>,
     /// Calls of each method so far.
     pub calls: Cell<(u64, u64)>,
+    /// Calls that are in now.
+    now: Cell<usize>,
+    /// The most calls that were in at once.
+    pub most: Cell<usize>,
+    /// Calls that came, whatever became of them.
+    pub came: Cell<u64>,
 }
 
 impl<N: Net> Origin<N> {
@@ -81,6 +87,9 @@
             spoil: Cell::new(None),
             exactly: Cell::new(None),
             calls: Cell::default(),
+            now: Cell::new(0),
+            most: Cell::new(0),
+            came: Cell::new(0),
         })
     }
 
@@ -116,6 +125,9 @@
 
     /// The answer, and whether nothing comes behind it; `None` ends the connection.
     async fn call(&self, call: &Call) -> Option<(Vec<u8>, bool)> {
+        let _in = Waits::of(&self.now);
+        self.most.set(self.most.get().max(self.now.get()));
+        self.came.set(self.came.get() + 1);
         let spoil = self.spoil.get().filter(|(_, part)| self.dice.chance(*part)).map(|(spoil, _)| spoil);
         let not_run = |status| Some((wire::reply(status, "X-Not-Run: 1\r\n", ""), false));
         let full = self.waiting.get() >= self.queue;
