Config: a file that can't be read is refused, whoever wrote it; fixed seeds in its tests

Cause: findings of a file without a sidecar section were made warnings also where no configuration came of it, so a JSON file that holds 0 passed the check (the node's own reader refused it).

--- a/crates/mothpier-config/src/lib.rs
+++ b/crates/mothpier-config/src/lib.rs
@@ -51,7 +51,9 @@
         Form::Json => node::read(&tree, hosts, &mut findings),
         Form::Hcl | Form::Toml => app::read(&tree, hosts, &mut findings),
     };
-    if form == Form::Json && !app.as_ref().is_some_and(|a| a.sidecar) && !node::is_sidecar(&tree) {
+    // What could not be read at all is nobody's configuration.
+    let of_the_platform = app.as_ref().is_some_and(|a| !a.sidecar) && !node::is_sidecar(&tree);
+    if form == Form::Json && of_the_platform {
         // The platform wrote it and answers for it; what a node can't start with its own reader refuses.
         findings.iter_mut().for_each(|f| f.severity = Severity::Warning);
     }
--- a/crates/mothpier-config/src/take.rs
+++ b/crates/mothpier-config/src/take.rs
@@ -34,7 +34,8 @@
                 Some(Block { path, span, entries, known: BTreeSet::new() })
             }
             other => {
-                let what = format!("`{path}` is {} where a block is wanted", other.kind());
+                let name = if path.is_empty() { "the file".to_owned() } else { format!("`{path}`") };
+                let what = format!("{name} is {} where a block is wanted", other.kind());
                 found.push(Finding::error(code::WRONG_TYPE, node.span.clone(), what, "write it as a block"));
                 None
             }
--- a/crates/mothpier-config/tests/properties.rs
+++ b/crates/mothpier-config/tests/properties.rs
@@ -9,6 +9,7 @@
 use mothpier_config::render::render;
 use mothpier_config::{Form, Hosts, Severity, check, code, refused};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 fn file(name: &str) -> Vec<u8> {
     fs::read(Path::new(env!("CARGO_MANIFEST_DIR")).join("corpus/good").join(name)).unwrap()
@@ -18,7 +19,7 @@
     [(Form::Hcl, "plain.hcl"), (Form::Toml, "plain.toml"), (Form::Json, "plain.json")];
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 1_500, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 1_500, rng_seed: RngSeed::Fixed(9), failure_persistence: None, ..ProptestConfig::default() })]
 
     #[test]
     fn no_bytes_panic(bytes in proptest::collection::vec(any::<u8>(), 0..300), form in 0usize..3) {
