--- a/src/policy.rs
+++ b/src/policy.rs
@@ -49,9 +49,9 @@
 const REST: (f64, f64, f64) = (0.3, 0.015, 0.99);
 /// Weights of kinds: step of a review for a difference in busy cores; least; what a review keeps of reports.
 const KINDS: (f64, f64, f64) = (0.03, 0.25, 0.98);
-/// Stated shares: a turn, part of the shortest aim; part of each call in the time that calls take of late, and in
-/// the usual one; how fast a review brings the first back to the second, or one slow call would be held against
-/// the origin until the next; the time of calls before the first, part of the shortest aim.
+/// Stated shares: a turn, part of the shortest aim; part of each call in the time that calls take of late,
+/// and in the usual one; how fast a review brings the first back to the second, or one slow call would be
+/// held against the origin until the next; the time of calls before the first, part of the shortest aim.
 const TURN: (f64, f64, f64, f64, f64) = (0.1, 0.3, 0.02, 0.02, 0.25);
 
 /// Calls of a stated rate that a balancer may save up: with one it would refuse a second request that comes
@@ -417,9 +417,9 @@
         open(0, 1.0) && (call == Call::Write || open(1, GATE_FETCHES))
     }
 
-    /// The gate where the origin's limits are stated for all balancers: this one's part of the cap comes in turns,
-    /// and its part of the rate is saved up. A call may reach into the next turn, whose callers must find room: the
-    /// longer calls take, the fewer begin.
+    /// The gate where the origin's limits are stated for all balancers: this one's part of the cap comes in
+    /// turns, and its part of the rate is saved up. A call may reach into the next turn, whose callers must
+    /// find room: the longer calls take, the fewer begin.
     fn turn_open(&mut self, call: Call, all: Shares) -> bool {
         let nodes = f64::from(self.settings.balancers.max(1));
         let span = ((self.origin_aim as f64 * TURN.0) as Micros).max(1);
--- a/src/state.rs
+++ b/src/state.rs
@@ -122,7 +122,8 @@
         self.credit -= 1.0;
     }
 
-    /// Earns calls of a rate a second up to a bound: a rate below one call in a window is saved up over longer ones.
+    /// Earns calls of a rate a second up to a bound: less than one call in a window is saved up over longer
+    /// ones.
     pub fn earn(&mut self, now: Micros, per_s: f64, most: f64) {
         let earned = per_s * now.saturating_sub(self.earned_at) as f64 / 1e6;
         self.credit = (self.credit + earned).min(most);
@@ -209,8 +210,9 @@
     }
 }
 
-/// The step from turn to turn: about the golden section of the balancers, so that turns of each lie evenly apart however
-/// many are open at once; without a divisor in common with their number, or some would never have a turn.
+/// The step from turn to turn: about the golden section of the balancers, so that turns of each lie evenly
+/// apart however many are open at once; without a divisor in common with their number, or some would never
+/// have a turn.
 pub fn stride(balancers: u32) -> u64 {
     let nodes = u64::from(balancers.max(1));
     let divisor = |mut a: u64, mut b: u64| {
