Policy: a thin balancer's cold bucket holds four; hot keys stay away from cold servers

Each node has 0.25 requests a second for a box, and warm_enough/cold_bucket let each save one attempt at the most: of what a cold box could take two fifths were turned away, and nobody could send before a bucket that began full had run down.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -38,10 +38,16 @@
 const LEVEL_STEPS: (f64, f64) = (0.92, 1.04);
 /// What a review keeps of the counts before it: they tell of about the last aim.
 const FADE: f64 = 0.85;
+/// Reviews in the longest aim.
+const REVIEWS: f64 = 8.0;
 /// Messages to peers: one in so many reviews, counting for so many of those spans, to so many peers in turn.
 const TELL: (u32, u32, u32) = (4, 2, 16);
 /// Each part of a key has at most this part of a server's mean share; longest aims over which shares fade.
 const HEAT: (f64, f64) = (1.0, 10.0);
+/// Least depth of the bucket of attempts at a cold server. A balancer of a large tier sends it less than one in
+/// a window, at odd times: a bucket of one turns two in five of them away (M/D/1 loss at 2/3 of the rate), and
+/// all balancers' together leave it idle; one of four turns away one in thirty.
+const COLD_DEPTH: f64 = 4.0;
 /// Retry budget, a token bucket: it holds so many times what each request adds.
 const RETRY: f64 = 25.0;
 /// A connection rests after this part of the longest aim; part of the attempts whose connection is not made
@@ -169,13 +175,15 @@
 
     fn request(&mut self, r: Request, out: &mut Vec<Action>) {
         let share = self.heat.seen(r.key);
-        let parts = (share * self.ready(false).count() as f64 / HEAT.0).max(1.0);
+        let heat = share * self.ready(false).count() as f64;
+        let parts = (heat / HEAT.0).max(1.0);
         let part = (parts * self.rng.unit()) as u64;
         // Ends some ticks before its time is up, so that the answer is in time when a call comes late.
         let held = Held {
             class: r.class,
             key: r.key,
             order: if r.key == 0 { r.id } else { r.key ^ part.wrapping_mul(0x9e37_79b9_7f4a_7c15) },
+            heat,
             write: r.write,
             slot: r.slot,
             aim_at: self.now + self.settings.classes[r.class].aim,
@@ -298,7 +306,7 @@
         let home = self.slots.home(h.slot);
         let mut best = None;
         for s in self.ready(false).filter(|s| self.may_use(h.class, s) && !h.tried.contains(&s.line.id)) {
-            if !self.warm_enough(h.order, h.tried.is_empty(), s, total) {
+            if !self.warm_enough(h, s, total) {
                 continue;
             }
             let bound = BOUND.0 * f64::from(self.cache_out + 1) * self.weight(s) / total;
@@ -355,10 +363,12 @@
 
     /// Against pushing a cold server over: it gets a part of its keys that grows as it warms, the same keys
     /// from every balancer, no more than a part of a warm server's requests, and nothing turned away
-    /// elsewhere.
-    fn warm_enough(&self, key: Key, first: bool, s: &Server, total: f64) -> bool {
+    /// elsewhere. A key that alone brings more than that part stays away: of it all balancers' buckets
+    /// together hold too much.
+    fn warm_enough(&self, h: &Held, s: &Server, total: f64) -> bool {
         let (warmth, (level, depth)) = (self.warmth(s), self.cold_bucket(s, total));
-        warmth >= 1.0 || (first && unit_hash(key, s.line.id, 1) < warmth && level + 1.0 <= depth)
+        let fits = unit_hash(h.order, s.line.id, 1) < warmth && h.heat <= warmth && level + 1.0 <= depth;
+        warmth >= 1.0 || (h.tried.is_empty() && fits)
     }
 
     /// Level and depth of the bucket of attempts at a server, as cold as it is.
@@ -370,7 +380,7 @@
         // Of hundreds of balancers each may have no more than a part of one attempt.
         let depth = match self.settings.shares {
             Some(_) if depth < 1.0 => self.turns(depth, span, u64::from(s.line.id)),
-            _ => depth.max(1.0),
+            _ => depth.max(COLD_DEPTH),
         };
         (level.max(0.0), depth)
     }
@@ -676,14 +686,18 @@
         if kind != ListKind::Delta {
             self.servers.values_mut().for_each(|s| s.line.condition = Condition::Gone);
         }
+        let young = f64::from(self.reviews) < HEAT.1 * REVIEWS;
         for line in lines {
             let s = self.servers.entry(line.id).or_insert_with(|| Server { part: 1.0, ..Server::default() });
             s.origin = self.settings.origin_kind == Some(line.kind);
             // A new process starts with a clean record.
             if line.started > s.line.started {
                 s.part = 1.0;
-                // Many balancers that may each send one at once would be a burst: they begin out of step.
-                (s.cold_level, s.used) = (self.rng.unit(), self.now);
+                // Many balancers that may each send one at once would be a burst: they begin out of step, and
+                // one that has just started, and knows of no key that it is hot, with none to send.
+                let level =
+                    if young { COLD_DEPTH - 1.0 + self.rng.unit() } else { COLD_DEPTH * self.rng.unit() };
+                (s.cold_level, s.used) = (level, self.now);
             }
             let id = line.id;
             s.line = line;
@@ -725,7 +739,7 @@
 
     /// Moves the level that tenants are held to, by the strain seen lately, and tells peers of the traffic.
     fn review(&mut self, out: &mut Vec<Action>) {
-        let period = (self.aim / 8).max(self.settings.tick).max(1);
+        let period = (self.aim / REVIEWS as Micros).max(self.settings.tick).max(1);
         let was = self.level;
         let strain = self.peers.strain(&self.strain);
         self.review_servers(strain, period);
--- a/src/state.rs
+++ b/src/state.rs
@@ -64,6 +64,8 @@
     pub key: Key,
     /// The key, or the part of a hot one, whose order of servers it follows.
     pub order: Key,
+    /// The key's part of the traffic here of late, in mean shares of a server.
+    pub heat: f64,
     pub write: bool,
     pub missed: bool,
     pub aim_at: Micros,
