--- a/src/policy.rs
+++ b/src/policy.rs
@@ -44,9 +44,9 @@
 const TELL: (u32, u32, u32) = (4, 2, 16);
 /// Each part of a key has at most this part of a server's mean share; longest aims over which shares fade.
 const HEAT: (f64, f64) = (1.0, 10.0);
-/// Least depth of the bucket of attempts at a cold server. A balancer of a large tier sends it less than one in
-/// a window, at odd times: a bucket of one turns two in five of them away (M/D/1 loss at 2/3 of the rate), and
-/// all balancers' together leave it idle; one of four turns away one in thirty.
+/// Least depth of the bucket of attempts at a cold server. A balancer of a large tier sends it less than one
+/// in a window, at odd times: a bucket of one turns two in five of them away (M/D/1 loss at 2/3 of the rate),
+/// and all balancers' together leave it idle; one of four turns away one in thirty.
 const COLD_DEPTH: f64 = 4.0;
 /// Retry budget, a token bucket: it holds so many times what each request adds.
 const RETRY: f64 = 25.0;
