Discovery: a service that is asked is asked for changes, and its turn is waited for

Lines at fault: discovery::run took 'a watch is wanted' for 'lists are pushed'; the decisions ask for a watch before the task first runs, so every node asked the whole list after each break, and gave it up after 1.5 s, before its turn of up to 2 s. Change: whether lists are pushed comes from the settings; a call in turn is waited for as long as a watch. The test fails on the old code, which had no such argument.

--- a/crates/mothpier/src/discovery.rs
+++ b/crates/mothpier/src/discovery.rs
@@ -111,14 +111,15 @@
 pub async fn run<N: Net>(
     net: N,
     mut addresses: watch::Receiver<SocketAddr>,
+    pushed: bool,
     known: Option<u64>,
     mut wanted: watch::Receiver<Wanted>,
     events: mpsc::Sender<Input>,
 ) {
     let (mut connection, mut revision, mut calls, mut failing) = (None, known, 0, false);
     // What was held at the start may be old. An agent gives the whole list at no cost; where discovery is one
-    // service for all, only what changed since is asked for.
-    let pushed = wanted.borrow().watch;
+    // service for all, only what changed since is asked for. Which of the two it is the settings say: whether a watch
+    // is wanted already tells nothing, for the decisions may have asked for one before this task first runs.
     let mut first = pushed;
     let mut moved = false;
     loop {
@@ -148,7 +149,7 @@
                 moved = true;
                 continue;
             }
-            answer = call(&net, &mut connection, address, revision.filter(|_| !whole)) => answer,
+            answer = call(&net, &mut connection, address, revision.filter(|_| !whole), pushed) => answer,
         };
         moved = false;
         let heard = match answer {
@@ -184,6 +185,7 @@
     open: &mut Option<Connection<N>>,
     address: SocketAddr,
     after: Option<u64>,
+    pushed: bool,
 ) -> Result<List, String> {
     let path = match after {
         Some(revision) => format!("/api/targets?after={revision}&wait_ms={}", WAIT.as_millis()),
@@ -196,8 +198,9 @@
     let request =
         hyper::Request::get(path).header("Host", address.to_string()).body(Full::<Bytes>::default());
     let request = request.map_err(|e| e.to_string())?;
-    // A whole list is owed at once: to wait longer for it would take up the time in which a move must be done.
-    let within = if after.is_some() { WAIT + LATE } else { LATE };
+    // An agent owes a whole list at once: to wait longer for it would take up the time in which a move must be done.
+    // A service for all works through its calls in turn; what is given up before its turn is work for nobody.
+    let within = if after.is_some() || !pushed { WAIT + LATE } else { LATE };
     let answer = net.timeout(within, async {
         let response = connection.sender.send_request(request).await.map_err(|e| e.to_string())?;
         if response.status() != 200 {
@@ -209,3 +212,37 @@
     let _ = net.timeout(PAUSE, connection.sender.ready()).await;
     serde_json::from_slice(&body).map_err(|e| format!("unreadable list: {e}"))
 }
+
+#[cfg(test)]
+mod tests {
+    use mothpier_net::Tokio;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+    use super::*;
+
+    /// The decisions may ask for a watch before the task that watches first runs: it took a service for all for an
+    /// agent then, and asked for the whole list after every break, which a hundred nodes never got.
+    #[test]
+    fn a_service_for_all_is_asked_for_changes_alone_also_after_a_break() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            for (pushed, first) in [(false, "GET /api/targets?after=41&"), (true, "GET /api/targets HTTP")] {
+                let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+                let (_moved, addresses) = watch::channel(listener.local_addr().unwrap());
+                let (_wanted, wishes) = watch::channel(Wanted { watch: true, calls: 1 });
+                let (events, _inputs) = mpsc::channel(8);
+                let task = tokio::task::spawn_local(run(Tokio, addresses, pushed, Some(41), wishes, events));
+                for _ in 0..2 {
+                    let (mut stream, _) = listener.accept().await.unwrap();
+                    let mut head = vec![0; 4096];
+                    let length = stream.read(&mut head).await.unwrap();
+                    let head = String::from_utf8_lossy(&head[..length]);
+                    assert!(head.starts_with(first), "{head}");
+                    let answer = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+                    stream.write_all(answer).await.unwrap();
+                }
+                task.abort();
+            }
+        });
+    }
+}
--- a/crates/mothpier/src/lib.rs
+++ b/crates/mothpier/src/lib.rs
@@ -72,6 +72,7 @@
     let clock = Clock::start(net.clone());
     let (events, inputs) = mpsc::channel(QUEUE);
     let site = config.site;
+    let pushed = !site.decisions.ask_discovery;
     let idle_close = Duration::from_micros(site.idle_close);
     let connect_timeout = Duration::from_micros(site.decisions.connect_timeout);
     // Half for clients, half for servers: neither can leave the other without.
@@ -200,7 +201,7 @@
     // Without a list the servers that the file names are all that there are.
     let discovery = config.discovery.map(|at| {
         let (discovery, addresses) = watch::channel(at);
-        net.spawn(discovery::run(net.clone(), addresses, revision, wishes, events.clone()));
+        net.spawn(discovery::run(net.clone(), addresses, pushed, revision, wishes, events.clone()));
         discovery
     });
     if discovery.is_none() {
