--- a/crates/mothpier-membership/src/hand.rs
+++ b/crates/mothpier-membership/src/hand.rs
@@ -113,6 +113,11 @@
         }
     }
 
+    /// What the sources say, without the hand.
+    pub fn listed(&self) -> impl Iterator<Item = &Line> {
+        self.listed.values()
+    }
+
     /// Who is out, and since when.
     pub fn out(&self) -> &BTreeMap<String, u64> {
         &self.out
--- a/crates/mothpier-net/src/lib.rs
+++ b/crates/mothpier-net/src/lib.rs
@@ -4,6 +4,7 @@
 //! calls are tokio's own; the simulation has another, on a virtual clock. The choice is made at compile time, so
 //! that a program for production holds nothing of the simulation.
 
+mod inherited;
 mod tokio_net;
 mod unix;
 
@@ -18,6 +19,7 @@
 use bytes::BytesMut;
 use tokio::io::{AsyncRead, AsyncWrite};
 
+pub use inherited::inherited;
 pub use tokio_net::{Door, Duplex, DuplexReading, DuplexWriting, Tokio};
 pub use unix::UnixPlace;
 
@@ -59,9 +61,21 @@
         async { Err(io::ErrorKind::Unsupported.into()) }
     }
 
+    /// Takes over a listener that the platform opened. Machines without a platform have none.
+    fn adopt(&self, listener: std::net::TcpListener) -> io::Result<Self::Listener> {
+        let _ = listener;
+        Err(io::ErrorKind::Unsupported.into())
+    }
+
     /// Opens a socket for datagrams.
     fn socket(&self, at: SocketAddr) -> impl Future<Output = io::Result<Self::Socket>>;
 
+    /// Opens a socket for datagrams at an address that another process of this node may have open, too: what comes
+    /// goes to the one that opened it last.
+    fn shared_socket(&self, at: SocketAddr) -> impl Future<Output = io::Result<Self::Socket>> {
+        self.socket(at)
+    }
+
     /// Chance that nobody outside can guess: for what must not be forged.
     ///
     /// # Errors
--- a/crates/mothpier-net/src/tokio_net.rs
+++ b/crates/mothpier-net/src/tokio_net.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::BytesMut;
+use socket2::{Domain, Protocol, Socket as Socket2, Type};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream, UdpSocket, UnixStream, tcp, unix};
 use tokio::task::AbortHandle;
@@ -62,6 +63,19 @@
         UdpSocket::bind(at)
     }
 
+    fn adopt(&self, listener: std::net::TcpListener) -> io::Result<Door> {
+        listener.set_nonblocking(true)?;
+        TcpListener::from_std(listener).map(Door::Tcp)
+    }
+
+    async fn shared_socket(&self, at: SocketAddr) -> io::Result<UdpSocket> {
+        let socket = Socket2::new(Domain::for_address(at), Type::DGRAM, Some(Protocol::UDP))?;
+        socket.set_reuse_address(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&at.into())?;
+        UdpSocket::from_std(socket.into())
+    }
+
     fn entropy(&self) -> io::Result<[u8; 32]> {
         let mut seed = [0; 32];
         getrandom::fill(&mut seed).map_err(io::Error::other)?;
--- a/crates/mothpier-world/src/loopback.rs
+++ b/crates/mothpier-world/src/loopback.rs
@@ -2,7 +2,7 @@
 //! a thread each, so that a test reads from top to bottom.
 #![allow(dead_code, missing_docs)]
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -300,15 +300,19 @@
     }
 
     pub fn client(&self) -> Client {
-        let stream = TcpStream::connect(self.address).unwrap();
-        stream.set_read_timeout(Some(HUNG)).unwrap();
-        Client(BufReader::new(stream))
+        Client::connect(self.address)
     }
 }
 
 pub struct Client(BufReader<TcpStream>);
 
 impl Client {
+    pub fn connect(at: SocketAddr) -> Self {
+        let stream = TcpStream::connect(at).unwrap();
+        stream.set_read_timeout(Some(HUNG)).unwrap();
+        Client(BufReader::new(stream))
+    }
+
     pub fn write(&mut self, bytes: impl AsRef<[u8]>) {
         self.0.get_mut().write_all(bytes.as_ref()).unwrap();
     }
@@ -329,7 +333,9 @@
         let mut line = String::new();
         match self.0.read_line(&mut line) {
             Ok(0) => return "end".into(),
-            Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => return "end".into(),
+            Err(e) if matches!(e.kind(), ErrorKind::ConnectionReset | ErrorKind::BrokenPipe) => {
+                return "end".into();
+            }
             other => other.unwrap(),
         };
         let line = line.trim_end().to_owned();
--- a/crates/mothpier/src/clients.rs
+++ b/crates/mothpier/src/clients.rs
@@ -27,6 +27,7 @@
 use crate::messages::{Answer, Claim, ClientEvent, Command, Ids, Input};
 use crate::phase::Phase;
 use crate::resp::{self, MAX_VALUE, Malformed};
+use crate::succession::Share;
 use crate::{Plant, planted};
 
 /// Requests of one connection that may be open; those beyond are refused.
@@ -45,6 +46,8 @@
 /// A first command, and the rest of one that has begun, must come within this time: bad clients are owed an
 /// error or a close within 3 s.
 const HALF: Duration = Duration::from_secs(2);
+/// A connection that comes when others close has so long to ask.
+const FIRST: Duration = Duration::from_millis(300);
 /// A connection that asks nothing for so long is closed: some clients keep theirs for good. The shorter time holds
 /// once half of the connections that there may be are open, for clients can hold only so many and those that are
 /// kept keep others out.
@@ -65,6 +68,8 @@
     pub phase: Rc<Phase>,
     /// Where ends of requests are counted.
     pub figures: Rc<Figures>,
+    /// What this process may use of what the node has.
+    pub share: Rc<Share>,
     /// Where slot-aware clients are served: the tier that they are shown.
     pub tier: Option<Rc<RefCell<Tier>>>,
     /// Where there are more sources of boxes than the list: what they say.
@@ -86,14 +91,16 @@
     /// Requests taken and not ended: each is counted by the guard in its slot.
     taken: Rc<Cell<usize>>,
     figures: Rc<Figures>,
+    share: Rc<Share>,
     /// When it began, and how many connections and commands came since.
     began: Instant,
     connections: Cell<u64>,
     commands: Cell<u64>,
     next_request: Cell<RequestId>,
     ids: Ids,
-    /// Permits of a KB.
+    /// Permits of a KB, and how many there are.
     memory: Arc<Semaphore>,
+    memory_kb: usize,
     most: usize,
     phase: Rc<Phase>,
     events: mpsc::Sender<Input>,
@@ -114,7 +121,7 @@
         net: N,
         site: Site,
         now: Box<dyn Fn() -> Micros>,
-        State { phase, figures, tier, membership, binding }: State,
+        State { phase, figures, share, tier, membership, binding }: State,
         (most, memory): (usize, usize),
         events: mpsc::Sender<Input>,
     ) -> Rc<Self> {
@@ -130,9 +137,11 @@
             now,
             taken: Rc::default(),
             figures,
+            share,
             next_request: Cell::new(1),
             ids: Ids::default(),
             memory: Arc::new(Semaphore::new(memory / 1024)),
+            memory_kb: memory / 1024,
             most,
             phase,
             events,
@@ -158,7 +167,19 @@
 
     /// Whether half of the connections that there may be are open.
     fn crowded(&self) -> bool {
-        self.count() * 2 >= self.most
+        self.count() * 2 >= self.most()
+    }
+
+    /// How many connections there may be: of two processes at once each has its part.
+    fn most(&self) -> usize {
+        Share::of(&self.share.descriptors, self.most).max(1)
+    }
+
+    /// Memory for a request, unless it is full; of two processes at once each has its part.
+    fn memory(&self, kb: usize) -> Option<OwnedSemaphorePermit> {
+        let others = self.memory_kb - Share::of(&self.share.part, self.memory_kb);
+        let room = self.memory.available_permits() >= kb + others;
+        room.then(|| self.memory.clone().try_acquire_many_owned(kb as u32).ok()).flatten()
     }
 
     /// Waits until a connection has closed.
@@ -170,7 +191,7 @@
     pub async fn accept(self: Rc<Self>, listener: N::Listener) {
         let mut number = 0u64;
         loop {
-            if self.count() >= self.most {
+            if self.count() >= self.most() {
                 // At the limit the connection that has been idle longest gives way; if none is, new ones wait.
                 self.evict();
                 tokio::select! {
@@ -206,6 +227,9 @@
                 }
             }
         }
+        if self.phase.is_left() {
+            return;
+        }
         while let Some((stream, _)) = poll_fn(|cx| match listener.poll_accept(cx) {
             Poll::Ready(accepted) => Poll::Ready(accepted.ok()),
             Poll::Pending => Poll::Ready(None),
@@ -445,10 +469,10 @@
             let reads = !self.ended && cut.is_none_or(|cut| now < cut);
             let first = (!self.known && idle).then_some(connected + HALF);
             let half = begun.filter(|_| !self.ended).map(|since| since + HALF);
-            // A connection that comes to an emptied node is likely a front that asks whether it is back.
-            let asks = !self.known && !clients.phase.is_shut();
+            // A connection that has only just come is about to ask: it may be a front that asks whether the node is back.
+            let asks = !self.known && (!clients.phase.is_shut() || clients.phase.is_left());
             let rest = idle.then_some(if closing && begun.is_none() {
-                if asks { connected + HALF / 2 } else { now }
+                if asks { connected + FIRST } else { now }
             } else if rests + IDLE.1 > now || clients.crowded() {
                 rests + IDLE.1
             } else {
@@ -582,7 +606,7 @@
             tier: tier.as_deref(),
             uptime_s: clients.net.since(clients.began).as_secs(),
             clients: clients.count() as u64,
-            most_clients: clients.most as u64,
+            most_clients: clients.most() as u64,
             connections: clients.connections.get(),
             commands: clients.commands.get(),
             open: clients.ids() as u64,
@@ -609,7 +633,7 @@
         let memory = match self.asked < MAX_PIPELINE
             && self.clients.ids.borrow().len() <= self.clients.site.max_open
         {
-            true => self.clients.memory.clone().try_acquire_many_owned(holds as u32).ok(),
+            true => self.clients.memory(holds),
             false => None,
         };
         let mut taken = Taken::of(request.class, &self.clients.taken, memory);
--- a/crates/mothpier/src/config.rs
+++ b/crates/mothpier/src/config.rs
@@ -4,6 +4,7 @@
 pub mod sources;
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use brassrouter::settings::{self, Site};
@@ -14,6 +15,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::messages::List;
+use crate::shelf::{Folder, Shelf};
 
 /// With fewer descriptors a node can't work.
 const LEAST_SOCKETS: usize = 32;
@@ -34,6 +36,10 @@
     pub memory: usize,
     /// Where the operators' staff call; without it nobody does.
     pub operator: Option<SocketAddr>,
+    /// The clients' listener, where the platform holds it and each process of the node inherits it.
+    pub inherited: Option<std::net::TcpListener>,
+    /// Where the processes of one node leave what the next one needs.
+    pub shelf: Option<Rc<dyn Shelf>>,
     /// Where messages of other nodes arrive; without it there are none.
     pub peer_listen: Option<SocketAddr>,
     /// The tier's nodes by their numbers.
@@ -173,6 +179,16 @@
     let path = env("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?;
     let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
     let mut config = parse(&text, &env, precedence).map_err(|e| format!("{path}: {e}"))?;
+    if let Some(number) = env("ROUTER_ACCEPT_FD").filter(|_| precedence == Precedence::Environment) {
+        let listener = mothpier_net::inherited(&number).map_err(|e| format!("ROUTER_ACCEPT_FD: {e}"))?;
+        config.inherited = Some(listener);
+        if let Some(folder) = env("TMPDIR") {
+            match Folder::open(folder.as_ref()) {
+                Ok(folder) => config.shelf = Some(Rc::new(folder)),
+                Err(e) => config.warnings.push(format!("TMPDIR: {folder}: {e}: nothing is handed over")),
+            }
+        }
+    }
     if let Some(path) = env("MOTHPIER_CLUSTER") {
         let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
         let balancers = config.site.decisions.balancers as usize;
@@ -300,6 +316,8 @@
         sockets: file.limits.sockets,
         memory: (file.limits.memory_mb.clamp(16.0, 1e6) * 1048576.0) as usize,
         operator: optional("operator", env("ROUTER_OPERATOR").or(file.operator))?,
+        inherited: None,
+        shelf: None,
         peer_listen: optional("peer_listen", file.peer_listen)?,
         peers: file.peers.into_iter().map(|p| address("peers", Some(p))).collect::<Result<_, _>>()?,
         peers_all: optional("peers_all", file.peers_all)?,
--- a/crates/mothpier/src/figures.rs
+++ b/crates/mothpier/src/figures.rs
@@ -55,7 +55,7 @@
         let of = |class: &String| ["completed", "rejected", "failed"].map(|result| counter(class, result));
         let upstream = IntCounter::with_opts(named(
             "upstream_requests_total",
-            "Attempts written whole to cache servers.",
+            "Attempts written whole to cache servers and the origin.",
         ))?;
         registry.register(Box::new(upstream.clone()))?;
         let states = [
--- /dev/null
+++ b/crates/mothpier/src/handover.rs
@@ -0,0 +1,221 @@
+//! What one process of a node leaves to the next, and how two that live at once agree. Pure: marks with a time, of which
+//! the later one counts, so that either may be told anything in any order.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::messages::List;
+
+/// The form written here; another one is passed over.
+const VERSION: u32 = 1;
+/// The longest state that is read or written: lists of thousands of servers are shorter.
+pub const MOST: usize = 4 << 20;
+/// Marks that are kept, whoever makes them; of more the oldest that say "may serve" go first.
+const MOST_MARKS: usize = 4_096;
+
+/// A word of the staff and when it was said, Unix milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Mark {
+    at: u64,
+    /// Of two at one time the careful one counts.
+    on: bool,
+}
+
+/// What is handed over.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct State {
+    version: u32,
+    node: String,
+    emptied: Mark,
+    /// Cache servers out by hand, or back.
+    hand: BTreeMap<String, Mark>,
+    /// The list as it was last held, and since when.
+    list: Option<List>,
+    #[serde(default)]
+    listed: u64,
+}
+
+impl State {
+    /// Nothing has been said yet.
+    pub fn new(node: &str) -> Self {
+        State { version: VERSION, node: node.into(), ..State::default() }
+    }
+
+    /// Reads a state; the error says why it is none for this node.
+    pub fn read(bytes: &[u8], node: &str) -> Result<Self, String> {
+        if bytes.len() > MOST {
+            return Err(format!("{} bytes are too many", bytes.len()));
+        }
+        let state: State = serde_json::from_slice(bytes).map_err(|e| format!("unreadable: {e}"))?;
+        if state.version != VERSION {
+            return Err(format!("version {} where {VERSION} is known", state.version));
+        }
+        if state.node != node {
+            return Err(format!("it is of node {:.64?}", state.node));
+        }
+        Ok(state.bounded())
+    }
+
+    /// Its bytes; what is too long to be read again goes without the list.
+    pub fn bytes(&self) -> Vec<u8> {
+        let bytes = serde_json::to_vec(self).unwrap_or_default();
+        if bytes.len() <= MOST {
+            return bytes;
+        }
+        serde_json::to_vec(&State { list: None, ..self.clone() }).unwrap_or_default()
+    }
+
+    /// Takes in what another process knows. The result is the same whoever takes in whom.
+    pub fn merge(&mut self, other: State) {
+        self.emptied = self.emptied.max(other.emptied);
+        for (id, mark) in other.hand {
+            let own = self.hand.entry(id).or_default();
+            *own = mark.max(*own);
+        }
+        if other.listed > self.listed {
+            (self.list, self.listed) = (other.list, other.listed);
+        }
+        *self = std::mem::take(self).bounded();
+    }
+
+    /// A server is out by hand, or may serve again.
+    pub fn hand(&mut self, now: u64, id: &str, out: bool) {
+        let before = self.hand.get(id).copied().unwrap_or_default();
+        // Later than what was said before, whatever the clock does.
+        self.hand.insert(id.into(), Mark { at: now.max(before.at + 1), on: out });
+        *self = std::mem::take(self).bounded();
+    }
+
+    /// The node is emptied, or back at work.
+    pub fn empty(&mut self, now: u64, emptied: bool) {
+        self.emptied = Mark { at: now.max(self.emptied.at + 1), on: emptied };
+    }
+
+    /// The list as it is held now.
+    pub fn list(&mut self, now: u64, list: List) {
+        (self.list, self.listed) = (Some(list), now);
+    }
+
+    /// Who is out by hand, and since when.
+    pub fn out(&self) -> BTreeMap<String, u64> {
+        self.hand.iter().filter(|(_, m)| m.on).map(|(id, m)| (id.clone(), m.at)).collect()
+    }
+
+    /// Whether the node is emptied.
+    pub fn emptied(&self) -> bool {
+        self.emptied.on
+    }
+
+    /// The list, if it was held later than at a time.
+    pub fn take_list(&mut self) -> Option<List> {
+        self.list.take()
+    }
+
+    fn bounded(mut self) -> Self {
+        while self.hand.len() > MOST_MARKS {
+            let oldest = self.hand.iter().min_by_key(|(_, m)| (m.on, m.at)).map(|(id, _)| id.clone());
+            oldest.and_then(|id| self.hand.remove(&id));
+        }
+        self
+    }
+}
+
+/// What a process tells the others of its node.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Word {
+    /// It takes clients.
+    pub serving: bool,
+    /// Descriptors that it holds.
+    pub descriptors: usize,
+}
+
+impl Word {
+    /// As it is written.
+    pub fn text(&self) -> String {
+        format!("{} {}\n", u8::from(self.serving), self.descriptors)
+    }
+
+    /// Reads one; what can't be read tells of nothing.
+    pub fn read(text: &str) -> Self {
+        let mut words = text.split_whitespace();
+        let serving = words.next() == Some("1");
+        Word { serving, descriptors: words.next().and_then(|w| w.parse().ok()).unwrap_or_default() }
+    }
+}
+
+/// This process's part of the node: those that serve are alike.
+pub fn part(serving: bool, others: &[Word]) -> f64 {
+    let all = others.iter().filter(|w| w.serving).count() + usize::from(serving);
+    1.0 / all.max(1) as f64
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_either_process_was_told_last_counts_in_both_whoever_reads_first() {
+        let (mut old, mut new) = (State::new("n0"), State::new("n0"));
+        old.hand(100, "a", true);
+        old.hand(100, "b", true);
+        new.merge(old.clone());
+        new.hand(150, "a", false);
+        old.hand(160, "b", true);
+        old.empty(170, true);
+        new.hand(90, "c", true);
+        let (mut one, mut two) = (old.clone(), new.clone());
+        one.merge(new);
+        two.merge(old);
+        assert_eq!(one, two);
+        assert_eq!(one.out().keys().collect::<Vec<_>>(), ["b", "c"]);
+        assert!(one.emptied());
+        // A clock that goes back undoes nothing that is said after.
+        one.hand(10, "b", false);
+        two.merge(one.clone());
+        assert_eq!(two.out().keys().collect::<Vec<_>>(), ["c"]);
+        two.empty(10, false);
+        one.merge(two);
+        assert!(!one.emptied());
+    }
+
+    #[test]
+    fn what_is_cut_foreign_old_or_too_long_is_refused_in_words() {
+        let mut state = State::new("n0");
+        state.hand(5, "a", true);
+        let bytes = state.bytes();
+        assert_eq!(State::read(&bytes, "n0").unwrap(), state);
+        for cut in 0..bytes.len() {
+            assert!(State::read(&bytes[..cut], "n0").is_err(), "{cut}");
+        }
+        for (bytes, why) in [
+            (&bytes[..], "of node"),
+            (
+                br#"{"version":9,"node":"n1","emptied":{"at":0,"on":false},"hand":{},"list":null}"#,
+                "version 9",
+            ),
+            (b"\xff\x00nonsense", "unreadable"),
+            (&vec![b' '; MOST + 1][..], "too many"),
+        ] {
+            assert!(State::read(bytes, "n1").unwrap_err().contains(why), "{why}");
+        }
+        // Callers can't make it grow without end, and who is out stays out.
+        (0..2 * MOST_MARKS as u64).for_each(|i| state.hand(10 + i, &format!("x{i}"), i % 2 == 0));
+        assert_eq!(state.hand.len(), MOST_MARKS);
+        assert!(state.out().contains_key("x0") && state.bytes().len() < MOST);
+    }
+
+    #[test]
+    fn processes_that_serve_are_equal_parts_of_one_node() {
+        let word = |serving| Word { serving, descriptors: 9 };
+        assert_eq!(part(true, &[]), 1.0);
+        assert_eq!(part(true, &[word(false)]), 1.0, "one that only starts takes nothing");
+        assert_eq!(part(true, &[word(true)]), 0.5);
+        assert_eq!(part(false, &[word(true)]), 1.0);
+        assert_eq!(part(true, &[word(true), word(true)]), 1.0 / 3.0);
+        for w in [word(true), word(false)] {
+            assert_eq!(Word::read(&w.text()), w);
+        }
+        assert_eq!(Word::read("\0garbage"), Word::default());
+    }
+}
--- a/crates/mothpier/src/lib.rs
+++ b/crates/mothpier/src/lib.rs
@@ -10,6 +10,7 @@
 mod discovery;
 mod door;
 mod figures;
+mod handover;
 mod http;
 mod membership;
 mod messages;
@@ -22,6 +23,8 @@
 mod plants;
 mod resp;
 mod servers;
+mod shelf;
+mod succession;
 mod topology;
 
 use std::cell::RefCell;
@@ -38,10 +41,13 @@
 use clock::Clock;
 use config::{Config, Listen};
 use figures::Figures;
+pub use handover::Word;
 use node::{Node, Parts};
 use operations::Operations;
 pub use operations::{Call, Reply};
 use phase::Phase;
+pub use shelf::{Folder, Shelf};
+use succession::{Share, Succession};
 
 pub use messages::Census;
 #[cfg(feature = "plants")]
@@ -94,6 +100,7 @@
         + if config.operator.is_some() { door::CALLERS + 1 } else { 0 };
     let descriptors = config.sockets.saturating_sub(own) / 2;
     let figures = Rc::new(Figures::new(&site.classes).map_err(|e| format!("cannot count: {e}"))?);
+    let share = Rc::new(Share::default());
     let limits = servers::Limits {
         balancers: site.decisions.balancers as usize,
         // A request that may have one attempt out must close the connection of one given up, so that no other
@@ -105,6 +112,7 @@
         read_copies: config.boxes.as_ref().is_some_and(|b| b.read_copies),
         tier: config.sidecar.as_ref().is_some_and(|s| s.tier),
         figures: figures.clone(),
+        share: share.clone(),
     };
     config.warnings.iter().take(MOST_WARNINGS).for_each(|line| net.log(line));
     let me = site.decisions.me as usize;
@@ -120,7 +128,7 @@
         Some(listen) => {
             let opened = peers::Peers::open(
                 &net,
-                listen,
+                (listen, config.inherited.is_some()),
                 config.peers,
                 config.peers_all,
                 tier.clone(),
@@ -171,6 +179,7 @@
             idle_close,
             connect_timeout,
             descriptors / 4,
+            figures.clone(),
             events.clone(),
         ),
         peers,
@@ -178,9 +187,11 @@
         phase: phase.clone(),
     };
     let revision = config.known.as_ref().map(|l| l.revision);
-    let listener = match &config.listen {
-        Listen::Address(address) => net.listen(*address).await,
-        Listen::Unix(place) => net.listen_unix(place).await,
+    let inherits = config.inherited.is_some();
+    let listener = match (config.inherited, &config.listen) {
+        (Some(inherited), _) => net.adopt(inherited),
+        (None, Listen::Address(address)) => net.listen(*address).await,
+        (None, Listen::Unix(place)) => net.listen_unix(place).await,
     };
     let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     let door = match config.operator {
@@ -205,6 +216,7 @@
         clients::State {
             phase: phase.clone(),
             figures: figures.clone(),
+            share: share.clone(),
             tier: tier.clone(),
             membership: membership.clone(),
             binding: config.sidecar.map(|s| s.binding),
@@ -219,9 +231,13 @@
     // Dropped with their tasks: whoever waits for the other end learns that they have ended, however.
     let (lives, mut node_ended) = oneshot::channel::<()>();
     let (orders, ordered) = mpsc::channel(ORDERS);
+    let succession =
+        config.shelf.map(|shelf| Rc::new(Succession::open(&net, shelf, &config.name, config.sockets)));
+    // What the process before held is newer than what the platform wrote down.
+    let known = succession.as_ref().and_then(|s| s.list()).or(config.known);
     net.spawn(async move {
         let _lives = lives;
-        node.run(config.known, inputs, ordered).await;
+        node.run(known, inputs, ordered).await;
     });
     // Without a list the servers that the file names are all that there are.
     let discovery = config.discovery.map(|at| {
@@ -233,9 +249,13 @@
         phase.listed();
     }
     let (accepts, accepting) = oneshot::channel::<()>();
-    let accept = clients.clone().accept(listener);
+    let (accept, listed) = (clients.clone().accept(listener), phase.clone());
     net.spawn(async move {
         let _accepts = accepts;
+        // Beside another process nobody is let in before this one could serve as well.
+        if inherits {
+            listed.until_listed().await;
+        }
         accept.await;
     });
     let (later, without) = (net.clone(), phase.clone());
@@ -249,7 +269,11 @@
         figures,
         clients: clients.clone(),
         orders,
+        succession: succession.clone(),
     });
+    if let Some(succession) = &succession {
+        net.spawn(succession::run(operations.clone(), succession.clone(), share));
+    }
     if let Some(door) = door {
         net.spawn(door::run(operations.clone(), door));
     }
@@ -279,8 +303,12 @@
         tell_tier();
     }
     let kill = net.now() + Duration::from_micros(longest) + KEEP_ACCEPTING;
-    net.sleep(KEEP_ACCEPTING).await;
-    phase.shut(net.now());
+    // Where another process serves at the same socket, what waits there is left to it.
+    let left = succession.as_ref().is_some_and(|s| s.accompanied());
+    if !left {
+        net.sleep(KEEP_ACCEPTING).await;
+    }
+    phase.shut(net.now(), left);
     let _ = accepting.await;
     let all_closed = async {
         while clients.count() > 0 && !planted(Plant::HastyStop) {
--- a/crates/mothpier/src/messages.rs
+++ b/crates/mothpier/src/messages.rs
@@ -2,7 +2,7 @@
 //! origin, discovery and peers bring an [`Input`], and the node alone drives them.
 
 use std::cell::RefCell;
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use mothpier_membership::hand::Refused;
 use redis_protocol::resp2::types::BytesFrame;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
 use crate::resp;
@@ -49,6 +49,12 @@
 pub enum Order {
     /// A cache server is out by hand, or may serve again; told whether that changed anything once it is so.
     Hand { id: String, out: bool, tell: oneshot::Sender<Result<bool, Refused>> },
+    /// Who is out by hand as of now, whoever was told.
+    Out(BTreeMap<String, u64>),
+    /// This process is so much of the node.
+    Part(f64),
+    /// The list as it is held, if that is another one than the number says.
+    List { held: u64, tell: oneshot::Sender<Option<(u64, List)>> },
     /// How many cache servers there are, and how many of them are avoided.
     States(oneshot::Sender<(usize, usize)>),
 }
@@ -98,7 +104,7 @@
 }
 
 /// A list of servers as it comes, whole or only what changed.
-#[derive(Clone, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct List {
     pub revision: u64,
     pub complete: bool,
@@ -106,7 +112,7 @@
 }
 
 /// One server in a list.
-#[derive(Clone, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct Member {
     pub id: String,
     #[serde(default)]
--- a/crates/mothpier/src/node.rs
+++ b/crates/mothpier/src/node.rs
@@ -100,6 +100,8 @@
     numbers: Numbers,
     /// Who is out by hand, before anything is made of the list.
     hand: Hand,
+    /// How many lists and changes of it have come.
+    lists: u64,
     origin_ids: HashSet<ServerId>,
     open: HashMap<RequestId, Open>,
     flights: HashMap<AttemptId, Flight<N>>,
@@ -121,6 +123,7 @@
         let origin = site.decisions.origin_kind.and_then(|k| site.kinds.get(usize::from(k)).cloned());
         Node {
             hand: Hand::new(origin),
+            lists: 0,
             net,
             policy: Policy::new(site.decisions.clone(), seed),
             site,
@@ -307,6 +310,19 @@
                 let done = self.by_hand(&id, out);
                 let _ = tell.send(done);
             }
+            Order::Out(out) => {
+                let lines = self.hand.take_over(self.clock.now() / 1000, &out);
+                self.changed(lines);
+            }
+            Order::Part(part) => {
+                self.events.push_back(Event::Part(part));
+                self.settle();
+            }
+            Order::List { held, tell } => {
+                let members = || self.hand.listed().cloned().map(membership::member).collect();
+                let list = || List { revision: 0, complete: true, members: members() };
+                let _ = tell.send((self.lists != held).then(|| (self.lists, list())));
+            }
             Order::States(tell) => {
                 let avoided: HashSet<ServerId> = self.policy.avoided().collect();
                 let numbers = &mut self.numbers;
@@ -339,6 +355,7 @@
     /// Takes over what the sources say, but for what the hand says otherwise.
     fn list(&mut self, list: List, kind: ListKind) {
         let lines = list.members.into_iter().map(membership::line).collect();
+        self.lists += 1;
         let lines = self.hand.list(kind != ListKind::Delta, lines);
         self.take(List { members: lines.into_iter().map(membership::member).collect(), ..list }, kind);
     }
@@ -764,6 +781,7 @@
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
         tokio::task::LocalSet::new().block_on(&runtime, async {
             let (events, _inputs) = mpsc::channel(8);
+            let figures = Rc::new(crate::figures::Figures::new(&[]).unwrap());
             let limits = servers::Limits {
                 balancers: 1,
                 multiplex: 32,
@@ -772,12 +790,20 @@
                 descriptors: 8,
                 read_copies: false,
                 tier: false,
-                figures: Rc::new(crate::figures::Figures::new(&[]).unwrap()),
+                figures: figures.clone(),
+                share: Rc::default(),
             };
             let parts = Parts {
                 cluster: None,
                 servers: Servers::new(Tokio, limits, events.clone()),
-                origins: Origins::new(Tokio, Duration::from_secs(60), Duration::from_secs(30), 8, events),
+                origins: Origins::new(
+                    Tokio,
+                    Duration::from_secs(60),
+                    Duration::from_secs(30),
+                    8,
+                    figures.clone(),
+                    events,
+                ),
                 peers: None,
                 membership: None,
                 wanted: watch::channel(Wanted::default()).0,
--- a/crates/mothpier/src/operations.rs
+++ b/crates/mothpier/src/operations.rs
@@ -1,5 +1,6 @@
 //! What the operators' staff can ask of a running node, however they reach it. A yes is said when the thing is in effect.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use crate::figures::{Figures, States};
 use crate::messages::Order;
 use crate::phase::Phase;
+use crate::succession::Succession;
 
 /// After a front has heard the first no it sends new connections for another 0.2 s, and it may ask only every 0.1 s;
 /// the rest is for what is on its way.
@@ -52,6 +54,8 @@
     pub clients: Rc<Clients<N>>,
     /// Before all that clients ask.
     pub orders: mpsc::Sender<Order>,
+    /// Where another process may take this one's place.
+    pub succession: Option<Rc<Succession>>,
 }
 
 impl<N: Net> Operations<N> {
@@ -59,16 +63,28 @@
     pub async fn call(self: Rc<Self>, call: Call) -> Reply {
         match call {
             Call::Ready => match self.phase.ready() {
-                Ok(()) => Reply::Yes("ready\n".into()),
+                Ok(()) => {
+                    if let Some(succession) = &self.succession {
+                        succession.tell(self.phase.serves());
+                    }
+                    Reply::Yes("ready\n".into())
+                }
                 Err(why) => Reply::No(format!("not ready: {why}\n")),
             },
             Call::Figures => self.scrape().await,
             Call::Exclude(id) => self.by_hand(id, true).await,
             Call::Include(id) => self.by_hand(id, false).await,
-            Call::Evacuate => self.evacuate(),
+            Call::Evacuate => {
+                self.clone().empty();
+                if let Some(succession) = &self.succession {
+                    succession.said(&self.net, |state, now| state.empty(now, true));
+                }
+                Reply::Yes("evacuating\n".into())
+            }
             Call::Rejoin => {
-                if self.phase.refill() {
-                    self.net.log("back to work: takes requests again");
+                self.refill();
+                if let Some(succession) = &self.succession {
+                    succession.said(&self.net, |state, now| state.empty(now, false));
                 }
                 match self.phase.ready() {
                     Ok(()) => Reply::Yes("at work\n".into()),
@@ -96,6 +112,9 @@
         let what = if out { "out by hand" } else { "may serve" };
         match done {
             Ok(changed) => {
+                if let Some(succession) = &self.succession {
+                    succession.said(&self.net, |state, now| state.hand(now, &id, out));
+                }
                 if changed {
                     self.net.log(format_args!("cache server {id} {what}"));
                 }
@@ -106,7 +125,23 @@
         }
     }
 
-    fn evacuate(self: Rc<Self>) -> Reply {
+    /// Does as another process of the node was told.
+    pub async fn agree(self: &Rc<Self>, out: BTreeMap<String, u64>, emptied: bool) {
+        let _ = self.orders.send(Order::Out(out)).await;
+        if emptied {
+            self.clone().empty();
+        } else {
+            self.refill();
+        }
+    }
+
+    fn refill(&self) {
+        if self.phase.refill() {
+            self.net.log("back to work: takes requests again");
+        }
+    }
+
+    fn empty(self: Rc<Self>) {
         if let Some(call) = self.phase.empty() {
             self.net.log("emptied by hand: connections close, requests are answered to their ends");
             let net = self.net.clone();
@@ -115,7 +150,6 @@
                 self.phase.close_emptied(call, net.now());
             });
         }
-        Reply::Yes("evacuating\n".into())
     }
 }
 
--- a/crates/mothpier/src/origin.rs
+++ b/crates/mothpier/src/origin.rs
@@ -15,6 +15,7 @@
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, percent_encode};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 
+use crate::figures::Figures;
 use crate::http::{self, Connection};
 use crate::messages::{AttemptId, Command, Input, OriginEnded as Ended};
 use crate::resp::MAX_VALUE;
@@ -24,6 +25,8 @@
 const FRESH: f64 = 0.7;
 /// After its head an answer's body comes within this time.
 const BEGUN: Duration = Duration::from_millis(250);
+/// A call that has not ended by then is written: it goes to a socket of this machine.
+const WRITTEN: Duration = Duration::from_millis(20);
 /// What of a key stands in a path as something else: all that a path segment can't hold as it is.
 const ENCODED: &AsciiSet = &NON_ALPHANUMERIC
     .remove(b'-')
@@ -50,22 +53,30 @@
     }
 }
 
+/// How far a call has come.
+struct Progress {
+    /// It has begun to be written.
+    begun: Cell<bool>,
+    /// Where it counts once it is written; a probe counts nowhere.
+    counts: Option<Rc<Figures>>,
+}
+
 /// A call that is out.
 pub struct Call<N: Net> {
-    written: Rc<Cell<bool>>,
+    progress: Rc<Progress>,
     task: N::Task,
 }
 
 impl<N: Net> Call<N> {
     /// Whether it has begun to be written.
     pub fn begun(&self) -> bool {
-        self.written.get()
+        self.progress.begun.get()
     }
 
     /// Stops waiting, which closes its connection; whether it may have run.
     pub fn give_up(self) -> bool {
         self.task.abort();
-        self.written.get()
+        self.progress.begun.get()
     }
 }
 
@@ -86,6 +97,7 @@
     connect_timeout: Duration,
     /// Connections that may be open to all together.
     descriptors: Arc<Semaphore>,
+    figures: Rc<Figures>,
     events: mpsc::Sender<Input>,
 }
 
@@ -95,11 +107,12 @@
         idle_close: Duration,
         connect_timeout: Duration,
         descriptors: usize,
+        figures: Rc<Figures>,
         events: mpsc::Sender<Input>,
     ) -> Self {
         let descriptors = Arc::new(Semaphore::new(descriptors.max(1)));
         let idle_close = idle_close.mul_f64(FRESH);
-        Origins { net, pools: HashMap::new(), idle_close, connect_timeout, descriptors, events }
+        Origins { net, pools: HashMap::new(), idle_close, connect_timeout, descriptors, figures, events }
     }
 
     /// Takes a line of the list of one that is not gone.
@@ -144,7 +157,7 @@
             .header("X-Extras", command.extras.as_ref())
             .body(Full::new(command.value.clone().unwrap_or_default()))
             .ok()?;
-        Some(self.spawn(pool, address, attempt, request))
+        Some(self.spawn(pool, address, (attempt, true), request))
     }
 
     /// Asks an origin for its load.
@@ -153,25 +166,26 @@
         let address = pool.address?;
         let request =
             Request::get("/-/load").header("Host", address.to_string()).body(Full::default()).ok()?;
-        Some(self.spawn(pool, address, attempt, request))
+        Some(self.spawn(pool, address, (attempt, false), request))
     }
 
     fn spawn(
         &self,
         pool: Rc<Pool<N>>,
         address: SocketAddr,
-        attempt: AttemptId,
+        (attempt, counts): (AttemptId, bool),
         request: Request<Full<Bytes>>,
     ) -> Call<N> {
-        let written = Rc::new(Cell::new(false));
-        let (begun, events) = (written.clone(), self.events.clone());
+        let progress =
+            Rc::new(Progress { begun: Cell::new(false), counts: counts.then(|| self.figures.clone()) });
+        let (written, events) = (progress.clone(), self.events.clone());
         let (fresh, within, descriptors) = (self.idle_close, self.connect_timeout, self.descriptors.clone());
         let net = self.net.clone();
         let task = self.net.spawn(async move {
-            let ended = exchange(&net, &pool, address, request, (fresh, within), descriptors, &begun).await;
+            let ended = exchange(&net, &pool, address, request, (fresh, within), descriptors, &written).await;
             let _ = events.send(Input::Origin { attempt, ended }).await;
         });
-        Call { written, task }
+        Call { progress, task }
     }
 
     /// Closes the connections to an origin that carry nothing.
@@ -189,7 +203,7 @@
     request: Request<Full<Bytes>>,
     (fresh, within): (Duration, Duration),
     descriptors: Arc<Semaphore>,
-    begun: &Cell<bool>,
+    progress: &Progress,
 ) -> Ended {
     // Once round the runtime: a close that has come in is noticed before a connection is chosen, or a write that
     // must not run twice would be lost on it.
@@ -211,8 +225,18 @@
     if !pool.ready.get() {
         return Ended::with(Status::NotSent);
     }
-    begun.set(true);
-    let response = match connection.sender.try_send_request(request).await {
+    progress.begun.set(true);
+    let mut sending = std::pin::pin!(connection.sender.try_send_request(request));
+    // It is written whole by then, or its connection has ended.
+    let early = net.timeout(WRITTEN, sending.as_mut()).await;
+    if !matches!(&early, Some(Err(e)) if e.message().is_some()) {
+        progress.counts.iter().for_each(|figures| figures.attempt());
+    }
+    let sent = match early {
+        Some(sent) => sent,
+        None => sending.await,
+    };
+    let response = match sent {
         Ok(response) => response,
         // Given back: the connection had ended before any of it was written.
         Err(e) if e.message().is_some() => return Ended::with(Status::ConnectFailed),
--- a/crates/mothpier/src/peers.rs
+++ b/crates/mothpier/src/peers.rs
@@ -27,13 +27,14 @@
     /// Opens the socket and begins to listen. Messages of strangers and overlong ones are dropped.
     pub async fn open(
         net: &N,
-        listen: SocketAddr,
+        (listen, shared): (SocketAddr, bool),
         addresses: Vec<SocketAddr>,
         all: Option<SocketAddr>,
         tier: Option<Rc<RefCell<Tier>>>,
         events: mpsc::Sender<Input>,
     ) -> std::io::Result<Self> {
-        let socket = Rc::new(net.socket(listen).await?);
+        let socket = if shared { net.shared_socket(listen).await? } else { net.socket(listen).await? };
+        let socket = Rc::new(socket);
         let (inbox, known) = (socket.clone(), addresses.clone());
         let machine = net.clone();
         net.spawn(async move {
--- a/crates/mothpier/src/phase.rs
+++ b/crates/mothpier/src/phase.rs
@@ -33,13 +33,17 @@
     closing: Cell<Option<Instant>>,
     /// No connection is let in.
     shut: Cell<bool>,
+    /// What waits to be let in is left to another process at the same socket.
+    left: Cell<bool>,
     changed: Notify,
 }
 
 impl Phase {
     /// There is a list of servers, or none is waited for.
     pub fn listed(&self) {
-        self.listed.set(true);
+        if !self.listed.replace(true) {
+            self.changed.notify_waiters();
+        }
     }
 
     /// What keeps it from work, in words.
@@ -56,6 +60,22 @@
         if self.stopping.get() { Err("stopping") } else { self.at_work() }
     }
 
+    /// Whether this process lets clients in.
+    pub fn serves(&self) -> bool {
+        self.listed.get() && !self.shut.get()
+    }
+
+    /// Waits until there is a list of servers.
+    pub async fn until_listed(&self) {
+        loop {
+            let word = self.word();
+            if self.listed.get() {
+                return;
+            }
+            word.await;
+        }
+    }
+
     /// Staff call it off: it says no from now on. Gives the number of the call where it was at work until now.
     pub fn empty(&self) -> Option<u64> {
         let before = self.emptied.replace(true);
@@ -84,9 +104,10 @@
         self.stopping.set(true);
     }
 
-    /// Nothing more is let in, and connections close.
-    pub fn shut(&self, now: Instant) {
+    /// Nothing more is let in, and connections close; another process may let in what waits.
+    pub fn shut(&self, now: Instant, left: bool) {
         self.shut.set(true);
+        self.left.set(left);
         self.close(now);
     }
 
@@ -105,6 +126,11 @@
         self.closing.get().map(|since| since + CUT)
     }
 
+    /// Whether another process lets in what waits.
+    pub fn is_left(&self) -> bool {
+        self.left.get()
+    }
+
     /// Whether nothing more is let in.
     pub fn is_shut(&self) -> bool {
         self.shut.get()
@@ -162,7 +188,7 @@
         phase.listed();
         phase.stop();
         assert_eq!((phase.at_work(), phase.ready()), (Ok(()), Err("stopping")));
-        phase.shut(now);
+        phase.shut(now, false);
         let call = phase.empty().unwrap();
         phase.close_emptied(call, now + CUT);
         assert!(phase.refill());
--- a/crates/mothpier/src/servers.rs
+++ b/crates/mothpier/src/servers.rs
@@ -16,6 +16,7 @@
 
 use crate::figures::Figures;
 use crate::messages::{AttemptId, Input, ServerEvent as Event};
+use crate::succession::Share;
 use crate::{Plant, planted, resp};
 
 /// Connections of the whole tier to one server that are aimed at: servers hold few, each takes some of its
@@ -65,6 +66,8 @@
     pub tier: bool,
     /// Where attempts are counted.
     pub figures: Rc<Figures>,
+    /// What this process may use of what the node has.
+    pub share: Rc<Share>,
 }
 
 /// A command that is to be written.
@@ -316,14 +319,15 @@
             return true;
         }
         let part = (TIER_CONNECTIONS / self.limits.balancers.max(1)).clamp(1, MOST_CONNECTIONS);
-        let part = part.min((self.limits.descriptors / self.ready.max(1)).max(1));
+        let descriptors = Share::of(&self.limits.share.descriptors, self.limits.descriptors).max(1);
+        let part = part.min((descriptors / self.ready.max(1)).max(1));
         let open = pool.connections.iter().filter(|c| !c.retired).count();
         // A connection that is held up by what was given up does not count: it may never move again.
         let moving =
             pool.connections.iter().filter(|c| !c.shared.line.borrow().stalled() && !c.retired).count();
         let may_open = (moving == 0 || now >= pool.alone_until) && open < MOST_CONNECTIONS;
         if let Some(address) =
-            pool.address.filter(|_| moving < part && may_open && self.all.get() < self.limits.descriptors)
+            pool.address.filter(|_| moving < part && may_open && self.all.get() < descriptors)
         {
             self.numbers += 1;
             self.all.set(self.all.get() + 1);
@@ -684,6 +688,7 @@
             read_copies: false,
             tier: false,
             figures: Rc::new(Figures::new(&[]).unwrap()),
+            share: Rc::default(),
         }
     }
 
--- /dev/null
+++ b/crates/mothpier/src/shelf.rs
@@ -0,0 +1,167 @@
+//! Where a node leaves what its next process needs: a folder that both see. Files of other makers, half-written ones and
+//! those of the dead are passed over; without the folder a node starts as from nothing.
+
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Read, Seek, Write};
+use std::os::unix::fs::MetadataExt;
+use std::path::{Path, PathBuf};
+
+use crate::handover::{MOST, Word};
+
+/// The state.
+const STATE: &str = "mothpier.state";
+/// Files that live processes hold a lock on begin so.
+const ALIVE: &str = "mothpier.alive.";
+/// Files of the folder that are looked at.
+const MOST_FILES: usize = 256;
+/// To get a lock on a file of its own.
+const TRIES: u32 = 100;
+
+/// A place that the processes of one node share.
+pub trait Shelf {
+    /// The state as it was last left; `None` where there is none.
+    fn read(&self) -> Option<Vec<u8>>;
+
+    /// Leaves a state, whole or not at all.
+    ///
+    /// # Errors
+    ///
+    /// A folder that takes nothing more.
+    fn write(&self, bytes: &[u8]) -> io::Result<()>;
+
+    /// Tells the others whether this process serves; they know by themselves when it is dead.
+    fn tell(&self, serving: bool);
+
+    /// What the others that live have told.
+    fn others(&self) -> Vec<Word>;
+}
+
+/// A folder.
+pub struct Folder {
+    folder: PathBuf,
+    own: PathBuf,
+    /// Locked for as long as this process lives.
+    lock: File,
+}
+
+impl Folder {
+    /// Takes a place in a folder.
+    ///
+    /// # Errors
+    ///
+    /// A folder that can't be written to, or has no locks.
+    pub fn open(folder: &Path) -> io::Result<Self> {
+        let own = folder.join(format!("{ALIVE}{}", std::process::id()));
+        for _ in 0..TRIES {
+            let lock = OpenOptions::new().create(true).truncate(true).read(true).write(true).open(&own)?;
+            // Another process may take a file that is not locked yet for that of a dead one, and remove it.
+            let locked = lock.try_lock().map_err(io::Error::from);
+            if let Err(e) = locked.as_ref()
+                && e.kind() != io::ErrorKind::WouldBlock
+            {
+                locked?;
+            } else if locked.is_ok()
+                && fs::metadata(&own).is_ok_and(|m| lock.metadata().is_ok_and(|l| l.ino() == m.ino()))
+            {
+                return Ok(Folder { folder: folder.into(), own, lock });
+            }
+        }
+        Err(io::ErrorKind::ResourceBusy.into())
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = fs::remove_file(&self.own);
+    }
+}
+
+impl Shelf for Folder {
+    fn read(&self) -> Option<Vec<u8>> {
+        let mut bytes = Vec::new();
+        let file = File::open(self.folder.join(STATE)).ok()?;
+        // One byte more than may be: that tells what is too long.
+        file.take(MOST as u64 + 1).read_to_end(&mut bytes).ok()?;
+        Some(bytes)
+    }
+
+    fn write(&self, bytes: &[u8]) -> io::Result<()> {
+        let beside = self.folder.join(format!("{STATE}.{}", std::process::id()));
+        fs::write(&beside, bytes)?;
+        fs::rename(&beside, self.folder.join(STATE))
+    }
+
+    fn tell(&self, serving: bool) {
+        let mut file = &self.lock;
+        let descriptors = fs::read_dir("/proc/self/fd").map_or(0, Iterator::count);
+        let word = Word { serving, descriptors };
+        let text = word.text();
+        // A reader in between finds a word that tells of nothing, and looks again soon.
+        let _ = file
+            .rewind()
+            .and_then(|()| file.write_all(text.as_bytes()))
+            .and_then(|()| file.set_len(text.len() as u64));
+    }
+
+    fn others(&self) -> Vec<Word> {
+        let Ok(files) = fs::read_dir(&self.folder) else { return Vec::new() };
+        let mut words = Vec::new();
+        for path in files.take(MOST_FILES).filter_map(Result::ok).map(|f| f.path()) {
+            let named = path.file_name().and_then(|n| n.to_str()).is_some_and(|n| n.starts_with(ALIVE));
+            if !named || path == self.own {
+                continue;
+            }
+            let Ok(file) = File::open(&path) else { continue };
+            if file.try_lock_shared().is_ok() {
+                // Its process is dead, however it ended.
+                let _ = fs::remove_file(&path);
+                continue;
+            }
+            let mut text = String::new();
+            let _ = file.take(64).read_to_string(&mut text);
+            words.push(Word::read(&text));
+        }
+        words
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_dead_are_known_and_a_state_is_whole_or_not_there() {
+        let folder = std::env::temp_dir().join(format!("mothpier-shelf-{}", std::process::id()));
+        let _ = fs::remove_dir_all(&folder);
+        assert!(Folder::open(&folder).is_err(), "no such folder");
+        fs::create_dir_all(&folder).unwrap();
+        let shelf = Folder::open(&folder).unwrap();
+        assert_eq!((shelf.read(), shelf.others()), (None, Vec::new()));
+        shelf.write(b"one").unwrap();
+        shelf.write(b"two").unwrap();
+        assert_eq!(shelf.read().unwrap(), b"two");
+        // A live one, a dead one, foreign ones.
+        let live = folder.join(format!("{ALIVE}1"));
+        fs::write(&live, Word { serving: true, descriptors: 7 }.text()).unwrap();
+        let held = File::open(&live).unwrap();
+        held.lock().unwrap();
+        fs::write(folder.join(format!("{ALIVE}2")), "1 9\n").unwrap();
+        fs::write(folder.join("other"), "x").unwrap();
+        fs::create_dir(folder.join(format!("{ALIVE}dir"))).unwrap();
+        let words = shelf.others();
+        assert!(words.contains(&Word { serving: true, descriptors: 7 }), "{words:?}");
+        assert!(!folder.join(format!("{ALIVE}2")).exists() && live.exists() && folder.join("other").exists());
+        for serving in [true, false] {
+            shelf.tell(serving);
+            let own = Word::read(&fs::read_to_string(&shelf.own).unwrap());
+            assert!(own.serving == serving && own.descriptors > 2, "{own:?}");
+        }
+        drop(held);
+        assert!(shelf.others().iter().all(|w| w.descriptors != 7));
+        // One that is too long is read as such.
+        shelf.write(&vec![b'x'; MOST + 9]).unwrap();
+        assert_eq!(shelf.read().unwrap().len(), MOST + 1);
+        drop(shelf);
+        fs::remove_dir_all(&folder).unwrap();
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -378,6 +378,8 @@
         /// Its lines.
         servers: Vec<ServerLine>,
     },
+    /// This process is such a part of the balancer from now on: while another one takes its place, both serve.
+    Part(f64),
     /// Which servers hold which slots, where the cache servers form a cluster.
     Slots {
         /// Whether slots that it does not name are nobody's; they stay as they were otherwise.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -87,6 +87,8 @@
     senders: Vec<Sender>,
     peers: Peers,
     level: f64,
+    /// This process's part of the balancer: 1 but while another one takes its place.
+    part: f64,
     strain: Ratio,
     /// Attempts whose connection was not made in time.
     slow_connects: Ratio,
@@ -122,6 +124,7 @@
             rng: Random::new(seed),
             last_told: seed as u32 >> 1,
             level: LEVEL.1,
+            part: 1.0,
             retry_budget: settings.retry_budget * RETRY,
             // Calls of an earlier life of this balancer may still run: the gate opens gradually.
             gate: Gate {
@@ -148,6 +151,7 @@
             Event::ServerList { kind: ListKind::Failed, .. } => self.discovery_failed(out),
             Event::ServerList { kind, servers } => self.server_list(kind, servers, out),
             Event::Slots { whole, ranges } => self.slots.take(whole, ranges),
+            Event::Part(part) => self.part = part.clamp(0.01, 1.0),
             Event::Request(request) => self.request(request, out),
             Event::Outcome(outcome) => self.outcome(outcome, out),
             // A streamed answer belongs to the client: nothing is owed from here on.
@@ -386,7 +390,7 @@
         // Of hundreds of balancers each may have no more than a part of one attempt.
         let depth = match self.settings.shares {
             Some(_) if depth < 1.0 => self.turns(depth, span, u64::from(s.line.id)),
-            _ => depth.max(COLD_DEPTH),
+            _ => depth.max(COLD_DEPTH * self.part),
         };
         (level.max(0.0), depth)
     }
@@ -425,11 +429,12 @@
         }
         let share = if self.gate.quota_share > 0.0 { self.gate.quota_share } else { self.admitted.per_s };
         let window = self.aim as f64 * GATE_RATE.2;
-        let tally = (share * GATE_RATE.0).max(GATE_RATE.1) * window / 1e6;
+        let tally = (share * GATE_RATE.0 * self.part).max(GATE_RATE.1) * window / 1e6;
         self.gate.roll(self.now, window as Micros);
         let g = &self.gate;
         let room = |count: u32, limit: f64| f64::from(count + 1) <= limit.max(1.0);
-        let open = |i: usize, part: f64| room(g.out[i], g.limit * part) && room(g.tally[i], tally * part);
+        let cap = g.limit * self.part;
+        let open = |i: usize, part: f64| room(g.out[i], cap * part) && room(g.tally[i], tally * part);
         open(0, 1.0) && (call == Call::Write || open(1, GATE_FETCHES))
     }
 
@@ -440,13 +445,13 @@
         let nodes = f64::from(self.settings.balancers.max(1));
         let span = ((self.origin_aim as f64 * TURN.0) as Micros).max(1);
         let reach = span as f64 / (span as f64 + self.gate.took);
-        let per_s = all.origin_per_s / nodes;
+        let per_s = all.origin_per_s / nodes * self.part;
         if per_s.is_finite() {
             self.gate.earn(self.now, per_s, (per_s * span as f64 / 1e6).max(SAVED));
         } else {
             self.gate.credit = 1.0;
         }
-        let cap = |part: f64| self.turns(self.gate.limit * reach * part, span, 0);
+        let cap = |part: f64| self.turns(self.gate.limit * self.part * reach * part, span, 0);
         let room = |i: usize, part: f64| f64::from(self.gate.out[i] + 1) <= cap(part);
         self.gate.credit >= 1.0 && room(0, 1.0) && (call == Call::Write || room(1, GATE_FETCHES))
     }
