--- a/crates/mothpier-world/src/loopback.rs
+++ b/crates/mothpier-world/src/loopback.rs
@@ -328,6 +328,14 @@
         self.0.get_mut().write_all(bytes.as_bytes()).is_ok()
     }
 
+    /// Whether something has come already.
+    pub fn answered_already(&mut self) -> bool {
+        self.0.get_mut().set_nonblocking(true).unwrap();
+        let there = self.0.fill_buf().is_ok_and(|b| !b.is_empty());
+        self.0.get_mut().set_nonblocking(false).unwrap();
+        there
+    }
+
     /// The next answer: an error or simple line, or a bulk string behind `$`; `end` at the end.
     pub fn answer(&mut self) -> String {
         let mut line = String::new();
--- a/crates/mothpier/src/clients.rs
+++ b/crates/mothpier/src/clients.rs
@@ -12,21 +12,21 @@
 
 use brassrouter::settings::Site;
 use brassrouter::{Micros, Request, RequestId};
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use mothpier_net::{Listener, Net, Reading, Stream};
 use mothpier_session::{Connection as Told, Facts, commands};
 use mothpier_slots::Tier;
 use redis_protocol::resp2::types::BytesFrame;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncWrite, AsyncWriteExt};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::binding::{self, Binding};
 use crate::figures::{Ended, Figures};
 use crate::membership::Membership;
-use crate::messages::{Answer, Claim, ClientEvent, Command, Ids, Input};
+use crate::messages::{Answer, Claim, ClientEvent, Command, Ids, Input, Passing};
 use crate::phase::Phase;
-use crate::resp::{self, MAX_VALUE, Malformed};
+use crate::resp::{self, MAX_PASSED, MAX_VALUE, Malformed};
 use crate::succession::Share;
 use crate::{Plant, planted};
 
@@ -271,6 +271,8 @@
                 asked: 0,
                 known: false,
                 ended: false,
+                large: None,
+                skip: 0,
                 told,
             };
             session.run(stream, evict).await;
@@ -345,7 +347,10 @@
             key: Bytes::copy_from_slice(key),
             id: claim.id().clone(),
             extras: bound.map_or_else(|| Bytes::copy_from_slice(extras), Bytes::from),
-            value: value.first().map(|v| Bytes::copy_from_slice(v)),
+            // A large one is nearly all that was read.
+            value: value
+                .first()
+                .map(|v| if v.len() > MAX_VALUE { v.clone() } else { Bytes::copy_from_slice(v) }),
             write,
             claim,
         };
@@ -370,6 +375,8 @@
 
 enum Wait {
     Ready(Bytes),
+    /// A value that is passed on as it comes.
+    Passing(Passing),
     Node(RequestId, oneshot::Receiver<Answer>),
 }
 
@@ -418,6 +425,10 @@
     known: bool,
     /// No more commands are read: the last answer closes.
     ended: bool,
+    /// The command that is coming has a large value, for which this memory is held.
+    large: Option<OwnedSemaphorePermit>,
+    /// Bytes still to come of a value that was turned away.
+    skip: usize,
     /// What a slot-aware client has told of its connection.
     told: Told,
 }
@@ -436,19 +447,33 @@
         let mut rests = connected;
         loop {
             while !self.ended && !buffer.is_empty() {
-                match resp::take_command(&mut buffer) {
+                let skipped = self.skip.min(buffer.len());
+                buffer.advance(skipped);
+                self.skip -= skipped;
+                if self.skip > 0 || buffer.is_empty() {
+                    break;
+                }
+                let most = if self.large.is_some() { MAX_PASSED } else { MAX_VALUE };
+                match resp::take_command(&mut buffer, most) {
                     Ok(Some(frame)) => {
                         begun = None;
                         self.command(frame, came).await;
+                        self.large = None;
                     }
                     Ok(None) => break,
-                    Err(e) => self.protocol_error(e),
+                    Err(e) => match resp::large_command(&buffer).filter(|_| self.large.is_none()) {
+                        Some(large) => self.large(large, &mut buffer),
+                        None => self.protocol_error(e),
+                    },
                 }
                 if self.pending.len() > MAX_WAITING {
                     self.protocol_error(Malformed("too many commands at once"));
                 }
             }
-            if self.ended || buffer.is_empty() {
+            if self.skip > 0 {
+                begun.get_or_insert_with(|| net.now());
+            } else if self.ended || buffer.is_empty() {
+                begun = None;
                 // An idle connection must not keep the room that its largest command took.
                 buffer = BytesMut::new();
             } else {
@@ -468,7 +493,9 @@
             let cut = clients.phase.cut().filter(|_| begun.is_none() && !idle && !self.ended);
             let reads = !self.ended && cut.is_none_or(|cut| now < cut);
             let first = (!self.known && idle).then_some(connected + HALF);
-            let half = begun.filter(|_| !self.ended).map(|since| since + HALF);
+            // A large value may take as long as it goes on coming.
+            let coming = self.large.is_some() || self.skip > 0;
+            let half = begun.filter(|_| !self.ended).map(|since| if coming { rests } else { since } + HALF);
             // A connection that has only just come is about to ask: it may be a front that asks whether the node is back.
             let asks = !self.known && (!clients.phase.is_shut() || clients.phase.is_left());
             let rest = idle.then_some(if closing && begun.is_none() {
@@ -484,7 +511,10 @@
                 biased;
                 ready = ready_answers(&mut self.pending), if !idle => {
                     let bytes = self.take_answers(ready);
-                    let whole = net.timeout(SLOW_READER, writing.write_all(&bytes)).await;
+                    let whole = match self.pending.front_mut().map(|slot| &mut slot.wait) {
+                        Some(Wait::Passing(value)) => Some(pass_on(&net, &mut writing, value).await),
+                        _ => net.timeout(SLOW_READER, writing.write_all(&bytes)).await,
+                    };
                     rests = net.now();
                     let ended = self.pending.drain(..ready).filter_map(|slot| slot.taken);
                     if !matches!(whole, Some(Ok(()))) {
@@ -539,7 +569,7 @@
                 }
                 Wait::Ready(bytes) if ready == 1 => return bytes.clone(),
                 Wait::Ready(bytes) => all.extend_from_slice(bytes),
-                Wait::Node(..) => {}
+                Wait::Node(..) | Wait::Passing(_) => {}
             }
         }
         all.freeze()
@@ -615,7 +645,7 @@
         self.known = true;
         let waiting = self.pending.iter().map(|slot| match &slot.wait {
             Wait::Ready(bytes) => bytes.len(),
-            Wait::Node(..) => 0,
+            Wait::Node(..) | Wait::Passing(_) => 0,
         });
         if waiting.sum::<usize>() > MAX_MAPS {
             self.protocol_error(Malformed("too many long answers wait"));
@@ -626,6 +656,32 @@
         true
     }
 
+    /// Makes room for a command with a large value, or turns it away before the value is read.
+    fn large(&mut self, large: resp::LargeCommand, buffer: &mut BytesMut) {
+        let kb = large.length.div_ceil(1024);
+        if let Some(memory) = self.clients.memory(REQUEST_KB + kb) {
+            // Once, or it would be copied as it grows.
+            buffer.reserve((large.head + large.length + 2).saturating_sub(buffer.len()));
+            self.large = Some(memory);
+            return;
+        }
+        buffer.advance(large.head);
+        self.skip = large.length + 2;
+        let words: Vec<Bytes> = large.words.into_iter().chain([Bytes::new()]).collect();
+        let known = matches!(words[0].as_ref(), b"CACHE.GET" | b"CACHE.SET");
+        let parsed = known.then(|| self.clients.parse(&words, (self.clients.now)()));
+        match parsed {
+            Some(Ok((request, _))) => {
+                self.known = true;
+                let taken = Some(Taken::of(request.class, &self.clients.taken, None));
+                let wait = Wait::Ready(resp::error(&format!("BUSY {FULL_RETRY_MS}")));
+                self.pending.push_back(Slot { wait, taken });
+            }
+            Some(Err(e)) => self.answer(resp::error(&e)),
+            None => self.answer(resp::error("ERR unknown command")),
+        }
+    }
+
     async fn ask(&mut self, request: Request, command: Box<Command>) {
         // Memory is bounded by what open requests may hold, and one connection by its own part of them; what is
         // beyond never runs, and is told so instead of being left unread.
@@ -633,7 +689,8 @@
         let memory = match self.asked < MAX_PIPELINE
             && self.clients.ids.borrow().len() <= self.clients.site.max_open
         {
-            true => self.clients.memory(holds),
+            // A large value has brought its own.
+            true => self.large.take().or_else(|| self.clients.memory(holds)),
             false => None,
         };
         let mut taken = Taken::of(request.class, &self.clients.taken, memory);
@@ -660,6 +717,29 @@
     }
 }
 
+/// Writes a value as its parts come. Where the rest doesn't come, or the client takes none of it, the connection has to end:
+/// so the client can tell that it is not whole.
+async fn pass_on(
+    net: &impl Net,
+    writing: &mut (impl AsyncWrite + Unpin),
+    value: &mut Passing,
+) -> std::io::Result<()> {
+    let mut write = async |bytes: &[u8]| {
+        let whole = net.timeout(SLOW_READER, writing.write_all(bytes)).await;
+        whole.unwrap_or_else(|| Err(ErrorKind::TimedOut.into()))
+    };
+    write(format!("${}\r\n", value.length).as_bytes()).await?;
+    let mut left = value.length;
+    while let Some(part) = value.parts.recv().await {
+        left = left.saturating_sub(part.len());
+        write(&part).await?;
+    }
+    if left > 0 {
+        return Err(ErrorKind::UnexpectedEof.into());
+    }
+    write(b"\r\n").await
+}
+
 /// Reads what has come; whether the client is still there. Room is made only once something is there. Safe to drop
 /// and call again.
 async fn read(reading: &impl Reading, buffer: &mut BytesMut) -> bool {
@@ -694,18 +774,28 @@
                 let Poll::Ready(answer) = Pin::new(receiver).poll(cx) else { break };
                 if let Some(taken) = &mut slot.taken {
                     taken.ended = match &answer {
-                        Ok(Answer::Value(_)) => Ended::Completed,
+                        Ok(Answer::Value(_) | Answer::Passing(_)) => Ended::Completed,
                         Ok(Answer::Busy(_)) => Ended::Rejected,
                         Ok(Answer::Failed) | Err(_) => Ended::Failed,
                     };
                 }
                 slot.wait = Wait::Ready(match answer {
+                    Ok(Answer::Passing(value)) => {
+                        slot.wait = Wait::Passing(value);
+                        // Alone, once it is at the front.
+                        ready += usize::from(ready == 0);
+                        break;
+                    }
                     Ok(Answer::Value(value)) => resp::encode(&BytesFrame::BulkString(value)),
                     Ok(Answer::Busy(0)) => resp::error("BUSY"),
                     Ok(Answer::Busy(ms)) => resp::error(&format!("BUSY {ms}")),
                     Ok(Answer::Failed) | Err(_) => resp::error("ERR failed"),
                 });
             }
+            if matches!(slot.wait, Wait::Passing(_)) {
+                ready += usize::from(ready == 0);
+                break;
+            }
             let Wait::Ready(bytes) = &slot.wait else { break };
             (ready, size) = (ready + 1, size + bytes.len());
             if size >= WRITE {
--- a/crates/mothpier/src/messages.rs
+++ b/crates/mothpier/src/messages.rs
@@ -11,10 +11,13 @@
 use mothpier_membership::hand::Refused;
 use redis_protocol::resp2::types::BytesFrame;
 use serde::{Deserialize, Serialize};
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 
 use crate::resp;
 
+/// Parts of a value that wait between the one who reads and the one who writes.
+const PARTS: usize = 3;
+
 /// Names one attempt or probe of this node.
 pub type AttemptId = u64;
 
@@ -30,6 +33,11 @@
         attempt: AttemptId,
         ended: OriginEnded,
     },
+    /// An answer of the origin has begun whose value is too large to be held; its end follows.
+    OriginBegan {
+        attempt: AttemptId,
+        value: Passing,
+    },
     Discovery(Heard),
     Peer {
         from: u32,
@@ -65,10 +73,27 @@
     Gone(RequestId),
 }
 
+/// A value on its way: too large to be held, it is passed on in parts as they come.
+#[derive(Debug)]
+pub struct Passing {
+    pub length: usize,
+    /// Ends early where the rest will not come.
+    pub parts: mpsc::Receiver<Bytes>,
+}
+
+impl Passing {
+    /// A value of a length, and where its parts are put in: the one who reads waits for the one who writes.
+    pub fn of(length: usize) -> (mpsc::Sender<Bytes>, Passing) {
+        let (put, parts) = mpsc::channel(PARTS);
+        (put, Passing { length, parts })
+    }
+}
+
 /// A final answer.
 #[derive(Debug)]
 pub enum Answer {
     Value(Bytes),
+    Passing(Passing),
     /// Refused; come back after so many milliseconds.
     Busy(u64),
     Failed,
@@ -78,6 +103,8 @@
 pub enum ServerEvent {
     Up,
     Answer(AttemptId, BytesFrame),
+    /// An answer has begun whose value is too large to be held; the rest of it follows as an answer.
+    Began(AttemptId, Passing),
     /// What came for this attempt can't be its answer; the end of the connection follows.
     Spoilt(AttemptId),
     /// The connection is no more; the attempts written whole, and those not.
--- a/crates/mothpier/src/node.rs
+++ b/crates/mothpier/src/node.rs
@@ -23,7 +23,9 @@
 use crate::clock::Clock;
 use crate::discovery::Numbers;
 use crate::membership::{self, Membership};
-use crate::messages::{Answer, AttemptId, Census, ClientEvent, Command, Heard, Input, List, Order, Wanted};
+use crate::messages::{
+    Answer, AttemptId, Census, ClientEvent, Command, Heard, Input, List, Order, Passing, Wanted,
+};
 use crate::origin::{self, Origins};
 use crate::peers::Peers;
 use crate::phase::Phase;
@@ -65,6 +67,8 @@
     call: Option<origin::Call<N>>,
     /// Sent behind `ASKING`.
     asking: bool,
+    /// Its answer has begun to be passed on: the decisions know of its end already, and its time is up no more.
+    began: bool,
 }
 
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
@@ -221,6 +225,7 @@
                     self.server_ended(attempt, ended);
                 }
             }
+            Input::OriginBegan { attempt, value } => self.began(attempt, value),
             Input::Origin { attempt, ended } => {
                 let load = load(&self.site, &ended.load);
                 self.end(attempt, ended.status, Note::None, load, Some(ended.value));
@@ -487,7 +492,8 @@
         open.out.push(id);
         let (command, left) = (open.command.clone(), open.ends.saturating_duration_since(sent));
         let wait = if give_up_after == 0 { left } else { left.min(Duration::from_micros(give_up_after)) };
-        let flight = Flight { attempt: Some((request, number)), server, sent, call: None, asking };
+        let flight =
+            Flight { attempt: Some((request, number)), server, sent, call: None, asking, began: false };
         self.flights.insert(id, flight);
         if u32::from(number) >= self.site.decisions.max_attempts || wait.is_zero() {
             return self.end(id, Status::NotSent, Note::None, Load::default(), None);
@@ -519,7 +525,7 @@
         let bytes = resp::command(["INFO".into(), "load".into()]);
         let command = servers::Command { attempt: id, bytes, probe: true, asking: false };
         let out = call.is_some() || (!origin && self.parts.servers.send(server, command));
-        self.flights.insert(id, Flight { attempt: None, server, sent, call, asking: false });
+        self.flights.insert(id, Flight { attempt: None, server, sent, call, asking: false, began: false });
         if out {
             self.wake(PROBE_WAIT, Due::GiveUp(id));
         } else {
@@ -529,7 +535,7 @@
 
     /// Stops waiting for an attempt. One that was never written whole can't have run.
     fn give_up(&mut self, id: AttemptId, status: Status) {
-        let Some(flight) = self.flights.get_mut(&id) else { return };
+        let Some(flight) = self.flights.get_mut(&id).filter(|f| !f.began) else { return };
         let (server, call) = (flight.server, flight.call.take());
         let written = match call {
             Some(call) => call.give_up(),
@@ -553,6 +559,7 @@
             }
             // It has run, whatever it was that came back.
             Ended::Spoilt => return self.end(attempt, Status::Error, Note::None, Load::default(), None),
+            Ended::Began(value) => return self.began(attempt, value),
             Ended::Answered(frame) => frame,
         };
         match frame {
@@ -692,9 +699,26 @@
         self.plan_refresh();
     }
 
+    /// The answer to an attempt has begun with a value too large to be held. If it is the first for its request it is the
+    /// answer, from here on the client's alone: no other is made, and its time is not up while the rest comes. What nobody
+    /// waits for is not taken.
+    fn began(&mut self, id: AttemptId, value: Passing) {
+        let Some(flight) = self.flights.get_mut(&id) else { return };
+        flight.began = true;
+        let (server, took) = (flight.server, self.net.since(flight.sent).as_micros() as Micros);
+        let Some((request, attempt)) = flight.attempt else { return };
+        let over = !self.open.contains_key(&request);
+        if !over {
+            self.answer(request, Answer::Passing(value));
+        }
+        let (status, note, load) = (Status::Served, Note::None, Load::default());
+        let outcome = Outcome { request, attempt, server, status, over, note, took, load };
+        self.events.push_back(Event::Outcome(outcome));
+    }
+
     /// The end of an attempt or probe, whatever brought it; the first value served is the request's answer.
     fn end(&mut self, id: AttemptId, status: Status, note: Note, load: Load, value: Option<Bytes>) {
-        let Some(flight) = self.flights.remove(&id) else { return };
+        let Some(flight) = self.flights.remove(&id).filter(|f| !f.began) else { return };
         if let Some((pool, _)) = &mut self.parts.cluster
             && matches!(status, Status::Served | Status::Miss)
             && let Some(open) = flight.attempt.and_then(|(request, _)| self.open.get(&request))
--- a/crates/mothpier/src/origin.rs
+++ b/crates/mothpier/src/origin.rs
@@ -9,7 +9,8 @@
 
 use brassrouter::{ServerId, Status};
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
 use hyper::{Method, Request};
 use mothpier_net::{Net, Task};
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, percent_encode};
@@ -17,14 +18,18 @@
 
 use crate::figures::Figures;
 use crate::http::{self, Connection};
-use crate::messages::{AttemptId, Command, Input, OriginEnded as Ended};
-use crate::resp::MAX_VALUE;
+use crate::messages::{AttemptId, Command, Input, OriginEnded as Ended, Passing};
+use crate::resp::{MAX_PASSED, MAX_VALUE};
 use crate::{Plant, planted};
 
 /// A connection idle for this part of the time after which it is closed is not used again.
 const FRESH: f64 = 0.7;
 /// After its head an answer's body comes within this time.
 const BEGUN: Duration = Duration::from_millis(250);
+/// A body that is passed on has stopped when nothing more has come for so long while its client would take more.
+const STALLED: Duration = Duration::from_secs(2);
+/// The most of it that is put in at once.
+const PART: usize = 16 * 1024;
 /// A call that has not ended by then is written: it goes to a socket of this machine.
 const WRITTEN: Duration = Duration::from_millis(20);
 /// What of a key stands in a path as something else: all that a path segment can't hold as it is.
@@ -59,6 +64,8 @@
     begun: Cell<bool>,
     /// Where it counts once it is written; a probe counts nowhere.
     counts: Option<Rc<Figures>>,
+    attempt: AttemptId,
+    events: mpsc::Sender<Input>,
 }
 
 /// A call that is out.
@@ -176,8 +183,12 @@
         (attempt, counts): (AttemptId, bool),
         request: Request<Full<Bytes>>,
     ) -> Call<N> {
-        let progress =
-            Rc::new(Progress { begun: Cell::new(false), counts: counts.then(|| self.figures.clone()) });
+        let progress = Rc::new(Progress {
+            begun: Cell::new(false),
+            counts: counts.then(|| self.figures.clone()),
+            attempt,
+            events: self.events.clone(),
+        });
         let (written, events) = (progress.clone(), self.events.clone());
         let (fresh, within, descriptors) = (self.idle_close, self.connect_timeout, self.descriptors.clone());
         let net = self.net.clone();
@@ -196,6 +207,28 @@
     }
 }
 
+/// Passes a body on as it comes; whether it came whole and was taken.
+async fn pass_on(net: &impl Net, mut body: Incoming, length: usize, progress: &Progress) -> bool {
+    let (put, value) = Passing::of(length);
+    if progress.events.send(Input::OriginBegan { attempt: progress.attempt, value }).await.is_err() {
+        return false;
+    }
+    let mut left = length;
+    while left > 0 {
+        let Some(Some(Ok(frame))) = net.timeout(STALLED, body.frame()).await else { return false };
+        let Ok(mut data) = frame.into_data() else { continue };
+        left = left.saturating_sub(data.len());
+        // In parts of a size, or a few of them would hold more than their place.
+        while !data.is_empty() {
+            if put.send(data.split_to(data.len().min(PART))).await.is_err() {
+                return false;
+            }
+        }
+    }
+    // The end is looked for, so that the connection can carry another call.
+    matches!(net.timeout(STALLED, body.frame()).await, Some(None))
+}
+
 async fn exchange<N: Net>(
     net: &N,
     pool: &Pool<N>,
@@ -253,9 +286,19 @@
         503 | 504 if header("X-Not-Run") == "1" => Status::Full,
         _ => Status::Error,
     };
-    // A body that doesn't end, or is too long, is no answer; its connection goes with it.
-    let Some(Ok(value)) = net.timeout(BEGUN, http::body(response.into_body(), MAX_VALUE)).await else {
-        return Ended::with(Status::Reset);
+    let body = response.into_body();
+    let length = body.size_hint().exact().unwrap_or_default() as usize;
+    let value = if status == Status::Served && length > MAX_VALUE && length <= MAX_PASSED {
+        if !pass_on(net, body, length, progress).await {
+            return Ended::with(Status::Reset);
+        }
+        Bytes::new()
+    } else {
+        // A body that doesn't end, or is too long, is no answer; its connection goes with it.
+        let Some(Ok(value)) = net.timeout(BEGUN, http::body(body, MAX_VALUE)).await else {
+            return Ended::with(Status::Reset);
+        };
+        value
     };
     if pool.ready.get() {
         pool.idle.borrow_mut().push(Idle(connection, permit, net.now()));
--- a/crates/mothpier/src/resp.rs
+++ b/crates/mothpier/src/resp.rs
@@ -6,8 +6,10 @@
 use redis_protocol::resp2::types::BytesFrame;
 use redis_protocol::resp2::{decode, encode};
 
-/// The largest value of a key.
+/// The largest value that is held whole; a larger one is passed on as it comes.
 pub const MAX_VALUE: usize = 64 * 1024;
+/// The largest value of a key.
+pub const MAX_PASSED: usize = 4 << 20;
 /// The longest simple string or error line.
 const MAX_LINE: usize = 1024;
 /// The longest number of a header, with its end of line.
@@ -56,11 +58,77 @@
     }
 }
 
-/// Takes a client's first whole command off a buffer: a frame, or `HELLO` as a line of words, the form in which the
+/// The words of a client's command whose last one is too large to be taken like others, and how long that one is.
+#[derive(Debug, PartialEq, Eq)]
+pub struct LargeCommand {
+    /// Those before it.
+    pub words: Vec<Bytes>,
+    /// Bytes of the command up to the value.
+    pub head: usize,
+    /// Bytes of the value.
+    pub length: usize,
+}
+
+/// Reads the head of a command whose last word is a large value; `None` for any other command, and while it can't be told
+/// yet.
+pub fn large_command(buffer: &[u8]) -> Option<LargeCommand> {
+    let number = |at: usize, kind: u8| -> Option<(usize, usize)> {
+        let digits = buffer.get(at..)?.strip_prefix(&[kind])?;
+        let end = digits.iter().take(MAX_NUMBER).position(|b| *b == b'\r')?;
+        let text = digits.get(..end).filter(|d| d.iter().all(u8::is_ascii_digit))?;
+        let whole = digits.get(end..end + 2)? == b"\r\n";
+        let number = std::str::from_utf8(text).ok()?.parse().ok()?;
+        whole.then_some((number, at + 1 + end + 2))
+    };
+    let (count, mut at) = number(0, b'*')?;
+    if count > MAX_ELEMENTS {
+        return None;
+    }
+    let mut words = Vec::new();
+    for last in (1..=count).map(|n| n == count) {
+        let (length, from) = number(at, b'$')?;
+        if last && length > MAX_VALUE && length <= MAX_PASSED {
+            return Some(LargeCommand { words, head: from, length });
+        }
+        words.push(Bytes::copy_from_slice(buffer.get(from..from.checked_add(length)?)?));
+        at = from + length + 2;
+    }
+    None
+}
+
+/// The beginning of a server's answer whose value is too large to be held.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Begun {
+    /// Bytes before the value.
+    pub head: usize,
+    /// Bytes of the value.
+    pub length: usize,
+    /// Frames behind it.
+    pub behind: usize,
+}
+
+/// Whether a buffer begins with an answer whose value is too large to be held: a value alone, or one that leads an array
+/// of three. `None` also while it can't be told yet.
+pub fn begins_large(buffer: &[u8]) -> Option<Begun> {
+    let (array, rest) = match buffer.strip_prefix(b"*3\r\n") {
+        Some(rest) => (true, rest),
+        None => (false, buffer),
+    };
+    let digits = rest.strip_prefix(b"$")?;
+    let end = digits.iter().take(MAX_NUMBER).position(|b| *b == b'\r')?;
+    let text = digits.get(..end).filter(|d| d.iter().all(u8::is_ascii_digit))?;
+    let length: usize = std::str::from_utf8(text).ok()?.parse().ok()?;
+    let whole = digits.get(end..end + 2)? == b"\r\n";
+    let head = buffer.len() - digits.len() + end + 2;
+    let large = whole && length > MAX_VALUE && length <= MAX_PASSED;
+    large.then_some(Begun { head, length, behind: if array { 2 } else { 0 } })
+}
+
+/// Takes a client's first whole command off a buffer: a frame with values up to a size, or `HELLO` as a line of words, the form in which the
 /// RESP3 specification writes it and some libraries send it. No other command may come as a line.
-pub fn take_command(buffer: &mut BytesMut) -> Result<Option<BytesFrame>, Malformed> {
+pub fn take_command(buffer: &mut BytesMut, most: usize) -> Result<Option<BytesFrame>, Malformed> {
     if !matches!(buffer.first(), Some(b'H' | b'h')) {
-        return take_frame(buffer);
+        return take_within(buffer, &Bounds { value: most, ..FRAME });
     }
     let name = &buffer[..buffer.len().min(HELLO.len())];
     if !name.eq_ignore_ascii_case(&HELLO[..name.len()]) {
@@ -182,7 +250,7 @@
             for read in reads {
                 buffer.extend_from_slice(read);
                 loop {
-                    match take_command(&mut buffer) {
+                    match take_command(&mut buffer, MAX_VALUE) {
                         Ok(Some(command)) => commands.push(command),
                         Ok(None) => break,
                         Err(_) => return (commands, true),
@@ -218,7 +286,7 @@
 
     #[test]
     fn hello_may_come_as_a_line_and_nothing_else_may() {
-        let words = |line: &str| match take_command(&mut BytesMut::from(line)) {
+        let words = |line: &str| match take_command(&mut BytesMut::from(line), MAX_VALUE) {
             Ok(Some(BytesFrame::Array(words))) => words.len(),
             Ok(None) => 0,
             other => panic!("{line}: {other:?}"),
@@ -228,11 +296,11 @@
         assert_eq!((words(whole), words("hello\n"), words("HELLO  3 \r\n*1\r\n")), (5, 1, 2));
         let long = format!("HELLO {}", "x".repeat(MAX_LINE));
         for bad in ["HELP\r\n", "HELLOS 3\r\n", "PING\r\n", "GET k\r\n", &long] {
-            assert!(take_command(&mut BytesMut::from(bad)).is_err(), "{bad:.10}");
+            assert!(take_command(&mut BytesMut::from(bad), MAX_VALUE).is_err(), "{bad:.10}");
         }
         // What follows stays where it is.
         let mut buffer = BytesMut::from("HELLO 3\r\n+PONG\r\n");
-        assert!(take_command(&mut buffer).unwrap().is_some());
+        assert!(take_command(&mut buffer, MAX_VALUE).unwrap().is_some());
         assert_eq!(buffer, "+PONG\r\n");
     }
 
--- a/crates/mothpier/src/servers.rs
+++ b/crates/mothpier/src/servers.rs
@@ -8,14 +8,14 @@
 use std::time::{Duration, Instant};
 
 use brassrouter::ServerId;
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use mothpier_net::{Net, Reading, Stream, Task};
 use redis_protocol::resp2::types::BytesFrame;
 use tokio::io::AsyncWriteExt;
 use tokio::sync::{Notify, mpsc};
 
 use crate::figures::Figures;
-use crate::messages::{AttemptId, Input, ServerEvent as Event};
+use crate::messages::{AttemptId, Input, Passing, ServerEvent as Event};
 use crate::succession::Share;
 use crate::{Plant, planted, resp};
 
@@ -33,16 +33,22 @@
 /// not is spoilt, and what waits behind it waits in vain.
 const BEGUN: Duration = Duration::from_millis(250);
 
+/// A value that is passed on has stopped when nothing more of it has come for so long while its client would take more.
+const STALLED: Duration = Duration::from_secs(2);
+
 /// A server's former number is known for so long: longer than any attempt is out.
 const REMEMBERED: Duration = Duration::from_secs(600);
 
-/// Read from a connection at once.
+/// Read from a connection at once, and of a value that is passed on.
 const READ: usize = 4096;
+const READ_PASSED: usize = 16 * 1024;
 
 /// How an attempt at a cache server ended.
 pub enum Ended {
     /// A frame of the agreed form came back for it.
     Answered(BytesFrame),
+    /// Its answer has begun, with a value too large to be held.
+    Began(Passing),
     /// What came back can't be an answer to it. It has run; the connection is closed.
     Spoilt,
     /// The connection ended after its last byte was written.
@@ -109,6 +115,8 @@
     writing: Option<AttemptId>,
     /// In order.
     sent: VecDeque<Sent>,
+    /// A large value is on its way: what is written behind it waits for its reader.
+    passing: bool,
 }
 
 impl Line {
@@ -118,7 +126,7 @@
 
     /// Whether something given up is ahead: what is written behind it may wait for ever.
     fn stalled(&self) -> bool {
-        self.sent.iter().any(|s| s.given_up)
+        self.passing || self.sent.iter().any(|s| s.given_up)
     }
 }
 
@@ -321,7 +329,11 @@
         let part = (TIER_CONNECTIONS / self.limits.balancers.max(1)).clamp(1, MOST_CONNECTIONS);
         let descriptors = Share::of(&self.limits.share.descriptors, self.limits.descriptors).max(1);
         let part = part.min((descriptors / self.ready.max(1)).max(1));
-        let open = pool.connections.iter().filter(|c| !c.retired).count();
+        // One that passes a large value on is its client's for as long as that one reads: others take its place, as many
+        // as the whole tier aims at.
+        let passing = pool.connections.iter().filter(|c| c.shared.line.borrow().passing).count();
+        let passing = passing.min((TIER_CONNECTIONS / self.limits.balancers.max(1)).max(MOST_CONNECTIONS));
+        let open = pool.connections.iter().filter(|c| !c.retired).count() - passing;
         // A connection that is held up by what was given up does not count: it may never move again.
         let moving =
             pool.connections.iter().filter(|c| !c.shared.line.borrow().stalled() && !c.retired).count();
@@ -362,6 +374,7 @@
                 connections.filter(|c| c.number == number).for_each(|c| c.used = now);
                 ended.push((attempt, Ended::Answered(frame)));
             }
+            Event::Began(attempt, value) => ended.push((attempt, Ended::Began(value))),
             Event::Spoilt(attempt) => ended.push((attempt, Ended::Spoilt)),
             Event::Down { refused, written, unwritten } => {
                 if let Some(pool) = &mut pool {
@@ -514,6 +527,73 @@
     }
 }
 
+impl Shared {
+    /// Whether what comes next is the answer to a request.
+    fn expects_value(&self) -> bool {
+        self.line.borrow().sent.front().is_some_and(|s| s.owed == Owed::Answer)
+    }
+
+    /// Whether something else waits on the connection.
+    fn carries_more(&self) -> bool {
+        self.line.borrow().load() > 1
+    }
+}
+
+/// Passes a value on as it comes, and gives the frame that it would have been with nothing for the value; `None` where
+/// the connection has to end. What nobody takes any more is read to its end only if others wait behind it.
+async fn pass_on<R: Reading>(
+    net: &impl Net,
+    shared: &Shared,
+    reading: &R,
+    buffer: &mut BytesMut,
+    begun: resp::Begun,
+    put: mpsc::Sender<Bytes>,
+) -> Option<BytesFrame> {
+    shared.line.borrow_mut().passing = true;
+    let more = async |buffer: &mut BytesMut, within| loop {
+        let read = async {
+            reading.readable().await?;
+            buffer.reserve(READ_PASSED);
+            reading.try_read_buf(buffer)
+        };
+        match net.timeout(within, read).await? {
+            Ok(n) if n > 0 => return Some(()),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+            _ => return None,
+        }
+    };
+    buffer.advance(begun.head);
+    let (mut left, mut taken) = (begun.length, true);
+    while left > 0 {
+        if buffer.is_empty() {
+            more(buffer, STALLED).await?;
+        }
+        let part = buffer.split_to(left.min(buffer.len())).freeze();
+        left -= part.len();
+        taken = taken && put.send(part).await.is_ok();
+        if !taken && !shared.carries_more() {
+            return None;
+        }
+    }
+    drop(put);
+    while buffer.len() < 2 {
+        more(buffer, STALLED).await?;
+    }
+    if buffer.split_to(2) != b"\r\n"[..] {
+        return None;
+    }
+    let mut frames = vec![BytesFrame::BulkString(Bytes::new())];
+    while frames.len() <= begun.behind {
+        match resp::take_frame(buffer) {
+            Ok(Some(frame)) => frames.push(frame),
+            Ok(None) => more(buffer, STALLED).await?,
+            Err(_) => return None,
+        }
+    }
+    shared.line.borrow_mut().passing = false;
+    Some(if begun.behind == 0 { frames.remove(0) } else { BytesFrame::Array(frames) })
+}
+
 /// Makes a connection and carries its commands until it ends; whether it was refused.
 async fn drive<N: Net>(
     net: &N,
@@ -545,6 +625,22 @@
             if !buffer.is_empty() && shared.line.borrow().sent.is_empty() {
                 return net.log(format_args!("{address}: more than was asked for"));
             }
+            if let Some(large) = resp::begins_large(&buffer).filter(|_| shared.expects_value()) {
+                begun = None;
+                let attempt = shared.line.borrow().sent.front().map(|s| s.attempt).unwrap_or_default();
+                let (put, value) = Passing::of(large.length);
+                if told(Event::Began(attempt, value)).await.is_err() {
+                    return;
+                }
+                let Some(frame) = pass_on(net, shared, &reading, &mut buffer, large, put).await else {
+                    return;
+                };
+                shared.line.borrow_mut().sent.pop_front();
+                if told(Event::Answer(attempt, frame)).await.is_err() {
+                    return;
+                }
+                continue;
+            }
             let taken = resp::take_frame(&mut buffer);
             if let Ok(None) = taken {
                 if buffer.is_empty() {
