Simulation: boxes out by hand, emptied nodes, large values, figures against what was seen

Need: the parts of daily service were tested by processes alone. New faults: hand (out at all nodes, restarted, back; the judge holds the drain rule from the yes), evacuate (nobody left after 4 s), large values in a fifth of the worlds; three directed cases; three plants. After every play each node's figures must equal what the judge saw from outside, per class and result.

--- a/crates/mothpier-membership/src/hand.rs
+++ b/crates/mothpier-membership/src/hand.rs
@@ -113,6 +113,11 @@
         }
     }
 
+    /// One that knows of nobody who is out.
+    pub fn emptied(self) -> Self {
+        Hand::new(self.origin)
+    }
+
     /// What the sources say, without the hand.
     pub fn listed(&self) -> impl Iterator<Item = &Line> {
         self.listed.values()
--- a/crates/mothpier-sim/src/main.rs
+++ b/crates/mothpier-sim/src/main.rs
@@ -1,6 +1,7 @@
 //! `mothpier-sim`: plays the node's own network code on a virtual clock against faults drawn from seeds, and judges
 //! the four rules from outside.
 
+mod daily_cases;
 mod exec;
 mod many;
 mod measure;
--- a/crates/mothpier-sim/src/oracle.rs
+++ b/crates/mothpier-sim/src/oracle.rs
@@ -22,6 +22,9 @@
 /// One whose pieces are further apart may be given up as it comes.
 const IN_ONE_MS: u64 = 200;
 
+/// Values up to this size are answered whole.
+const HELD: usize = 64 * 1024;
+
 /// How the error lines of boxes begin that prove that a command has not run: those of the user's table, and of the
 /// Redis Cluster specification.
 const NEVER_RAN: [&str; 8] =
@@ -98,6 +101,7 @@
 
 struct Asked {
     id: String,
+    class: String,
     /// The last moment for its answer, nanoseconds.
     until: u64,
 }
@@ -109,6 +113,10 @@
     /// `None` for a command that is no request.
     owed: VecDeque<Option<Asked>>,
     last_answer: u64,
+    /// Which node it leads to, when its first byte came there and its last request.
+    node: Option<usize>,
+    since: u64,
+    last_asked: u64,
     gone: bool,
     spoilt: bool,
 }
@@ -146,6 +154,16 @@
     ready: BTreeMap<String, SocketAddr>,
     /// When an address stopped taking them, by this node's list.
     left: BTreeMap<SocketAddr, u64>,
+    /// Since when an address is out by hand here.
+    hand: BTreeMap<SocketAddr, u64>,
+}
+
+/// What a node's process did, as it is seen from outside.
+#[derive(Default)]
+struct Served {
+    /// By class and result.
+    ends: BTreeMap<(String, &'static str), u64>,
+    attempts: u64,
 }
 
 /// A box as the rule on cold ones sees it.
@@ -169,6 +187,8 @@
     pub effects: u64,
     /// Commands that boxes answered with a redirection.
     pub redirections: u64,
+    /// Values that broke off on their way to a client.
+    pub broken_off: u64,
     /// The most that a cold box was sent, as a part of what it may be sent.
     pub cold: f64,
 }
@@ -186,6 +206,7 @@
     requests: RefCell<BTreeMap<String, Request>>,
     due: RefCell<BTreeSet<(u64, u64, String)>>,
     lists: RefCell<BTreeMap<usize, List>>,
+    served: RefCell<BTreeMap<usize, Served>>,
     cold: RefCell<BTreeMap<usize, Cold>>,
     broken: RefCell<Option<Broken>>,
     tally: RefCell<Tally>,
@@ -209,6 +230,7 @@
             requests: RefCell::default(),
             due: RefCell::default(),
             lists: RefCell::default(),
+            served: RefCell::default(),
             cold: RefCell::default(),
             broken: RefCell::default(),
             tally: RefCell::default(),
@@ -226,7 +248,67 @@
     pub fn node_starts(&self, node: usize, host: Host, known: &[(String, SocketAddr)]) {
         self.nodes.borrow_mut().insert(host, node);
         let ready = known.iter().cloned().collect();
-        self.lists.borrow_mut().insert(node, List { ready, left: BTreeMap::new() });
+        self.lists.borrow_mut().insert(node, List { ready, ..List::default() });
+        self.served.borrow_mut().insert(node, Served::default());
+    }
+
+    /// Tells that a node said yes to a box out by hand, or that it was asked to let it serve again.
+    pub fn by_hand(&self, node: usize, at: SocketAddr, out: bool) {
+        let mut lists = self.lists.borrow_mut();
+        let hand = &mut lists.entry(node).or_default().hand;
+        if out {
+            hand.entry(at).or_insert(self.exec.nanos());
+        } else {
+            hand.remove(&at);
+        }
+    }
+
+    /// A node was emptied at a time and should have no client left that came within a second of it.
+    pub fn emptied(&self, node: usize, call: u64) {
+        let now = self.exec.nanos();
+        let clients = self.clients.borrow();
+        let here = |c: &&ClientLine| c.node == Some(node) && !c.gone && c.since < call + 1_000_000_000;
+        for c in clients.values().filter(here) {
+            let idle = c.owed.is_empty() && c.came.is_empty();
+            if idle || now < c.last_asked + 2_000_000_000 {
+                let what = if idle { "an idle connection" } else { "a busy connection" };
+                self.breaks(Rule::Answer, format!("node {node} keeps {what} long after it was emptied"));
+            }
+        }
+    }
+
+    /// Compares what a node reports with what was seen of it.
+    pub fn reports(&self, node: usize, text: &str) {
+        let figure = |name: &str| -> u64 {
+            let line = text.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(' '));
+            line.and_then(|n| n.parse().ok()).unwrap_or_default()
+        };
+        let served = self.served.borrow();
+        let Some(served) = served.get(&node) else { return };
+        let mut differ = Vec::new();
+        for class in self.cares.keys() {
+            for result in ["completed", "rejected", "failed"] {
+                let name =
+                    format!("edge_router_downstream_requests_total{{lane=\"{class}\",result=\"{result}\"}}");
+                let seen = served.ends.get(&((*class).to_owned(), result)).copied().unwrap_or_default();
+                if figure(&name) != seen {
+                    differ.push(format!("{class} {result}: {} where {seen} were seen", figure(&name)));
+                }
+            }
+        }
+        // An attempt that is given up as it is written may count or not.
+        let attempts = figure("edge_router_upstream_requests_total");
+        if attempts.abs_diff(served.attempts) > (served.attempts / 50).max(3) {
+            differ.push(format!("attempts: {attempts} where {} were seen", served.attempts));
+        }
+        for name in ["edge_router_pending", "edge_router_members_unavailable"] {
+            if figure(name) != 0 {
+                differ.push(format!("{name}: {} after quiet", figure(name)));
+            }
+        }
+        if !differ.is_empty() {
+            self.breaks(Rule::Progress, format!("node {node} reports {}", differ.join("; ")));
+        }
     }
 
     /// Tells that a box's process begins.
@@ -271,7 +353,9 @@
             let (_, line, id) = first;
             let late = self.clients.borrow().get(&line).is_some_and(|c| {
                 // Those before it on its connection may still hold it up.
-                !c.gone && c.owed.front().is_some_and(|a| a.as_ref().is_some_and(|a| a.id == id))
+                !c.gone
+                    && !begins_large(&c.wrote)
+                    && c.owed.front().is_some_and(|a| a.as_ref().is_some_and(|a| a.id == id))
             });
             if late {
                 self.breaks(Rule::Answer, format!("request {id} has no answer at its client's deadline"));
@@ -330,11 +414,12 @@
                 list.ready.insert(id.clone(), address);
             }
         }
-        let List { ready, left } = list;
+        let List { ready, left, .. } = list;
         left.retain(|address, _| !ready.values().any(|a| a == address));
     }
 
     fn asked(&self, line: &Line, client: &mut ClientLine, words: &[String]) {
+        client.last_asked = self.exec.nanos();
         let (write, request) = match words {
             [name, _, id, extras, ..] if name == "CACHE.GET" || name == "CACHE.SET" => {
                 (name == "CACHE.SET", Some((id, extras)))
@@ -349,7 +434,7 @@
         let class = wire::extra(extras, "c").unwrap_or_default();
         let until = self.exec.nanos() + (wait + SLACK_MS) * 1_000_000;
         self.due.borrow_mut().insert((until, line.number, id.clone()));
-        client.owed.push_back(Some(Asked { id: id.clone(), until }));
+        client.owed.push_back(Some(Asked { id: id.clone(), class: class.to_owned(), until }));
         self.tally.borrow_mut().asked += 1;
         let mut requests = self.requests.borrow_mut();
         let r = requests.entry(id.clone()).or_default();
@@ -357,7 +442,7 @@
         r.answered = None;
     }
 
-    fn answered(&self, client: &mut ClientLine, answer: &Answer) {
+    fn answered(&self, node: usize, client: &mut ClientLine, answer: &Answer) {
         let now = self.exec.nanos();
         let Some(owed) = client.owed.pop_front() else {
             let said = format!("an answer that nobody asked for: {answer:?}");
@@ -368,8 +453,21 @@
             return;
         };
         let before = std::mem::replace(&mut client.last_answer, now);
-        let Some(Asked { id, until }) = owed else { return };
-        if now > until && now > before + SLACK_MS * 1_000_000 {
+        let Some(Asked { id, class, until }) = owed else { return };
+        let result = match answer {
+            Answer::Value(_) => Some("completed"),
+            Answer::Busy(_) => Some("rejected"),
+            Answer::Error(e) if e == "ERR failed" => Some("failed"),
+            // What can't be read is no request of a class.
+            _ => None,
+        };
+        if let Some(result) = result {
+            let mut served = self.served.borrow_mut();
+            *served.entry(node).or_default().ends.entry((class, result)).or_default() += 1;
+        }
+        // Of a large value the first bytes are timed, and `step` has looked at those.
+        let large = matches!(answer, Answer::Value(value) if value.len() > HELD);
+        if !large && now > until && now > before + SLACK_MS * 1_000_000 {
             self.breaks(Rule::Answer, format!("request {id} was answered {} us late", (now - until) / 1000));
         }
         let (may_have_run, care, value_came) = {
@@ -405,11 +503,12 @@
     /// A command or call begins to be written to a server.
     fn begins(&self, line: &Line, node: usize) {
         let now = self.exec.nanos();
-        let late = self.lists.borrow().get(&node).and_then(|l| l.left.get(&line.to).copied());
+        let by = |l: &List| l.left.get(&line.to).into_iter().chain(l.hand.get(&line.to)).min().copied();
+        let late = self.lists.borrow().get(&node).and_then(by);
         let grace = (self.grace_ms + SLACK_MS) * 1_000_000;
         if let Some(left) = late.filter(|left| now > left + grace) {
             let what = format!(
-                "node {node} begins something at {} {} ms after it was told that it drains or is gone",
+                "node {node} begins something at {} {} ms after it was told that it drains, is gone or is out by hand",
                 line.to,
                 (now - left) / 1_000_000
             );
@@ -420,6 +519,7 @@
     /// An attempt was written whole; gives its place among its request's.
     fn attempt(&self, id: &str, node: usize, begun: u64) -> usize {
         let now = self.exec.nanos();
+        self.served.borrow_mut().entry(node).or_default().attempts += 1;
         let (place, care, open, answered) = {
             let mut requests = self.requests.borrow_mut();
             let r = requests.entry(id.to_owned()).or_default();
@@ -599,6 +699,14 @@
     }
 }
 
+/// Whether what was written of an answer begins one that is passed on as it comes.
+fn begins_large(wrote: &[u8]) -> bool {
+    let end = wrote.iter().take(16).position(|b| *b == b'\r').unwrap_or_default();
+    let digits = wrote.get(1..end).filter(|_| wrote.first() == Some(&b'$'));
+    let length = digits.and_then(|d| std::str::from_utf8(d).ok()?.parse::<usize>().ok());
+    length.is_some_and(|n| n > HELD)
+}
+
 /// Whether a box's answer begins as one with a value does: an array whose first part is not null.
 fn is_value(answer: &[u8]) -> bool {
     let second = answer.iter().position(|b| *b == b'\n').map(|end| &answer[end + 1..]);
@@ -618,13 +726,13 @@
     fn wrote(&self, line: &Line, side: usize, bytes: &[u8]) {
         self.writes.set(self.writes.get() + 1);
         match (self.of(line), side) {
-            ((Some(Role::Node(_)), _), 1) => {
+            ((Some(Role::Node(node)), _), 1) => {
                 let mut clients = self.clients.borrow_mut();
                 let client = clients.entry(line.number).or_default();
                 client.wrote.extend_from_slice(bytes);
                 loop {
                     match wire::answer(&mut client.wrote) {
-                        Ok(Some(answer)) => self.answered(client, &answer),
+                        Ok(Some(answer)) => self.answered(node, client, &answer),
                         Ok(None) => return,
                         Err(e) => {
                             return self.breaks(Rule::Value, format!("a client can't read an answer: {e}"));
@@ -645,9 +753,12 @@
 
     fn came(&self, line: &Line, side: usize, bytes: &[u8]) {
         match (self.of(line), side) {
-            ((Some(Role::Node(_)), _), 1) => {
+            ((Some(Role::Node(node)), _), 1) => {
                 let mut clients = self.clients.borrow_mut();
                 let client = clients.entry(line.number).or_default();
+                if client.node.replace(node).is_none() {
+                    client.since = self.exec.nanos();
+                }
                 client.came.extend_from_slice(bytes);
                 while !client.spoilt {
                     match wire::command(&mut client.came) {
@@ -668,7 +779,10 @@
             ((Some(Role::Node(node)), _), 1) => {
                 let Some(client) = self.clients.borrow_mut().remove(&line.number) else { return };
                 let lost = client.owed.iter().flatten().next();
-                if let (Some(lost), false) = (lost, client.gone || close == Close::Killed) {
+                // A value that breaks off ends its connection: so the client can tell that it is not whole.
+                let cut = begins_large(&client.wrote);
+                self.tally.borrow_mut().broken_off += u64::from(cut);
+                if let (Some(lost), false) = (lost, cut || client.gone || close == Close::Killed) {
                     let what = format!("node {node} closed a connection that owed the answer to {}", lost.id);
                     self.breaks(Rule::Answer, what);
                 }
--- a/crates/mothpier-sim/src/plan.rs
+++ b/crates/mothpier-sim/src/plan.rs
@@ -113,6 +113,10 @@
     Leave = "leave", 2;
     /// Many more requests come.
     Burst = "burst", 2;
+    /// A box is out by hand at all nodes, is restarted, and comes back by hand.
+    Hand = "hand", 3;
+    /// A node is emptied by hand, and called back.
+    Evacuate = "evacuate", 3;
     /// In a world with DNS: a server answers nothing. Of these faults, all servers have it where `extra` is odd.
     DnsSilent = "dns-silent", 4;
     /// In a world with DNS: a server fails.
--- a/crates/mothpier-sim/src/play.rs
+++ b/crates/mothpier-sim/src/play.rs
@@ -9,7 +9,7 @@
 
 use bytes::BytesMut;
 use mothpier::config::{self, Listen, Precedence, RefreshBudget};
-use mothpier::{Census, Control, Plant};
+use mothpier::{Call, Census, Control, Plant, Reply};
 use mothpier_membership::names::Doubt;
 use mothpier_membership::{Like, Settings, rumour};
 use mothpier_net::{Net, Stream};
@@ -42,6 +42,8 @@
 const ASKS_WITHIN_S: f64 = 5.0;
 /// Of a rumour nothing is told any more so long before the end.
 const RUMOURS_OVER_MS: u64 = 5_000;
+/// A box that is out by hand has been restarted by then, milliseconds.
+const HAND_MS: u64 = 1_500;
 /// And after so long a quiet, nothing is kept of it.
 const QUIET_MS: u64 = 14_000;
 
@@ -93,6 +95,8 @@
     pub origin: Option<(usize, usize)>,
     /// The nodes are sidecars, which share so many calls at once and a second at the origin.
     pub shares: Option<(f64, f64)>,
+    /// Bytes that the values of some keys have besides; drawn where the size is not told.
+    pub large: Option<usize>,
     /// What a directed case does at its times, besides its faults.
     pub script: Option<Script>,
 }
@@ -179,6 +183,8 @@
     shares: Option<(f64, f64)>,
     /// Nodes tell each other what they see; a fleet of sidecars does not.
     peers: bool,
+    /// Bytes that the values of some keys have besides.
+    large: usize,
 }
 
 /// A world in a run.
@@ -236,6 +242,13 @@
     sidecars.then(|| (dice.within(1, 40) as f64, dice.within(20, 400) as f64))
 }
 
+/// Some worlds have values that are passed on as they come, a little over what is held or several parts more.
+fn draw_large(seed: u64, options: &Options) -> usize {
+    let dice = Dice::part(seed, 13);
+    let has = options.size.is_none() && dice.chance(0.2);
+    if has { dice.within(60_000, 200_000) as usize } else { 0 }
+}
+
 /// Plays a seed.
 pub fn play(seed: u64, options: &Options) -> Report {
     mothpier::plant(options.plant);
@@ -328,6 +341,7 @@
             questions_per_s: options.questions_per_s.unwrap_or(40.0),
             origin: options.origin,
             peers: options.shares.is_none(),
+            large: options.large.unwrap_or_else(|| draw_large(seed, options)),
             shares: options.shares.or_else(|| draw_shares(seed, options)),
         };
         // Under what the boxes can do: overload is not what is judged here.
@@ -556,6 +570,7 @@
             chance: self.make.chance,
             cluster: self.slots.as_ref().map(|s| s.cluster.clone()),
             through: self.make.boxes == Boxes::Through,
+            large: self.make.large,
         };
         let capacity = self.make.slots as f64 / self.make.work.as_secs_f64().max(1e-6);
         self.oracle.box_starts(j, warmth, capacity);
@@ -1060,6 +1075,15 @@
                 }
             }
             Kind::Burst => self.traffic.set(2.5),
+            Kind::Hand => self.out_by_hand(number, j),
+            Kind::Evacuate => {
+                let others = self.nodes.borrow().iter().enumerate().any(|(n, node)| n != i && node.fronted);
+                let node = &mut self.nodes.borrow_mut()[i];
+                if others && node.down_by.is_none() && node.control.is_some() && node.fronted {
+                    node.down_by = Some(number);
+                    self.later(0, move |world| world.emptied(number, i));
+                }
+            }
             Kind::Reshuffle
             | Kind::Migrate
             | Kind::ToItself
@@ -1147,6 +1171,25 @@
                 }
             }
             Kind::Burst => self.traffic.set(1.0),
+            Kind::Hand => {
+                // Not before it has been restarted.
+                let (at, over) = (fault.at + HAND_MS, self.exec.millis());
+                self.at(at.max(over), move |world| world.back_by_hand(number, j));
+            }
+            Kind::Evacuate => {
+                let held = self.nodes.borrow()[i].down_by == Some(number);
+                if held {
+                    self.nodes.borrow_mut()[i].down_by = None;
+                    self.call(i, Call::Rejoin, |_, _| {});
+                    let notice = self.dice.within(200, 400);
+                    let starts = self.nodes.borrow()[i].starts;
+                    self.later(notice, move |world| {
+                        let node = &mut world.nodes.borrow_mut()[i];
+                        node.fronted |=
+                            node.starts == starts && node.control.is_some() && node.down_by.is_none();
+                    });
+                }
+            }
             Kind::Reshuffle
             | Kind::Migrate
             | Kind::ToItself
@@ -1175,6 +1218,71 @@
         }
     }
 
+    /// A call of the operators at a node, and what is done with its yes.
+    fn call(&self, i: usize, call: Call, yes: impl FnOnce(&Rc<World>, String) + 'static) {
+        let (tell, told) = oneshot::channel();
+        self.tell(i, Control::Call(call, tell));
+        let (me, host) = (self.me.clone(), self.nodes.borrow()[i].host);
+        self.on(host, async move {
+            if let (Ok(Reply::Yes(text)), Some(world)) = (told.await, me.upgrade()) {
+                yes(&world, text);
+            }
+        });
+    }
+
+    /// All nodes are told that a box is out; it is restarted meanwhile, and the list hears of it late.
+    fn out_by_hand(&self, number: usize, j: usize) {
+        if !self.takes_down(number, j) {
+            return;
+        }
+        let (id, at) = {
+            let b = &self.boxes.borrow()[j];
+            (b.id.clone(), b.address)
+        };
+        for i in 0..self.nodes.borrow().len() {
+            self.call(i, Call::Exclude(id.clone()), move |world, _| world.oracle.by_hand(i, at, true));
+        }
+        let (ends, starts) = (self.dice.within(600, 900), self.dice.within(1_000, HAND_MS));
+        self.later(ends, move |world| world.box_ends(j));
+        self.later(starts, move |world| {
+            world.box_starts(j, true);
+            world.later(300, |world| world.with_slots(|slots| slots.cluster.gossip()));
+            world.notify(j, "ready", (200, 2_500));
+        });
+    }
+
+    fn back_by_hand(&self, number: usize, j: usize) {
+        let (id, at) = {
+            let b = &mut self.boxes.borrow_mut()[j];
+            if b.down_by != Some(number) {
+                return;
+            }
+            b.down_by = None;
+            (b.id.clone(), b.address)
+        };
+        for i in 0..self.nodes.borrow().len() {
+            self.oracle.by_hand(i, at, false);
+            self.call(i, Call::Include(id.clone()), |_, _| {});
+        }
+    }
+
+    /// A node is emptied; the front hears its no and sends for a little longer. After 4 s nobody is there.
+    fn emptied(&self, number: usize, i: usize) {
+        let (call, starts) = (self.exec.nanos(), self.nodes.borrow()[i].starts);
+        self.call(i, Call::Evacuate, |_, _| {});
+        let notice = self.dice.within(200, 320);
+        self.later(notice, move |world| world.nodes.borrow_mut()[i].fronted = false);
+        self.later(4_000, move |world| {
+            let still = {
+                let node = &world.nodes.borrow()[i];
+                node.down_by == Some(number) && node.starts == starts
+            };
+            if still {
+                world.oracle.emptied(i, call);
+            }
+        });
+    }
+
     fn agents_speak(&self, i: usize) {
         // One that a reload has left stays silent for good.
         let now = self.nodes.borrow()[i].agent;
@@ -1354,6 +1462,7 @@
                 let what = format!("node {i} holds revision {after} of its list, which is at {revision}");
                 self.oracle.breaks(Rule::Progress, what);
             }
+            self.call(i, Call::Figures, move |world, text| world.oracle.reports(i, &text));
             let (ask, told) = oneshot::channel::<Census>();
             self.tell(i, Control::Census(ask));
             let (oracle, host) = (self.oracle.clone(), self.nodes.borrow()[i].host);
--- a/crates/mothpier-sim/src/scenarios.rs
+++ b/crates/mothpier-sim/src/scenarios.rs
@@ -40,7 +40,7 @@
 
 /// All cases.
 pub fn all() -> impl Iterator<Item = &'static Scenario> {
-    PLAIN.iter().chain(crate::slot_cases::ALL).chain(crate::source_cases::ALL)
+    PLAIN.iter().chain(crate::slot_cases::ALL).chain(crate::source_cases::ALL).chain(crate::daily_cases::ALL)
 }
 
 const LATENCY_US: u64 = 200;
--- a/crates/mothpier-world/src/cache_box.rs
+++ b/crates/mothpier-world/src/cache_box.rs
@@ -59,6 +59,8 @@
     pub cluster: Option<Rc<Cluster>>,
     /// It gets what it lacks and carries out writes itself, where there is no origin.
     pub through: bool,
+    /// Bytes that the values of some keys have besides.
+    pub large: usize,
 }
 
 /// A running box.
@@ -249,7 +251,10 @@
             format!("*3\r\n${}\r\n{receipt}\r\n$-1\r\n{report}", receipt.len())
         } else if hit {
             let lie = if spoil == Some(Spoil::Lie) { "0" } else { "" };
-            let value = format!("{key}|{id}{lie}|box{}", self.make.number);
+            let mut value = format!("{key}|{id}{lie}|box{}", self.make.number);
+            if key.ends_with('7') {
+                value.extend(std::iter::repeat_n('.', self.make.large));
+            }
             format!("*3\r\n${}\r\n{value}\r\n$3\r\nhit\r\n{report}", value.len())
         } else {
             self.fleet.missed(id, self.make.number);
--- a/crates/mothpier-world/src/cost.rs
+++ b/crates/mothpier-world/src/cost.rs
@@ -79,6 +79,7 @@
             chance: 0.0,
             cluster: None,
             through: false,
+            large: 0,
         };
         let made = CacheBox::new(Tokio, fleet.clone(), make, number as u64);
         (0..1_000).for_each(|k| made.store(&format!("k{k}")));
--- a/crates/mothpier-world/src/demo.rs
+++ b/crates/mothpier-world/src/demo.rs
@@ -202,6 +202,7 @@
             chance: 0.5,
             cluster: cluster.clone(),
             through: false,
+            large: 0,
         };
         let made = CacheBox::new(machine.clone(), fleet.clone(), make, number as u64);
         if !cold {
--- a/crates/mothpier-world/src/matrix.rs
+++ b/crates/mothpier-world/src/matrix.rs
@@ -124,6 +124,7 @@
                 chance: 0.5,
                 cluster: None,
                 through: false,
+                large: 0,
             };
             let made = CacheBox::new(machine.clone(), fleet.clone(), make, number as u64);
             (0..KEYS).for_each(|k| made.store(&format!("k{k}")));
--- a/crates/mothpier-world/tests/reshuffle.rs
+++ b/crates/mothpier-world/tests/reshuffle.rs
@@ -99,6 +99,7 @@
             chance: 0.5,
             cluster: Some(cluster.clone()),
             through: true,
+            large: 0,
         };
         let made = CacheBox::new(Tokio, fleet.clone(), make, number as u64);
         (0..KEYS).for_each(|k| made.store(&format!("k{k}")));
--- a/crates/mothpier/src/clients.rs
+++ b/crates/mothpier/src/clients.rs
@@ -488,7 +488,7 @@
                 return;
             }
             let word = clients.phase.word();
-            let closing = clients.phase.closing();
+            let closing = clients.phase.closing() && !planted(Plant::KeptIdle);
             // One that is never between two requests is read no further once those who close have had their time.
             let cut = clients.phase.cut().filter(|_| begun.is_none() && !idle && !self.ended);
             let reads = !self.ended && cut.is_none_or(|cut| now < cut);
@@ -734,7 +734,7 @@
         left = left.saturating_sub(part.len());
         write(&part).await?;
     }
-    if left > 0 {
+    if left > 0 && !planted(Plant::CutIsWhole) {
         return Err(ErrorKind::UnexpectedEof.into());
     }
     write(b"\r\n").await
--- a/crates/mothpier/src/node.rs
+++ b/crates/mothpier/src/node.rs
@@ -361,7 +361,12 @@
     fn list(&mut self, list: List, kind: ListKind) {
         let lines = list.members.into_iter().map(membership::line).collect();
         self.lists += 1;
-        let lines = self.hand.list(kind != ListKind::Delta, lines);
+        let whole = kind != ListKind::Delta;
+        if whole && planted(Plant::HandForgotten) {
+            let origin = std::mem::take(&mut self.hand);
+            self.hand = origin.emptied();
+        }
+        let lines = self.hand.list(whole, lines);
         self.take(List { members: lines.into_iter().map(membership::member).collect(), ..list }, kind);
     }
 
--- a/crates/mothpier/src/plants.rs
+++ b/crates/mothpier/src/plants.rs
@@ -50,11 +50,17 @@
     NoLifetimes,
     /// A rumour goes on being told for ever.
     EndlessRumour,
+    /// Who is out by hand is forgotten when a whole list comes.
+    HandForgotten,
+    /// An emptied node keeps its clients' idle connections.
+    KeptIdle,
+    /// A value that its server cut is given as whole.
+    CutIsWhole,
 }
 
 impl Plant {
     /// All of them.
-    pub const ALL: [Plant; 23] = [
+    pub const ALL: [Plant; 26] = [
         Plant::ResetNeverRan,
         Plant::DoubleAnswer,
         Plant::DrainingIsReady,
@@ -78,6 +84,9 @@
         Plant::ForgedAnswer,
         Plant::NoLifetimes,
         Plant::EndlessRumour,
+        Plant::HandForgotten,
+        Plant::KeptIdle,
+        Plant::CutIsWhole,
     ];
 }
 
