--- a/crates/mothpier/tests/operations.rs
+++ b/crates/mothpier/tests/operations.rs
@@ -194,3 +194,52 @@
     }
     assert!(answered > 4 && sent - answered <= 5, "{answered} of {sent}");
 }
+
+/// The page's limit is a second. Clients here ask as fast as they are answered, 32 requests ahead each, beside callers that
+/// say nothing. `CALLS=2000` with `--release` makes it the measurement of the operators' page.
+#[test]
+fn calls_are_answered_in_time_however_busy_the_node_is() {
+    use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+    let calls: usize = std::env::var("CALLS").ok().and_then(|n| n.parse().ok()).unwrap_or(100);
+    let server = serve(command, |asked| array(&asked[2]));
+    let node = start("busydoor", &Discovery::start(&member("s-1", server, "m", "ready")));
+    let (stop, done) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
+    let clients: Vec<_> = (0..8)
+        .map(|c| {
+            let (mut client, stop, done) = (node.client(), stop.clone(), done.clone());
+            std::thread::spawn(move || {
+                let mut next = 0;
+                let mut send = |client: &mut Client| {
+                    next += 1;
+                    client.send(&["CACHE.GET", "k", &format!("c{c}n{next}"), "c=read,t=acme,d=9000"]);
+                };
+                (0..32).for_each(|_| send(&mut client));
+                while !stop.load(Relaxed) {
+                    client.answer();
+                    done.fetch_add(1, Relaxed);
+                    send(&mut client);
+                }
+            })
+        })
+        .collect();
+    let _silent: Vec<_> = (0..8).map(|_| TcpStream::connect(node.operator.unwrap()).unwrap()).collect();
+    let began = std::time::Instant::now();
+    let mut took: Vec<_> = (0..calls)
+        .map(|i| {
+            let path = if i % 2 == 0 { "/api/telemetry" } else { "/api/ready" };
+            let asked = std::time::Instant::now();
+            assert_eq!(node.call("GET", path, "").0, 200);
+            asked.elapsed()
+        })
+        .collect();
+    let rate = done.load(Relaxed) as f64 / began.elapsed().as_secs_f64();
+    stop.store(true, Relaxed);
+    clients.into_iter().for_each(|c| c.join().unwrap());
+    took.sort();
+    let last = took[took.len() - 1];
+    println!(
+        "{calls} calls beside {rate:.0} requests a second: median {:?}, longest {last:?}",
+        took[took.len() / 2]
+    );
+    assert!(last < std::time::Duration::from_secs(1), "{last:?}");
+}
--- a/crates/mothpier/tests/values.rs
+++ b/crates/mothpier/tests/values.rs
@@ -146,6 +146,19 @@
     let server =
         serve(command, move |asked| if asked[1].starts_with('s') { array("s") } else { array(&whole) });
     let node = node("slowread", &[member("s-1", server, "m", "ready")]);
+    // How long small requests take, microseconds: the median and the 99th percentile of so many.
+    let small = |name: &str| {
+        let mut client = node.client();
+        let took = |i: usize| {
+            let asked = std::time::Instant::now();
+            assert_eq!(client.ask(&read_words(&format!("s{i}"), &format!("{name}{i}"))), "$s");
+            asked.elapsed().as_micros()
+        };
+        let mut took: Vec<_> = (0..300).map(took).collect();
+        took.sort();
+        (took[150], took[297])
+    };
+    let alone = small("alone");
     let before = resident_kb(&node);
     // Each takes a little of its value and then nothing: far more than the memory limit together.
     let mut readers: Vec<TcpStream> = Vec::new();
@@ -160,6 +173,10 @@
         assert_eq!(node.client().ask(&read_words(&format!("s{i}"), &format!("n{i}"))), "$s", "{i}");
     }
     let grown = resident_kb(&node) - before;
+    let beside = small("beside");
+    println!(
+        "small requests in us: {alone:?} alone, {beside:?} beside 24 slow values; memory grew by {grown} KB"
+    );
     assert!(grown < 16 * 1024, "{grown} KB for 24 values of 4 MB");
 }
 
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -819,3 +819,21 @@
     }
     assert!(sent < 130, "{sent} attempts of 100 requests at a fleet that is full");
 }
+
+/// Two processes of one balancer, while one takes the other's place: together they call no more than one.
+#[test]
+fn two_halves_of_a_balancer_let_out_no_more_than_a_whole_one_and_a_part_comes_back() {
+    let start = || Node::new(Settings { tenants: vec![Tenant { quota_per_s: 1e3 }], ..settings() }, 3);
+    let mut out = 0;
+    for mut half in [start(), start()] {
+        half.event(Event::Part(0.5));
+        out += (1..=20).map(|id| sends(&half.request(write(id, 1)))).sum::<usize>();
+        let before = sends(&half.pass(0));
+        half.event(Event::Part(1.0));
+        // The other one has ended: what was postponed goes out within the whole cap.
+        let after: usize = (0..20).map(|_| sends(&half.pass(8 * MS))).sum();
+        assert_eq!((before, after), (0, 5));
+    }
+    let mut one = start();
+    assert_eq!(out, (1..=20).map(|id| sends(&one.request(write(id, 1)))).sum::<usize>());
+}
