Door: descriptors set aside are tested, HCL knows it; a mark never undoes a newer word

Read again as a stranger: a look at the other process's marks that began before a call out could take its box back in for 0.1 s after the yes (marks were read, then the node was told). Words and marks now take turns. Processes' files bear the time of their start beside the number, which two may share where each has a space of its own. limits.sockets too small beside the door is an error at the start.

operator { address = ... } in HCL, rendered, compared, checked against the node's own address (MP0605); SIGHUP with another one is logged. With 64 descriptors and 60 clients that hold a request each, calls are answered as before.

--- a/crates/mothpier-config/src/app.rs
+++ b/crates/mothpier-config/src/app.rs
@@ -287,6 +287,8 @@
     pub listen: Listen,
     /// Where the list of boxes is.
     pub discovery: Option<At<Place>>,
+    /// Where the operators' staff call.
+    pub operator: Option<At<Place>>,
     /// Other nodes.
     pub peers: Peers,
     /// What it may use.
@@ -361,6 +363,12 @@
         b.end(found);
         address
     });
+    let operator = file.block("operator", found).and_then(|mut b| {
+        let address = b.place("address", None, hosts, found);
+        let address = b.need("address", address, found);
+        b.end(found);
+        address
+    });
     let peers = file.block("peers", found).map(|mut b| {
         let listen = b.place("listen", None, hosts, found);
         let nodes = b.texts("nodes", found).map(|t| t.value).unwrap_or_default();
@@ -423,6 +431,7 @@
         me: me?,
         listen: listen?,
         discovery,
+        operator,
         peers,
         limits: limits?,
         origin,
--- a/crates/mothpier-config/src/changes.rs
+++ b/crates/mothpier-config/src/changes.rs
@@ -70,6 +70,11 @@
         app.discovery.as_ref().map(|d| d.value.plain()),
         "where the list of boxes comes from",
     );
+    add(
+        "operator.address",
+        app.operator.as_ref().map(|o| o.value.plain()),
+        "where staff ask for figures and take boxes out",
+    );
     add("limits.memory", Some(show_size(app.limits.memory.value)), "how many requests may be open");
     add("limits.sockets", Some(app.limits.sockets.value.to_string()), "how many connections there may be");
     add(
--- a/crates/mothpier-config/src/node.rs
+++ b/crates/mothpier-config/src/node.rs
@@ -29,6 +29,7 @@
     let mut sidecar = file.block("sidecar", found);
     let is_sidecar = sidecar.is_some();
     let name = file.text("name", found).unwrap_or_else(|| At::default_at("mothpier".into(), span.clone()));
+    let operator = address(file, "operator", hosts, found);
     let address = address(file, "listen", hosts, found);
     let discovery = address_or_none(file, "discovery", hosts, found);
     let listener = address_or_none(file, "peer_listen", hosts, found);
@@ -36,8 +37,6 @@
     let nodes = nodes.iter().filter_map(|t| take::place("peers", t, None, hosts, found)).collect();
     let peers = Peers { listen: listener, nodes };
     let _ = (address_or_none(file, "peers_all", hosts, found), file.entry("seed"));
-    // Port 0 asks the machine for a free one.
-    let _ = file.text("operator", found);
     let mut limits = file.block("limits", found).unwrap_or(Block::empty("limits", span.clone()));
     let memory = limits
         .number("memory_mb", ANY, found)
@@ -99,6 +98,7 @@
             group: None,
         },
         discovery,
+        operator,
         peers,
         limits: Limits { memory, sockets, connections: bound.connections, open: settings.open },
         origin,
--- a/crates/mothpier-config/src/render.rs
+++ b/crates/mothpier-config/src/render.rs
@@ -107,6 +107,7 @@
     };
     set("listen", app.listen.address.as_ref());
     set("discovery", app.discovery.as_ref());
+    set("operator", app.operator.as_ref());
     set("peer_listen", app.peers.listen.as_ref());
     let peers: Vec<String> =
         app.peers.nodes.iter().filter_map(|p| p.value.address()).map(|a| a.to_string()).collect();
--- a/crates/mothpier-config/src/rules/listening.rs
+++ b/crates/mothpier-config/src/rules/listening.rs
@@ -93,7 +93,10 @@
     let boxes = app.boxes.iter().filter_map(|b| Some((b.place.as_ref()?, "a box")));
     let discovery = app.discovery.iter().map(|d| (d, "discovery"));
     let origin = app.origin.iter().filter_map(|o| Some((o.place.as_ref()?, "the origin")));
-    for (other, what) in boxes.chain(discovery).chain(origin).filter(|(p, _)| p.value.plain() == plain) {
+    let operator = app.operator.iter().map(|o| (o, "where its operators call"));
+    for (other, what) in
+        boxes.chain(discovery).chain(origin).chain(operator).filter(|(p, _)| p.value.plain() == plain)
+    {
         let what = format!("{plain} is where the node listens, and {what}");
         found.push(
             Finding::error(code::TALKS_TO_ITSELF, other.span.clone(), what, code::TALKS_TO_ITSELF.mend())
--- a/crates/mothpier-config/src/schema.rs
+++ b/crates/mothpier-config/src/schema.rs
@@ -33,6 +33,7 @@
     reports: Option<Vec<String>>,
     listen: Listen,
     discovery: Option<Discovery>,
+    operator: Option<Operator>,
     peers: Option<Peers>,
     limits: Limits,
     origin: Option<Origin>,
@@ -83,6 +84,14 @@
     address: String,
 }
 
+/// Where the operators' staff call; without it there is no such door.
+#[derive(JsonSchema)]
+#[schemars(deny_unknown_fields)]
+struct Operator {
+    /// ADDRESS:PORT.
+    address: String,
+}
+
 /// Other nodes of the fleet.
 #[derive(JsonSchema)]
 #[schemars(deny_unknown_fields)]
--- a/crates/mothpier/src/config.rs
+++ b/crates/mothpier/src/config.rs
@@ -14,6 +14,7 @@
 use serde::Deserialize;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::door;
 use crate::messages::List;
 use crate::shelf::{Folder, Shelf};
 
@@ -300,6 +301,13 @@
     if file.limits.sockets < LEAST_SOCKETS {
         return Err(format!("limits.sockets: {} are too few to work with", file.limits.sockets));
     }
+    let operator = optional("operator", env("ROUTER_OPERATOR").or(file.operator))?;
+    if operator.is_some() && file.limits.sockets < LEAST_SOCKETS + door::DESCRIPTORS {
+        return Err(format!(
+            "limits.sockets: {} are too few beside the operators' door",
+            file.limits.sockets
+        ));
+    }
     let unix = file.sidecar.as_ref().and_then(sidecar::Section::unix);
     let sidecar = file.sidecar.map(|section| section.take(&mut site)).transpose()?;
     let to_tier = sidecar.as_ref().is_some_and(|s| s.tier);
@@ -315,7 +323,7 @@
         seed,
         sockets: file.limits.sockets,
         memory: (file.limits.memory_mb.clamp(16.0, 1e6) * 1048576.0) as usize,
-        operator: optional("operator", env("ROUTER_OPERATOR").or(file.operator))?,
+        operator,
         inherited: None,
         shelf: None,
         peer_listen: optional("peer_listen", file.peer_listen)?,
--- a/crates/mothpier/src/door.rs
+++ b/crates/mothpier/src/door.rs
@@ -20,8 +20,10 @@
 
 use crate::operations::{Call, Operations, Reply};
 
-/// Callers that are let in; their descriptors are set aside.
-pub const CALLERS: usize = 16;
+/// Callers that are let in.
+const CALLERS: usize = 16;
+/// Descriptors that are set aside: theirs and the listener's.
+pub const DESCRIPTORS: usize = CALLERS + 1;
 /// A connection ends by then, whatever it said: callers wait a second.
 const CALL: Duration = Duration::from_secs(5);
 /// The least that the library takes for a head.
--- a/crates/mothpier/src/lib.rs
+++ b/crates/mothpier/src/lib.rs
@@ -97,7 +97,7 @@
     let asks_dns = config.sources.as_ref().is_some_and(|s| s.dns.is_some());
     let own = OWN_DESCRIPTORS
         + if asks_dns { config::sources::DESCRIPTORS } else { 0 }
-        + if config.operator.is_some() { door::CALLERS + 1 } else { 0 };
+        + if config.operator.is_some() { door::DESCRIPTORS } else { 0 };
     let descriptors = config.sockets.saturating_sub(own) / 2;
     let figures = Rc::new(Figures::new(&site.classes).map_err(|e| format!("cannot count: {e}"))?);
     let share = Rc::new(Share::default());
@@ -194,7 +194,8 @@
         (None, Listen::Unix(place)) => net.listen_unix(place).await,
     };
     let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
-    let door = match config.operator {
+    let operator = config.operator;
+    let door = match operator {
         Some(at) => {
             let door =
                 net.listen(at).await.map_err(|e| format!("cannot listen on {at} for operators: {e}"))?;
@@ -283,7 +284,12 @@
             biased;
             told = control.recv() => match told {
                 Some(Control::Stop) | None => break,
-                Some(Control::Reload(read)) => reload(&net, discovery.as_ref(), read),
+                Some(Control::Reload(read)) => {
+                    if read.as_ref().is_ok_and(|told| told.operator != operator) {
+                        net.log("configuration read again: where operators call is fixed at the start");
+                    }
+                    reload(&net, discovery.as_ref(), read);
+                }
                 Some(Control::Call(call, tell)) => {
                     let done = operations.clone().call(call);
                     net.spawn(async move {
--- a/crates/mothpier/src/operations.rs
+++ b/crates/mothpier/src/operations.rs
@@ -61,6 +61,11 @@
 impl<N: Net> Operations<N> {
     /// Carries out a call.
     pub async fn call(self: Rc<Self>, call: Call) -> Reply {
+        let succession = self.succession.clone().filter(|_| !matches!(call, Call::Ready | Call::Figures));
+        let _turn = match &succession {
+            Some(succession) => Some(succession.turn().await),
+            None => None,
+        };
         match call {
             Call::Ready => match self.phase.ready() {
                 Ok(()) => {
--- a/crates/mothpier/src/shelf.rs
+++ b/crates/mothpier/src/shelf.rs
@@ -5,6 +5,7 @@
 use std::io::{self, Read, Seek, Write};
 use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use crate::handover::{MOST, Word};
 
@@ -39,6 +40,8 @@
 /// A folder.
 pub struct Folder {
     folder: PathBuf,
+    /// Tells this process from others: numbers of processes may be alike where each has a space of its own.
+    tag: String,
     own: PathBuf,
     /// Locked for as long as this process lives.
     lock: File,
@@ -51,7 +54,9 @@
     ///
     /// A folder that can't be written to, or has no locks.
     pub fn open(folder: &Path) -> io::Result<Self> {
-        let own = folder.join(format!("{ALIVE}{}", std::process::id()));
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let tag = format!("{}-{}", std::process::id(), since.as_nanos());
+        let own = folder.join(format!("{ALIVE}{tag}"));
         for _ in 0..TRIES {
             let lock = OpenOptions::new().create(true).truncate(true).read(true).write(true).open(&own)?;
             // Another process may take a file that is not locked yet for that of a dead one, and remove it.
@@ -63,7 +68,7 @@
             } else if locked.is_ok()
                 && fs::metadata(&own).is_ok_and(|m| lock.metadata().is_ok_and(|l| l.ino() == m.ino()))
             {
-                return Ok(Folder { folder: folder.into(), own, lock });
+                return Ok(Folder { folder: folder.into(), tag, own, lock });
             }
         }
         Err(io::ErrorKind::ResourceBusy.into())
@@ -86,7 +91,7 @@
     }
 
     fn write(&self, bytes: &[u8]) -> io::Result<()> {
-        let beside = self.folder.join(format!("{STATE}.{}", std::process::id()));
+        let beside = self.folder.join(format!("{STATE}.{}", self.tag));
         fs::write(&beside, bytes)?;
         fs::rename(&beside, self.folder.join(STATE))
     }
--- a/crates/mothpier/src/succession.rs
+++ b/crates/mothpier/src/succession.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use mothpier_net::Net;
-use tokio::sync::oneshot;
+use tokio::sync::{Mutex, MutexGuard, oneshot};
 
 use crate::handover::{State, part};
 use crate::messages::{List, Order};
@@ -47,13 +47,15 @@
     /// As it was last read or written.
     left: RefCell<Option<Vec<u8>>>,
     sockets: usize,
+    /// Held from a word of the staff to its mark, and while marks are obeyed: an older mark must not undo a newer word.
+    turn: Mutex<()>,
 }
 
 impl Succession {
     /// Takes over what is on the shelf.
     pub fn open(net: &impl Net, shelf: Rc<dyn Shelf>, node: &str, sockets: usize) -> Self {
         let (state, left) = (RefCell::new(State::new(node)), RefCell::default());
-        let succession = Succession { node: node.into(), shelf, state, left, sockets };
+        let succession = Succession { node: node.into(), shelf, state, left, sockets, turn: Mutex::new(()) };
         succession.look(net);
         succession
     }
@@ -92,6 +94,11 @@
         self.leave(net);
     }
 
+    /// Waits for its turn between words and marks.
+    pub async fn turn(&self) -> MutexGuard<'_, ()> {
+        self.turn.lock().await
+    }
+
     /// The list that an earlier process held.
     pub fn list(&self) -> Option<List> {
         self.state.borrow_mut().take_list()
@@ -113,12 +120,15 @@
     let net = operations.net.clone();
     let (mut looks, mut held) = (0u32, 0);
     loop {
-        succession.look(&net);
-        let (out, emptied) = {
-            let state = succession.state.borrow();
-            (state.out(), state.emptied())
-        };
-        operations.agree(out, emptied).await;
+        {
+            let _turn = succession.turn().await;
+            succession.look(&net);
+            let (out, emptied) = {
+                let state = succession.state.borrow();
+                (state.out(), state.emptied())
+            };
+            operations.agree(out, emptied).await;
+        }
         if looks.is_multiple_of(LIST_LOOKS) {
             let (tell, told) = oneshot::channel();
             let _ = operations.orders.send(Order::List { held, tell }).await;
--- a/crates/mothpier/tests/operations.rs
+++ b/crates/mothpier/tests/operations.rs
@@ -70,6 +70,36 @@
     assert_eq!(node.call("GET", "/api/ready", "").0, 200);
 }
 
+#[test]
+fn calls_are_answered_while_clients_hold_every_descriptor_that_is_theirs() {
+    let (arrived, arrivals) = channel();
+    let arrived = Mutex::new(arrived);
+    let server = serve(command, move |_| {
+        let _ = arrived.lock().unwrap().send(());
+        Reaction::Silence
+    });
+    let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
+    let mut command = node_command("fulldoor", discovery.address, 64, "ulimit -n 64;");
+    command.env("ROUTER_OPERATOR", "127.0.0.1:0");
+    let node = Node::run(command, &discovery);
+    let mut held: Vec<Client> = Vec::new();
+    for i in 0..60 {
+        let mut client = node.client();
+        client.send(&["CACHE.GET", &format!("k{i}"), &format!("i{i}"), "c=read,t=acme,d=19000"]);
+        held.push(client);
+    }
+    // As many as there is room for are being asked for at the server, or wait.
+    arrivals.recv_timeout(HUNG).unwrap();
+    for _ in 0..5 {
+        assert_eq!(node.call("GET", "/api/ready", "").0, 200);
+        assert!(node.figure("edge_router_pending") <= 60);
+    }
+    let mut few = node_command("fewsockets", discovery.address, 40, "");
+    let output = few.env("ROUTER_OPERATOR", "127.0.0.1:0").output().unwrap();
+    let said = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(said.contains("40 are too few beside the operators' door"), "{said}");
+}
+
 #[test]
 fn a_door_that_cannot_be_bound_is_a_clear_error_and_an_exit() {
     let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
