--- a/crates/mothpier-sim/src/oracle.rs
+++ b/crates/mothpier-sim/src/oracle.rs
@@ -707,11 +707,18 @@
     length.is_some_and(|n| n > HELD)
 }
 
-/// Whether a box's answer begins as one with a value does: an array whose first part is not null.
+/// Whether a box's answer begins as one with a value does: an array whose first part is not null, and whose second is a
+/// word. Behind half an answer, cut right behind its value, the next answer would be taken for that word.
 fn is_value(answer: &[u8]) -> bool {
-    let second = answer.iter().position(|b| *b == b'\n').map(|end| &answer[end + 1..]);
-    answer.first() == Some(&b'*')
-        && second.is_some_and(|s| s.first() == Some(&b'$') && s.get(1) != Some(&b'-'))
+    let line = |from: &[u8]| from.iter().position(|b| *b == b'\n').map(|end| end + 1);
+    let second = line(answer).map(|end| &answer[end..]).filter(|_| answer.first() == Some(&b'*'));
+    let Some((second, end)) = second.filter(|s| s.first() == Some(&b'$')).and_then(|s| Some((s, line(s)?)))
+    else {
+        return false;
+    };
+    let length = std::str::from_utf8(&second[1..end]).ok().and_then(|n| n.trim_end().parse::<usize>().ok());
+    // What has not come yet may be a word.
+    length.is_some_and(|n| second.get(end + n + 2).is_none_or(|b| matches!(b, b'$' | b'+')))
 }
 
 impl List {
--- a/crates/mothpier-world/src/wire.rs
+++ b/crates/mothpier-world/src/wire.rs
@@ -120,6 +120,10 @@
                 if buffer.len() < at {
                     return Ok(None);
                 }
+                // Behind half an answer the next one begins anywhere: what it then looks like belongs to nobody.
+                if length.is_some() && buffer[at - 2..at] != b"\r\n"[..] {
+                    return Err("a value without its end".into());
+                }
             }
             b'+' | b'-' | b':' => {
                 let Some(end) = buffer[at..].iter().position(|b| *b == b'\n') else { return Ok(None) };
