Large values: what others wait behind is held within a budget, so that a client never waits for itself

The reader of a box's connection waited until the client took a large value; the client's session waited for the answer before it, which stood behind that value on the same connection (pass_on in servers.rs).

What is taken slowly while others wait behind it is held, within an eighth of the memory; else it waits as before.

--- a/crates/mothpier-sim/src/daily_cases.rs
+++ b/crates/mothpier-sim/src/daily_cases.rs
@@ -1,5 +1,6 @@
 //! The directed cases of daily service: boxes out by hand, an emptied node, values that break off.
 
+use crate::plan::{Beside, Boxes};
 use crate::play::{Options, Report};
 use crate::scenarios::{Scenario, faults, need, served};
 
@@ -61,4 +62,23 @@
         },
         met: some_cut,
     },
+    Scenario {
+        name: "behind-a-large-value",
+        about: "a client asks much at once: what it waits for first stands behind a large value that it can't take yet",
+        runs: || {
+            // As seed 1642 found it: the reader of a connection waited for the client, and the client for that connection.
+            let lines =
+                ["origin-slow target=0 at=6380 len=64 extra=22", "pipeline target=3 at=6456 len=30 extra=76"];
+            let found = Options {
+                size: None,
+                rate: None,
+                writes: None,
+                boxes: Some(Boxes::Plain),
+                beside: Some(Beside::Both),
+                ..faults(&lines)
+            };
+            vec![(1642, found)]
+        },
+        met: served,
+    },
 ];
--- a/crates/mothpier/src/lib.rs
+++ b/crates/mothpier/src/lib.rs
@@ -30,12 +30,13 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use brassrouter::Micros;
 use mothpier_net::{Listener, Net};
 use mothpier_slots::{Pool, Tier};
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 
 use clients::Clients;
 use clock::Clock;
@@ -64,6 +65,8 @@
 const TIER_LOOK: Duration = Duration::from_millis(100);
 /// Findings of the checks that are logged at the start; the checker tells all.
 const MOST_WARNINGS: usize = 8;
+/// Part of the memory for large values that others wait behind.
+const HELD: usize = 8;
 /// Orders of staff that wait for the node.
 const ORDERS: usize = 16;
 /// Descriptors for the listener, the peers, discovery, the runtime and the standard streams.
@@ -113,6 +116,7 @@
         tier: config.sidecar.as_ref().is_some_and(|s| s.tier),
         figures: figures.clone(),
         share: share.clone(),
+        held: Arc::new(Semaphore::new(config.memory / HELD / 1024)),
     };
     config.warnings.iter().take(MOST_WARNINGS).for_each(|line| net.log(line));
     let me = site.decisions.me as usize;
--- a/crates/mothpier/src/node.rs
+++ b/crates/mothpier/src/node.rs
@@ -821,6 +821,7 @@
                 tier: false,
                 figures: figures.clone(),
                 share: Rc::default(),
+                held: std::sync::Arc::new(tokio::sync::Semaphore::new(0)),
             };
             let parts = Parts {
                 cluster: None,
--- a/crates/mothpier/src/servers.rs
+++ b/crates/mothpier/src/servers.rs
@@ -5,6 +5,7 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use brassrouter::ServerId;
@@ -12,7 +13,8 @@
 use mothpier_net::{Net, Reading, Stream, Task};
 use redis_protocol::resp2::types::BytesFrame;
 use tokio::io::AsyncWriteExt;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::mpsc::error::TrySendError;
+use tokio::sync::{Notify, Semaphore, mpsc};
 
 use crate::figures::Figures;
 use crate::messages::{AttemptId, Input, Passing, ServerEvent as Event};
@@ -74,6 +76,8 @@
     pub figures: Rc<Figures>,
     /// What this process may use of what the node has.
     pub share: Rc<Share>,
+    /// Memory, in permits of a KB, for large values that others wait behind.
+    pub held: Arc<Semaphore>,
 }
 
 /// A command that is to be written.
@@ -540,10 +544,12 @@
 }
 
 /// Passes a value on as it comes, and gives the frame that it would have been with nothing for the value; `None` where
-/// the connection has to end. What nobody takes any more is read to its end only if others wait behind it.
+/// the connection has to end. What nobody takes any more is read to its end only if others wait behind it. What is taken
+/// slowly is held while others wait behind it, as far as there is memory: one client's answers come in the order of its
+/// commands, so that what it waits for may stand behind the very value that it does not take yet.
 async fn pass_on<R: Reading>(
     net: &impl Net,
-    shared: &Shared,
+    (shared, memory): (&Shared, &Arc<Semaphore>),
     reading: &R,
     buffer: &mut BytesMut,
     begun: resp::Begun,
@@ -563,19 +569,50 @@
         }
     };
     buffer.advance(begun.head);
-    let (mut left, mut taken) = (begun.length, true);
+    let (mut left, mut taken, mut held) = (begun.length, true, None);
     while left > 0 {
         if buffer.is_empty() {
             more(buffer, STALLED).await?;
         }
         let part = buffer.split_to(left.min(buffer.len())).freeze();
         left -= part.len();
-        taken = taken && put.send(part).await.is_ok();
+        if let Some((_, parts)) = &mut held {
+            let parts: &mut Vec<Bytes> = parts;
+            parts.push(part);
+        } else if taken {
+            taken = match put.try_send(part) {
+                Ok(()) => true,
+                Err(TrySendError::Closed(_)) => false,
+                Err(TrySendError::Full(part)) => {
+                    let kb = (left + part.len()).div_ceil(1024) as u32;
+                    let room = shared.carries_more().then(|| memory.clone().try_acquire_many_owned(kb).ok());
+                    match room.flatten() {
+                        Some(permit) => {
+                            held = Some((permit, vec![part]));
+                            true
+                        }
+                        None => put.send(part).await.is_ok(),
+                    }
+                }
+            };
+        }
         if !taken && !shared.carries_more() {
             return None;
         }
     }
-    drop(put);
+    // The connection goes on; what is held is its client's, as soon as that one takes it.
+    if let Some((permit, parts)) = held {
+        net.spawn(async move {
+            let _permit = permit;
+            for part in parts {
+                if put.send(part).await.is_err() {
+                    return;
+                }
+            }
+        });
+    } else {
+        drop(put);
+    }
     while buffer.len() < 2 {
         more(buffer, STALLED).await?;
     }
@@ -632,7 +669,9 @@
                 if told(Event::Began(attempt, value)).await.is_err() {
                     return;
                 }
-                let Some(frame) = pass_on(net, shared, &reading, &mut buffer, large, put).await else {
+                let Some(frame) =
+                    pass_on(net, (shared, &limits.held), &reading, &mut buffer, large, put).await
+                else {
                     return;
                 };
                 shared.line.borrow_mut().sent.pop_front();
@@ -785,6 +824,7 @@
             tier: false,
             figures: Rc::new(Figures::new(&[]).unwrap()),
             share: Rc::default(),
+            held: Arc::new(Semaphore::new(8 * 1024)),
         }
     }
 
