Policy: a cut no longer keeps every balancer's resting connections for good

Ruled out before: failed connections as strain (no change), never closing (worse).

Change: a connection that is not made counts only where the server answered this balancer meanwhile (it is reached, so it is slow or full, not cut off), and the guard ends after two of the longest aims.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -51,8 +51,8 @@
 /// Retry budget, a token bucket: it holds so many times what each request adds.
 const RETRY: f64 = 25.0;
 /// A connection rests after this part of the longest aim; part of the attempts whose connection is not made
-/// in time, from which all are kept; what a review keeps of that count.
-const REST: (f64, f64, f64) = (0.3, 0.015, 0.99);
+/// in time, from which all are kept; what a review keeps of that count; longest aims for which they are kept.
+const REST: (f64, f64, f64, f64) = (0.3, 0.015, 0.99, 2.0);
 /// Weights of kinds: step of a review for a difference in busy cores; least; what a review keeps of reports.
 const KINDS: (f64, f64, f64) = (0.03, 0.25, 0.98);
 /// Stated shares: a turn, part of the shortest aim; part of each call in the time that calls take of late,
@@ -90,8 +90,9 @@
     /// This process's part of the balancer: 1 but while another one takes its place.
     part: f64,
     strain: Ratio,
-    /// Attempts whose connection was not made in time.
+    /// Attempts whose connection was not made in time, and for how many reviews rested ones were kept for it.
     slow_connects: Ratio,
+    kept: u32,
     retry_budget: f64,
     cache_out: u32,
     admitted: Rate,
@@ -554,7 +555,9 @@
         s.active = self.now;
         s.connected |= !matches!(o.status, Status::Reset | Status::ConnectFailed);
         let not_made = o.status == Status::ConnectFailed && o.took >= self.settings.connect_timeout;
-        self.slow_connects.add(f64::from(u8::from(not_made)), 1.0);
+        // Of a server that answers nobody here it tells nothing: that one may be cut off or dead.
+        let reached = s.heard >= flight.sent;
+        self.slow_connects.add(f64::from(u8::from(not_made && reached)), 1.0);
         if flight.call != Call::Cache {
             return self.learn_origin(flight, o, out);
         }
@@ -779,10 +782,12 @@
 
     /// Connections that rest are kept: new ones cost time, work and a price. Under strain they are closed:
     /// what is sent on one may be lost unseen, and full tables take capacity and shut others out. Not so
-    /// while new ones are not made in time. Harm: under strain of another cause many requests pay for a
-    /// connection.
+    /// while new ones are not made in time by servers that are reached otherwise; and that only for a while:
+    /// where all balancers keep theirs the tables fill up, and new ones are not made for that very reason.
+    /// Harm: under strain of another cause many requests pay for a connection.
     fn close_rested(&mut self, strain: f64, out: &mut Vec<Action>) {
-        if strain > STRAIN.0 && self.slow_connects.value() < REST.1 {
+        self.kept = if self.slow_connects.value() < REST.1 { 0 } else { self.kept + 1 };
+        if strain > STRAIN.0 && (self.kept == 0 || f64::from(self.kept) > REST.3 * REVIEWS) {
             let since = self.now.saturating_sub((self.aim as f64 * REST.0) as Micros);
             let rests = |s: &&mut Server| s.connected && s.in_flight == 0 && s.active.max(s.used) <= since;
             for s in self.servers.values_mut().filter(rests) {
