Coordinators: sessions, leases, fences, a synced store, lease run; the claim model-checked

Need: nobody decides for all nodes.

What is new: mothpier-coordination, the agreed state and the three reckonings of time, pure; mothpier-coordinator, raft-rs over redb behind HTTP/1.1, one member or several, init apart from run so that a lost store never votes; mothpier-coordination-client; mothpierctl lease run, list, show, break and coordinator status. Net::awake is a clock that also counts suspension.

On the way the model showed that opening a session twice has to count as a renewal.

--- /dev/null
+++ b/crates/mothpier-coordination/src/agreed.rs
@@ -0,0 +1,416 @@
+//! The replicated state machine. The same commands in the same order make the same state, byte for byte, at every
+//! coordinator: there is no clock, no chance and no order but that of names in it.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use serde::{Deserialize, Serialize};
+
+use crate::command::{Answer, Change, Command, FORMAT, Fence, Refusal, Request, Revision, SessionId};
+use crate::limits;
+use crate::obey::Floors;
+
+/// A client that lives.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Session {
+    /// It ends when it has not been renewed for so long.
+    pub ttl_ms: u64,
+    /// How often it was renewed.
+    pub renewals: u64,
+    /// Staff want it to end: it is renewed no more.
+    pub broken: bool,
+    /// Its last request and what came of it, so that the same one again changes nothing.
+    number: u64,
+    answer: Option<Answer>,
+    /// Leases that it holds or waits for.
+    leases: BTreeSet<String>,
+}
+
+/// A lease that is held.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Lease {
+    /// The session that holds it.
+    pub holder: SessionId,
+    /// The number of its grant.
+    pub fence: Fence,
+    /// Who is next, in order.
+    pub waiting: VecDeque<SessionId>,
+}
+
+/// A value and the number of its last change.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Value {
+    /// The value.
+    pub value: String,
+    /// The number of its last change.
+    pub revision: Revision,
+}
+
+/// All that is agreed on.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Agreed {
+    format: u32,
+    /// The number of the last grant of any lease.
+    fences: Fence,
+    /// The number of the last change.
+    revision: Revision,
+    sessions: BTreeMap<SessionId, Session>,
+    /// Names of ended sessions, the latest last.
+    ended: VecDeque<SessionId>,
+    leases: BTreeMap<String, Lease>,
+    values: BTreeMap<String, Value>,
+    value_bytes: usize,
+    /// The last changes; the first one's number is `revision - history.len() + 1`.
+    history: VecDeque<Change>,
+}
+
+/// Why a state can't be taken over.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Unreadable {
+    /// A newer program wrote it.
+    Format(u32),
+    /// It is damaged, or no state at all.
+    Damaged(String),
+}
+
+impl std::fmt::Display for Unreadable {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Unreadable::Format(format) => {
+                write!(f, "it was written in format {format}; this program reads {FORMAT}")
+            }
+            Unreadable::Damaged(why) => write!(f, "it is damaged: {why}"),
+        }
+    }
+}
+
+impl Default for Agreed {
+    fn default() -> Self {
+        Agreed {
+            format: FORMAT,
+            fences: 0,
+            revision: 0,
+            sessions: BTreeMap::new(),
+            ended: VecDeque::new(),
+            leases: BTreeMap::new(),
+            values: BTreeMap::new(),
+            value_bytes: 0,
+            history: VecDeque::new(),
+        }
+    }
+}
+
+fn refused(why: Refusal) -> Answer {
+    Answer::Refused { why }
+}
+
+fn over(limit: &str, most: usize) -> Answer {
+    refused(Refusal::OverLimit { limit: limit.into(), most: most as u64 })
+}
+
+impl Agreed {
+    /// Takes the next command of the log.
+    pub fn apply(&mut self, command: &Command) -> Answer {
+        let answer = match command {
+            Command::Open { session, ttl_ms } => self.open(session, *ttl_ms),
+            Command::Renew { session } => self.renew(session),
+            Command::Ask { session, number, request } => self.ask(session, *number, request),
+            Command::Close { session } => {
+                self.end(session);
+                Answer::Closed
+            }
+            Command::Expire { session, renewals } => match self.sessions.get(session) {
+                None => refused(Refusal::NoSession),
+                Some(s) if s.renewals != *renewals => refused(Refusal::Renewed),
+                Some(_) => {
+                    self.end(session);
+                    Answer::Closed
+                }
+            },
+            Command::Break { lease, fence } => self.break_lease(lease, *fence),
+        };
+        debug_assert!(self.is_whole());
+        answer
+    }
+
+    /// Names it and its holder's session renewals no more: nothing is taken from a holder that may still act.
+    fn break_lease(&mut self, lease: &str, fence: Fence) -> Answer {
+        let holder = self.leases.get(lease).filter(|l| l.fence == fence).map(|l| l.holder.clone());
+        match holder.and_then(|h| self.sessions.get_mut(&h)) {
+            None => refused(Refusal::NotHeld),
+            Some(session) => {
+                session.broken = true;
+                Answer::Broken
+            }
+        }
+    }
+
+    fn open(&mut self, session: &str, ttl_ms: u64) -> Answer {
+        let (least_ms, most_ms) = limits::TTL_MS;
+        if !limits::is_name(session) {
+            return refused(Refusal::BadName);
+        }
+        if !(least_ms..=most_ms).contains(&ttl_ms) {
+            return refused(Refusal::BadTtl { least_ms, most_ms });
+        }
+        if let Some(s) = self.sessions.get_mut(session) {
+            if s.ttl_ms != ttl_ms {
+                return refused(Refusal::OtherTtl { ttl_ms: s.ttl_ms });
+            }
+            if s.broken {
+                return refused(Refusal::BrokenByStaff);
+            }
+            // Whoever asks again counts its time from the second asking: so must the leader.
+            s.renewals += 1;
+            return Answer::Opened;
+        }
+        if self.ended.iter().any(|e| e == session) {
+            return refused(Refusal::SessionOver);
+        }
+        if self.sessions.len() >= limits::SESSIONS {
+            return over("sessions", limits::SESSIONS);
+        }
+        let fresh =
+            Session { ttl_ms, renewals: 0, broken: false, number: 0, answer: None, leases: BTreeSet::new() };
+        self.sessions.insert(session.into(), fresh);
+        Answer::Opened
+    }
+
+    fn renew(&mut self, session: &str) -> Answer {
+        match self.sessions.get_mut(session) {
+            None => refused(Refusal::NoSession),
+            Some(s) if s.broken => refused(Refusal::BrokenByStaff),
+            Some(s) => {
+                s.renewals += 1;
+                Answer::Renewed
+            }
+        }
+    }
+
+    fn ask(&mut self, session: &str, number: u64, request: &Request) -> Answer {
+        let Some(s) = self.sessions.get(session) else { return refused(Refusal::NoSession) };
+        if let Some(answer) = s.answer.clone().filter(|_| s.number == number) {
+            return answer;
+        }
+        if number != s.number + 1 {
+            return refused(Refusal::WrongNumber { last: s.number });
+        }
+        let answer = match request {
+            Request::Acquire { lease, wait } => self.acquire(session, lease, *wait),
+            Request::Release { lease } => self.release(session, lease),
+            Request::Put { key, value, at } => self.put(key, value, *at),
+            Request::Delete { key, at } => self.delete(key, *at),
+        };
+        if let Some(s) = self.sessions.get_mut(session) {
+            (s.number, s.answer) = (number, Some(answer.clone()));
+        }
+        answer
+    }
+
+    fn acquire(&mut self, session: &str, name: &str, wait: bool) -> Answer {
+        if !limits::is_name(name) {
+            return refused(Refusal::BadName);
+        }
+        if self.sessions[session].broken {
+            return refused(Refusal::BrokenByStaff);
+        }
+        if let Some(lease) = self.leases.get(name) {
+            if lease.holder == session {
+                return Answer::Granted { fence: lease.fence };
+            }
+            if let Some(ahead) = lease.waiting.iter().position(|w| w == session) {
+                return Answer::Waiting { ahead: ahead as u64 + 1 };
+            }
+            if !wait {
+                return refused(Refusal::Held { by: lease.holder.clone() });
+            }
+            if lease.waiting.len() >= limits::WAITING {
+                return over("sessions that wait for one lease", limits::WAITING);
+            }
+        } else if self.leases.len() >= limits::LEASES {
+            return over("leases", limits::LEASES);
+        }
+        let own = self.sessions.get_mut(session).map(|s| &mut s.leases);
+        let Some(own) = own.filter(|own| own.len() < limits::LEASES_OF_SESSION) else {
+            return over("leases of one session", limits::LEASES_OF_SESSION);
+        };
+        own.insert(name.into());
+        match self.leases.get_mut(name) {
+            Some(lease) => {
+                lease.waiting.push_back(session.into());
+                Answer::Waiting { ahead: lease.waiting.len() as u64 }
+            }
+            None => Answer::Granted { fence: self.grant(name, session.into(), VecDeque::new()) },
+        }
+    }
+
+    fn grant(&mut self, name: &str, holder: SessionId, waiting: VecDeque<SessionId>) -> Fence {
+        self.fences += 1;
+        let fence = self.fences;
+        self.leases.insert(name.into(), Lease { holder: holder.clone(), fence, waiting });
+        self.changed(Change::Granted { lease: name.into(), session: holder, fence });
+        fence
+    }
+
+    fn release(&mut self, session: &str, name: &str) -> Answer {
+        if let Some(s) = self.sessions.get_mut(session) {
+            s.leases.remove(name);
+        }
+        self.let_go(session, name);
+        Answer::Released
+    }
+
+    /// A session holds and awaits a lease no more; the next in line holds it.
+    fn let_go(&mut self, session: &str, name: &str) {
+        let Some(lease) = self.leases.get_mut(name) else { return };
+        if lease.holder != session {
+            return lease.waiting.retain(|w| w != session);
+        }
+        let (fence, mut waiting) = (lease.fence, std::mem::take(&mut lease.waiting));
+        self.leases.remove(name);
+        self.changed(Change::Ended { lease: name.into(), fence });
+        if let Some(next) = waiting.pop_front() {
+            self.grant(name, next, waiting);
+        }
+    }
+
+    fn end(&mut self, session: &str) {
+        let Some(gone) = self.sessions.remove(session) else { return };
+        for lease in &gone.leases {
+            self.let_go(session, lease);
+        }
+        self.ended.push_back(session.into());
+        if self.ended.len() > limits::ENDED {
+            self.ended.pop_front();
+        }
+    }
+
+    fn put(&mut self, key: &str, value: &str, at: Option<Revision>) -> Answer {
+        if !limits::is_name(key) {
+            return refused(Refusal::BadName);
+        }
+        if value.len() > limits::VALUE {
+            return over("bytes of a value", limits::VALUE);
+        }
+        let before = self.values.get(key);
+        let last = before.map_or(0, |v| v.revision);
+        if at.is_some_and(|at| at != last) {
+            return refused(Refusal::Changed { at: last });
+        }
+        if before.is_none() && self.values.len() >= limits::VALUES {
+            return over("values", limits::VALUES);
+        }
+        let bytes = self.value_bytes - before.map_or(0, |v| v.value.len()) + value.len();
+        if bytes > limits::ALL_VALUES {
+            return over("bytes of all values", limits::ALL_VALUES);
+        }
+        self.value_bytes = bytes;
+        let revision = self.changed(Change::Put { key: key.into(), value: value.into() });
+        self.values.insert(key.into(), Value { value: value.into(), revision });
+        Answer::Stored { revision }
+    }
+
+    fn delete(&mut self, key: &str, at: Option<Revision>) -> Answer {
+        let last = self.values.get(key).map_or(0, |v| v.revision);
+        if last == 0 || at.is_some_and(|at| at != last) {
+            return refused(Refusal::Changed { at: last });
+        }
+        if let Some(gone) = self.values.remove(key) {
+            self.value_bytes -= gone.value.len();
+        }
+        Answer::Deleted { revision: self.changed(Change::Deleted { key: key.into() }) }
+    }
+
+    fn changed(&mut self, change: Change) -> Revision {
+        self.revision += 1;
+        self.history.push_back(change);
+        if self.history.len() > limits::HISTORY {
+            self.history.pop_front();
+        }
+        self.revision
+    }
+
+    /// The number of the last change.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// What has changed since a change, in order; `None` where the history begins later or that change is still to come:
+    /// the watcher has to read the whole.
+    pub fn since(&self, after: Revision) -> Option<impl Iterator<Item = (Revision, &Change)>> {
+        let first = self.revision - self.history.len() as u64;
+        (first..=self.revision).contains(&after).then(|| {
+            let skipped = (after - first) as usize;
+            (after + 1..).zip(self.history.iter().skip(skipped))
+        })
+    }
+
+    /// The sessions that live.
+    pub fn sessions(&self) -> impl Iterator<Item = (&SessionId, &Session)> {
+        self.sessions.iter()
+    }
+
+    /// A session that lives.
+    pub fn session(&self, name: &str) -> Option<&Session> {
+        self.sessions.get(name)
+    }
+
+    /// The leases that are held.
+    pub fn leases(&self) -> &BTreeMap<String, Lease> {
+        &self.leases
+    }
+
+    /// The values.
+    pub fn values(&self) -> &BTreeMap<String, Value> {
+        &self.values
+    }
+
+    /// What one that obeys has to know before it obeys anybody.
+    pub fn floors(&self) -> Floors {
+        let held = self.leases.iter().map(|(name, lease)| (name.clone(), lease.fence)).collect();
+        Floors { others: self.fences + 1, held }
+    }
+
+    /// The state as a snapshot holds it.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        serde_json::to_vec(self).unwrap_or_default()
+    }
+
+    /// Takes a state over.
+    ///
+    /// # Errors
+    ///
+    /// What a newer program wrote, and what is damaged.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, Unreadable> {
+        /// The one field that every format has.
+        #[derive(Deserialize)]
+        struct Format {
+            format: u32,
+        }
+        let damaged = |e: serde_json::Error| Unreadable::Damaged(e.to_string());
+        let Format { format } = serde_json::from_slice(bytes).map_err(damaged)?;
+        if format != FORMAT {
+            return Err(Unreadable::Format(format));
+        }
+        let state: Agreed = serde_json::from_slice(bytes).map_err(damaged)?;
+        if state.is_whole() { Ok(state) } else { Err(Unreadable::Damaged("its parts don't fit".into())) }
+    }
+
+    /// Whether its parts fit together.
+    fn is_whole(&self) -> bool {
+        let within = self.history.len() as u64 <= self.revision
+            && self.history.len() <= limits::HISTORY
+            && self.sessions.len() <= limits::SESSIONS
+            && self.leases.len() <= limits::LEASES;
+        // Looked through whole only while that is cheap: the states of tests and models.
+        within
+            && (self.leases.len() > 64
+                || self.leases.iter().all(|(name, lease)| {
+                    let of = |s: &SessionId| self.sessions.get(s).is_some_and(|s| s.leases.contains(name));
+                    lease.fence <= self.fences && of(&lease.holder) && lease.waiting.iter().all(of)
+                }))
+    }
+}
--- /dev/null
+++ b/crates/mothpier-coordination/src/hold.rs
@@ -0,0 +1,94 @@
+//! Until when a holder may act, by its own clock: one that also counts while the machine is suspended, or a laptop that
+//! wakes would believe that it still holds. It counts from before it asked, so that whatever the way took is its loss, and
+//! keeps off the end by what clocks may err and a margin.
+
+/// How far any clock may run wrong over a lease's time, in thousandths. Quartz errs by 0.2, a clock that is being slewed
+/// by 0.5; a machine whose clock runs worse must hold no leases and obey none.
+pub const CLOCK_ERROR: u64 = 5;
+/// What a holder keeps off the end of its time, in thousandths: three clocks take part, the leader's may run fast while
+/// the holder's and that of the one that obeys run slow. (1 - 0.011)(1 + 0.005) is less than 1 - 0.005.
+pub const KEPT_OFF: u64 = 2 * CLOCK_ERROR + 1;
+/// And for what lies between the look at the clock and what is done: this part of the time at the least, ...
+const MARGIN: u64 = 20;
+/// ... and never under this many ms.
+const LEAST_MARGIN_MS: u64 = 5;
+
+/// A session's time as its client reckons it, in ms of the client's clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Hold {
+    ttl_ms: u64,
+    kept_off_ms: u64,
+    /// When the last renewal that was confirmed had been asked for.
+    asked: Option<u64>,
+}
+
+impl Hold {
+    /// A session of a time that nobody has confirmed yet.
+    pub fn new(ttl_ms: u64) -> Self {
+        let margin = (ttl_ms / MARGIN).max(LEAST_MARGIN_MS);
+        Hold::keeping_off(ttl_ms, (ttl_ms * KEPT_OFF).div_ceil(1000) + margin)
+    }
+
+    /// One that keeps off its end by a span of its own.
+    pub fn keeping_off(ttl_ms: u64, kept_off_ms: u64) -> Self {
+        Hold { ttl_ms, kept_off_ms, asked: None }
+    }
+
+    /// Opening or renewing, asked for at a time, was confirmed.
+    pub fn confirmed(&mut self, asked: u64) {
+        self.asked = Some(self.asked.map_or(asked, |before| before.max(asked)));
+    }
+
+    /// Nothing may be done from this time on.
+    pub fn until(&self) -> Option<u64> {
+        self.asked.map(|asked| asked + self.ttl_ms.saturating_sub(self.kept_off_ms))
+    }
+
+    /// What is left of the time in which something may be done; nothing where it is over.
+    pub fn left(&self, now: u64) -> Option<u64> {
+        self.until().and_then(|until| until.checked_sub(now)).filter(|left| *left > 0)
+    }
+
+    /// When to renew next: twice more can fail before the time is over.
+    pub fn renew_at(&self) -> Option<u64> {
+        self.asked.map(|asked| asked + self.ttl_ms / 4)
+    }
+
+    /// From when on the holder should be warned that renewing fails.
+    pub fn warn_at(&self) -> Option<u64> {
+        self.asked.map(|asked| asked + self.ttl_ms / 2)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_holder_counts_from_before_it_asked_and_keeps_off_the_end() {
+        let mut hold = Hold::new(5000);
+        assert_eq!((hold.left(0), hold.renew_at()), (None, None), "unconfirmed");
+        hold.confirmed(1000);
+        assert_eq!(hold.until(), Some(1000 + 5000 - 55 - 250));
+        assert_eq!(hold.left(5000), Some(695));
+        assert_eq!((hold.left(5695), hold.left(9000)), (None, None));
+        hold.confirmed(400);
+        assert_eq!(
+            hold.until(),
+            Some(5695),
+            "an older answer that comes late takes nothing back and gives nothing"
+        );
+        assert!(hold.renew_at() < hold.warn_at() && hold.warn_at() < hold.until());
+    }
+
+    #[test]
+    fn what_is_kept_off_covers_all_three_clocks() {
+        // A fast leader, a slow holder, a slow one that obeys: all errors against the holder, at both ends of the bounds.
+        for ttl in [500u64, 5000, 600_000] {
+            let mut hold = Hold::new(ttl);
+            hold.confirmed(0);
+            let real_end = hold.until().unwrap() * (1000 + CLOCK_ERROR);
+            assert!(real_end < ttl * (1000 - CLOCK_ERROR), "{ttl}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/mothpier-coordination/src/obey.rs
@@ -0,0 +1,219 @@
+//! Whom one that acts for a holder obeys: a node, the tool. It refuses a fence lower than it has seen, and an act whose
+//! time is over; one that has begun from nothing knows no fences and obeys nobody until a quorum has told it.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::command::Fence;
+use crate::limits;
+
+/// An order that a holder gives.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Act {
+    /// The lease in whose name.
+    pub lease: String,
+    /// The number of its grant.
+    pub fence: Fence,
+    /// Which clock `not_after_ms` is of: that of the one that obeys, told before the holder looked at its own time.
+    pub clock: String,
+    /// It must not begin at this time or later. The holder adds what is left of its own time to what that clock said
+    /// before; no two clocks are compared.
+    pub not_after_ms: u64,
+}
+
+/// The lowest fences that may act.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Floors {
+    /// Of leases that nobody holds: the next grant has at least this one.
+    pub others: Fence,
+    /// Of leases that are held.
+    pub held: BTreeMap<String, Fence>,
+}
+
+impl Floors {
+    fn of(&self, lease: &str) -> Fence {
+        self.held.get(lease).copied().unwrap_or(self.others)
+    }
+}
+
+/// Why an act is not done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Disobeyed {
+    /// It has begun from nothing and was not told the fences yet.
+    KnowsNothing,
+    /// Another holder came later.
+    OldFence {
+        /// The lowest that it obeys.
+        least: Fence,
+    },
+    /// The act's time is over.
+    TooLate,
+    /// The time is of another clock: it was told before this process began.
+    OtherClock,
+    /// The lease's name is none.
+    BadName,
+}
+
+impl std::fmt::Display for Disobeyed {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Disobeyed::KnowsNothing => write!(f, "the fences are not known yet: nobody is obeyed"),
+            Disobeyed::OldFence { least } => write!(f, "an old fence: {least} or higher is obeyed"),
+            Disobeyed::TooLate => write!(f, "the time in which this could begin is over"),
+            Disobeyed::OtherClock => write!(f, "the time is of another clock: ask for this one first"),
+            Disobeyed::BadName => write!(f, "no lease can have this name"),
+        }
+    }
+}
+
+/// One that obeys.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Default)]
+pub struct Obeyer {
+    /// The name of its clock, new with every process.
+    clock: String,
+    floors: Option<Floors>,
+}
+
+impl Obeyer {
+    /// One that begins from nothing.
+    pub fn new(clock: String) -> Self {
+        Obeyer { clock, floors: None }
+    }
+
+    /// The name of its clock.
+    pub fn clock(&self) -> &str {
+        &self.clock
+    }
+
+    /// Whether it knows enough to obey anybody.
+    pub fn knows(&self) -> bool {
+        self.floors.is_some()
+    }
+
+    /// Takes over what a quorum told, or the process before it. Nothing that it has seen is lowered.
+    pub fn learn(&mut self, told: Floors) {
+        let Some(known) = &self.floors else { return self.floors = Some(told) };
+        // A lease that only one side names is bounded below by what the other says of all others.
+        let names = told.held.keys().chain(known.held.keys());
+        let held = names.map(|lease| (lease.clone(), told.of(lease).max(known.of(lease)))).collect();
+        self.floors = Some(Floors { others: told.others.max(known.others), held });
+        self.forget();
+    }
+
+    /// What the next process of the same machine has to know.
+    pub fn handed_over(&self) -> Option<&Floors> {
+        self.floors.as_ref()
+    }
+
+    /// Whether the time of an act is not over.
+    ///
+    /// # Errors
+    ///
+    /// Why it can't begin.
+    pub fn in_time(&self, act: &Act, now: u64) -> Result<(), Disobeyed> {
+        if act.clock != self.clock {
+            return Err(Disobeyed::OtherClock);
+        }
+        if now >= act.not_after_ms { Err(Disobeyed::TooLate) } else { Ok(()) }
+    }
+
+    /// Whether the act's holder is the latest that it has heard of; it is from now on.
+    ///
+    /// # Errors
+    ///
+    /// Why it is not obeyed.
+    pub fn fenced(&mut self, act: &Act) -> Result<(), Disobeyed> {
+        if !limits::is_name(&act.lease) {
+            return Err(Disobeyed::BadName);
+        }
+        let floors = self.floors.as_mut().ok_or(Disobeyed::KnowsNothing)?;
+        let least = floors.of(&act.lease);
+        if act.fence < least {
+            return Err(Disobeyed::OldFence { least });
+        }
+        floors.held.insert(act.lease.clone(), act.fence);
+        self.forget();
+        Ok(())
+    }
+
+    /// Whether to do as it is told, now.
+    ///
+    /// # Errors
+    ///
+    /// Why not.
+    pub fn obey(&mut self, act: &Act, now: u64) -> Result<(), Disobeyed> {
+        self.in_time(act, now)?;
+        self.fenced(act)
+    }
+
+    /// Leases beyond what is kept count among the others: those with the lowest fences go, and raise the bound of all
+    /// that are not named. That refuses too much, never too little.
+    fn forget(&mut self) {
+        let Some(floors) = &mut self.floors else { return };
+        while floors.held.len() > limits::LEASES {
+            let lowest = floors.held.iter().min_by_key(|(_, fence)| **fence).map(|(l, f)| (l.clone(), *f));
+            let Some((lease, fence)) = lowest else { return };
+            floors.held.remove(&lease);
+            floors.others = floors.others.max(fence);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn act(lease: &str, fence: Fence, not_after_ms: u64) -> Act {
+        Act { lease: lease.into(), fence, clock: "here".into(), not_after_ms }
+    }
+
+    #[test]
+    fn one_that_begins_from_nothing_obeys_nobody_and_then_never_an_older_holder() {
+        let mut obeyer = Obeyer::new("here".into());
+        assert_eq!(obeyer.obey(&act("roll", 9, 100), 0), Err(Disobeyed::KnowsNothing));
+        obeyer.learn(Floors { others: 6, held: [("roll".to_owned(), 4)].into() });
+        assert_eq!(obeyer.obey(&act("roll", 3, 100), 0), Err(Disobeyed::OldFence { least: 4 }));
+        assert_eq!(obeyer.obey(&act("roll", 4, 100), 99), Ok(()));
+        assert_eq!(obeyer.obey(&act("roll", 4, 100), 100), Err(Disobeyed::TooLate));
+        assert_eq!(
+            obeyer.obey(&act("watch", 5, 100), 0),
+            Err(Disobeyed::OldFence { least: 6 }),
+            "held by nobody"
+        );
+        assert_eq!(obeyer.obey(&act("watch", 7, 100), 0), Ok(()));
+        assert_eq!(obeyer.obey(&act("watch", 6, 100), 0), Err(Disobeyed::OldFence { least: 7 }));
+        let other = Act { clock: "before".into(), ..act("watch", 8, 100) };
+        assert_eq!(obeyer.obey(&other, 0), Err(Disobeyed::OtherClock));
+        assert_eq!(obeyer.obey(&act("", 8, 100), 0), Err(Disobeyed::BadName));
+    }
+
+    #[test]
+    fn what_is_handed_over_and_what_a_late_word_says_lower_nothing() {
+        let mut before = Obeyer::new("one".into());
+        before.learn(Floors { others: 3, held: BTreeMap::new() });
+        let late = Act { clock: "one".into(), ..act("roll", 8, 100) };
+        assert_eq!(before.obey(&late, 0), Ok(()));
+        let mut next = Obeyer::new("here".into());
+        next.learn(before.handed_over().unwrap().clone());
+        next.learn(Floors { others: 4, held: [("roll".to_owned(), 2)].into() });
+        assert_eq!(next.obey(&act("roll", 7, 100), 0), Err(Disobeyed::OldFence { least: 8 }));
+        assert_eq!(next.obey(&act("other", 3, 100), 0), Err(Disobeyed::OldFence { least: 4 }));
+        // Told by a quorum that nobody holds it: what had been seen of it still counts.
+        next.learn(Floors { others: 5, held: BTreeMap::new() });
+        assert_eq!(next.obey(&act("roll", 7, 100), 0), Err(Disobeyed::OldFence { least: 8 }));
+    }
+
+    #[test]
+    fn more_leases_than_are_kept_raise_the_bound_of_the_rest() {
+        let mut obeyer = Obeyer::new("here".into());
+        obeyer.learn(Floors::default());
+        for i in 0..=limits::LEASES as u64 {
+            assert_eq!(obeyer.obey(&act(&format!("l{i}"), i + 1, 100), 0), Ok(()));
+        }
+        assert_eq!(obeyer.handed_over().map(|f| (f.held.len(), f.others)), Some((limits::LEASES, 1)));
+        assert_eq!(obeyer.obey(&act("l0", 0, 100), 0), Err(Disobeyed::OldFence { least: 1 }));
+    }
+}
--- /dev/null
+++ b/crates/mothpier-coordination/tests/agreed.rs
@@ -0,0 +1,208 @@
+//! The agreed state: the same log makes the same bytes, a command that is sent twice takes effect once, bounds hold.
+#![allow(missing_docs)]
+
+use mothpier_coordination::{Agreed, Answer, Change, Command, Refusal, Request, Unreadable, limits};
+use proptest::prelude::*;
+
+fn open(session: &str) -> Command {
+    Command::Open { session: session.into(), ttl_ms: 5000 }
+}
+
+fn ask(session: &str, number: u64, request: Request) -> Command {
+    Command::Ask { session: session.into(), number, request }
+}
+
+fn acquire(lease: &str, wait: bool) -> Request {
+    Request::Acquire { lease: lease.into(), wait }
+}
+
+fn refused(answer: &Answer) -> Option<&Refusal> {
+    if let Answer::Refused { why } = answer { Some(why) } else { None }
+}
+
+#[test]
+fn a_lease_goes_from_holder_to_holder_in_the_order_of_asking_and_its_fence_only_rises() {
+    let mut agreed = Agreed::default();
+    for session in ["a", "b", "c"] {
+        assert_eq!(agreed.apply(&open(session)), Answer::Opened);
+    }
+    assert_eq!(agreed.apply(&ask("a", 1, acquire("roll", true))), Answer::Granted { fence: 1 });
+    assert_eq!(agreed.apply(&ask("b", 1, acquire("roll", true))), Answer::Waiting { ahead: 1 });
+    assert_eq!(agreed.apply(&ask("c", 1, acquire("roll", true))), Answer::Waiting { ahead: 2 });
+    assert_eq!(agreed.apply(&ask("b", 1, acquire("roll", true))), Answer::Waiting { ahead: 1 }, "sent twice");
+    let by = Refusal::Held { by: "a".into() };
+    assert_eq!(refused(&agreed.apply(&ask("a", 2, acquire("watch", false)))), None);
+    assert_eq!(refused(&agreed.apply(&ask("c", 2, acquire("watch", false)))), Some(&by));
+    // A session that ends gives up all; who comes next has it at once.
+    assert_eq!(agreed.apply(&Command::Expire { session: "a".into(), renewals: 0 }), Answer::Closed);
+    assert_eq!(agreed.leases()["roll"].holder, "b");
+    assert_eq!(agreed.leases()["roll"].fence, 3);
+    assert!(!agreed.leases().contains_key("watch"));
+    assert_eq!(agreed.apply(&ask("b", 2, Request::Release { lease: "roll".into() })), Answer::Released);
+    assert_eq!(agreed.leases()["roll"].holder, "c");
+    assert_eq!(agreed.floors().others, 5);
+    let told: Vec<_> = agreed.since(0).unwrap().map(|(_, c)| c.clone()).collect();
+    let granted =
+        |fence, session: &str| Change::Granted { lease: "roll".into(), session: session.into(), fence };
+    assert!(
+        told.contains(&granted(1, "a"))
+            && told.contains(&granted(3, "b"))
+            && told.ends_with(&[granted(4, "c")])
+    );
+}
+
+#[test]
+fn a_renewal_that_is_committed_before_an_end_wins_and_one_behind_it_is_refused() {
+    let mut agreed = Agreed::default();
+    agreed.apply(&open("a"));
+    let expire = Command::Expire { session: "a".into(), renewals: 0 };
+    assert_eq!(agreed.apply(&Command::Renew { session: "a".into() }), Answer::Renewed);
+    assert_eq!(refused(&agreed.apply(&expire)), Some(&Refusal::Renewed));
+    // Opening again counts as a renewal: who asks again counts its time from then.
+    assert_eq!(agreed.apply(&open("a")), Answer::Opened);
+    let expire = |renewals| Command::Expire { session: "a".into(), renewals };
+    assert_eq!(refused(&agreed.apply(&expire(1))), Some(&Refusal::Renewed));
+    assert_eq!(agreed.apply(&expire(2)), Answer::Closed);
+    assert_eq!(refused(&agreed.apply(&Command::Renew { session: "a".into() })), Some(&Refusal::NoSession));
+    assert_eq!(refused(&agreed.apply(&open("a"))), Some(&Refusal::SessionOver), "a late copy opens nothing");
+}
+
+#[test]
+fn a_lease_that_staff_break_ends_in_its_holders_time_and_not_before() {
+    let mut agreed = Agreed::default();
+    ["a", "b"].iter().for_each(|s| drop(agreed.apply(&open(s))));
+    agreed.apply(&ask("a", 1, acquire("roll", true)));
+    agreed.apply(&ask("b", 1, acquire("roll", true)));
+    let stop = |fence| Command::Break { lease: "roll".into(), fence };
+    assert_eq!(refused(&agreed.apply(&stop(9))), Some(&Refusal::NotHeld), "another grant than was meant");
+    assert_eq!(agreed.apply(&stop(1)), Answer::Broken);
+    assert_eq!(agreed.leases()["roll"].holder, "a", "it may be acting");
+    for command in [Command::Renew { session: "a".into() }, open("a")] {
+        assert_eq!(refused(&agreed.apply(&command)), Some(&Refusal::BrokenByStaff));
+    }
+    agreed.apply(&Command::Expire { session: "a".into(), renewals: 0 });
+    assert_eq!(agreed.leases()["roll"].holder, "b");
+}
+
+#[test]
+fn values_change_only_where_nobody_else_changed_them_and_watchers_miss_nothing_or_are_told_so() {
+    let mut agreed = Agreed::default();
+    agreed.apply(&open("a"));
+    let put = |value: &str, at| Request::Put { key: "limit".into(), value: value.into(), at };
+    assert_eq!(agreed.apply(&ask("a", 1, put("2", Some(0)))), Answer::Stored { revision: 1 });
+    assert_eq!(agreed.apply(&ask("a", 1, put("2", Some(0)))), Answer::Stored { revision: 1 }, "sent twice");
+    let changed = Refusal::Changed { at: 1 };
+    assert_eq!(refused(&agreed.apply(&ask("a", 2, put("3", Some(0))))), Some(&changed));
+    assert_eq!(agreed.apply(&ask("a", 3, put("3", Some(1)))), Answer::Stored { revision: 2 });
+    assert_eq!(refused(&agreed.apply(&ask("a", 9, put("4", None)))), Some(&Refusal::WrongNumber { last: 3 }));
+    let delete = Request::Delete { key: "limit".into(), at: Some(2) };
+    assert_eq!(agreed.apply(&ask("a", 4, delete.clone())), Answer::Deleted { revision: 3 });
+    assert_eq!(refused(&agreed.apply(&ask("a", 5, delete))), Some(&Refusal::Changed { at: 0 }));
+    assert_eq!(agreed.since(1).unwrap().count(), 2);
+    assert!(agreed.since(4).is_none(), "that is still to come: the watcher knows more than this one");
+    for i in 0..limits::HISTORY as u64 {
+        agreed.apply(&ask("a", 6 + i, put("x", None)));
+    }
+    assert!(agreed.since(2).is_none(), "too long ago to be told one by one");
+    assert_eq!(agreed.since(3).unwrap().count(), limits::HISTORY);
+}
+
+#[test]
+fn what_is_over_a_bound_is_refused_with_its_name() {
+    let mut agreed = Agreed::default();
+    let over = |answer: Answer, name: &str| match refused(&answer) {
+        Some(Refusal::OverLimit { limit, .. }) => assert_eq!(limit, name),
+        _ => panic!("{answer:?}"),
+    };
+    for name in ["", "two words", &"x".repeat(limits::NAME + 1)] {
+        assert_eq!(refused(&agreed.apply(&open(name))), Some(&Refusal::BadName));
+    }
+    let short = agreed.apply(&Command::Open { session: "a".into(), ttl_ms: 1 });
+    assert!(matches!(refused(&short), Some(Refusal::BadTtl { least_ms: 500, .. })));
+    agreed.apply(&open("a"));
+    for i in 0..limits::LEASES_OF_SESSION as u64 {
+        agreed.apply(&ask("a", i + 1, acquire(&format!("l{i}"), true)));
+    }
+    let next = limits::LEASES_OF_SESSION as u64 + 1;
+    over(agreed.apply(&ask("a", next, acquire("more", true))), "leases of one session");
+    let large = Request::Put { key: "k".into(), value: "x".repeat(limits::VALUE + 1), at: None };
+    over(agreed.apply(&ask("a", next + 1, large)), "bytes of a value");
+    for i in 1..limits::SESSIONS {
+        agreed.apply(&open(&format!("s{i}")));
+    }
+    over(agreed.apply(&open("one-more")), "sessions");
+}
+
+#[test]
+fn a_snapshot_of_a_newer_program_or_a_damaged_one_is_refused() {
+    let bytes = Agreed::default().to_bytes();
+    let text = String::from_utf8(bytes.clone()).unwrap();
+    assert_eq!(Agreed::from_bytes(&bytes), Ok(Agreed::default()));
+    let newer = text.replace("\"format\":1", "\"format\":2");
+    assert_eq!(Agreed::from_bytes(newer.as_bytes()), Err(Unreadable::Format(2)));
+    for cut in 0..bytes.len() {
+        assert!(matches!(Agreed::from_bytes(&bytes[..cut]), Err(Unreadable::Damaged(_))), "{cut}");
+    }
+    let foreign = text.replace("\"fences\":0", "\"fences\":0,\"colour\":1");
+    assert!(matches!(Agreed::from_bytes(foreign.as_bytes()), Err(Unreadable::Damaged(_))));
+}
+
+fn commands() -> impl Strategy<Value = Vec<Command>> {
+    let session = || prop::sample::select(vec!["a", "b", "c"]).prop_map(String::from);
+    let lease = || prop::sample::select(vec!["l", "m"]).prop_map(String::from);
+    let request = prop_oneof![
+        (lease(), any::<bool>()).prop_map(|(lease, wait)| Request::Acquire { lease, wait }),
+        lease().prop_map(|lease| Request::Release { lease }),
+        (lease(), prop::option::of(0..9u64)).prop_map(|(key, at)| Request::Put {
+            key,
+            value: "v".into(),
+            at
+        }),
+        (lease(), prop::option::of(0..9u64)).prop_map(|(key, at)| Request::Delete { key, at }),
+    ];
+    let one = prop_oneof![
+        session().prop_map(|session| Command::Open { session, ttl_ms: 5000 }),
+        session().prop_map(|session| Command::Renew { session }),
+        (session(), 1..9u64, request).prop_map(|(session, number, request)| Command::Ask {
+            session,
+            number,
+            request
+        }),
+        session().prop_map(|session| Command::Close { session }),
+        (session(), 0..4u64).prop_map(|(session, renewals)| Command::Expire { session, renewals }),
+        (lease(), 0..9u64).prop_map(|(lease, fence)| Command::Break { lease, fence }),
+    ];
+    prop::collection::vec(one, 0..60)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    #[test]
+    fn the_same_log_makes_the_same_bytes_also_through_snapshots_and_fences_only_rise(log in commands()) {
+        let (mut one, mut other) = (Agreed::default(), Agreed::default());
+        let mut floor = 0;
+        for (i, command) in log.iter().enumerate() {
+            let answer = one.apply(command);
+            if i % 3 == 0 {
+                other = Agreed::from_bytes(&other.to_bytes()).unwrap();
+            }
+            prop_assert_eq!(&other.apply(command), &answer);
+            prop_assert_eq!(one.to_bytes(), other.to_bytes());
+            prop_assert!(one.floors().others >= floor);
+            floor = one.floors().others;
+            // A line of the log survives the wire and the store.
+            let line = serde_json::to_vec(command).unwrap();
+            prop_assert_eq!(&serde_json::from_slice::<Command>(&line).unwrap(), command);
+            // What was asked once and comes again changes nothing but a session's life.
+            if let Command::Ask { .. } = command {
+                let before = one.to_bytes();
+                let again = one.apply(command);
+                if !matches!(again, Answer::Refused { .. }) {
+                    prop_assert_eq!(&again, &answer);
+                }
+                prop_assert_eq!(one.to_bytes(), before);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/mothpier-coordinator/src/lib.rs
@@ -0,0 +1,224 @@
+//! A coordinator: a member of a small group that agrees for a fleet. Consensus, log and store are libraries; this package
+//! joins them to the agreed state of `mothpier-coordination`, to sockets and to the clock.
+//!
+//! Arrows point one way: `config` and `store` stand alone, `core` uses the store, `door` and `peers` use the member.
+
+pub mod config;
+pub mod core;
+pub mod door;
+pub mod peers;
+pub mod store;
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use mothpier_coordination::wire::Status;
+use mothpier_coordination::{Agreed, Command};
+use mothpier_net::Net;
+use raft::eraftpb::Message;
+use tokio::sync::{Notify, mpsc};
+
+use crate::config::Config;
+use crate::core::{Core, Ended};
+use crate::store::{Store, Trouble};
+
+/// Ticks that are made up for after a wait: a process that was stopped for long must not stand for election at once.
+const MADE_UP: u32 = 3;
+
+/// A running member.
+pub struct Member<N: Net> {
+    net: N,
+    config: Config,
+    core: RefCell<Core>,
+    /// There is something to do.
+    wake: Notify,
+    /// Something has changed.
+    changed: Notify,
+    peers: BTreeMap<u64, mpsc::Sender<Vec<Message>>>,
+    began: Instant,
+}
+
+/// Makes a store for a new fleet's member.
+///
+/// # Errors
+///
+/// A folder that has one already, or can't be written.
+pub fn init(config: &Config) -> Result<(), Trouble> {
+    let members: Vec<u64> = config.members.keys().copied().collect();
+    Store::init(&config.folder, &config.cluster, config.member, &members, &Agreed::default().to_bytes())
+}
+
+/// Runs a member until it fails.
+///
+/// # Errors
+///
+/// A store that can't be opened, read or written; an address that is taken.
+pub async fn run<N: Net>(net: N, config: Config) -> Result<(), Trouble> {
+    let (store, found) = Store::open(&config.folder)?;
+    if found.about.cluster != config.cluster || found.about.member != config.member {
+        return Err(Trouble(format!(
+            "{}: the store is that of member {} of {}, the file says member {} of {}",
+            config.folder.display(),
+            found.about.member,
+            found.about.cluster,
+            config.member,
+            config.cluster
+        )));
+    }
+    let voters = found.snapshot.get_metadata().get_conf_state().voters.clone();
+    if let Some(unknown) = voters.iter().find(|v| !config.members.contains_key(v)) {
+        return Err(Trouble(format!("member {unknown} votes, and no `peer` block says where it is")));
+    }
+    let listener = net
+        .listen(config.listen)
+        .await
+        .map_err(|e| Trouble(format!("can't listen at {}: {e}", config.listen)))?;
+    let entropy = net.entropy().map_err(|e| Trouble(format!("no entropy: {e}")))?;
+    let life =
+        u64::from_be_bytes([entropy[0], entropy[1], entropy[2], entropy[3], entropy[4], entropy[5], 0, 0]);
+    let mut core = Core::new(store, found, life)?;
+    core.lead_if_alone();
+    let (mut peers, mut routes) = (BTreeMap::new(), Vec::new());
+    for to in config.members.keys().filter(|id| **id != config.member) {
+        let (send, receive) = mpsc::channel(peers::WAITING);
+        peers.insert(*to, send);
+        routes.push((*to, receive));
+    }
+    net.log(format_args!("coordinator {} of {} listens at {}", config.member, config.cluster, config.listen));
+    let began = net.now();
+    let member = Rc::new(Member {
+        net: net.clone(),
+        config,
+        core: RefCell::new(core),
+        wake: Notify::new(),
+        changed: Notify::new(),
+        peers,
+        began,
+    });
+    for (to, batches) in routes {
+        net.spawn(peers::run(member.clone(), to, batches));
+    }
+    net.spawn(door::run(member.clone(), listener));
+    member.drive().await
+}
+
+impl<N: Net> Member<N> {
+    /// The machine's monotonic clock in ms: one that stands still while the machine sleeps, so that a leader that slept
+    /// ends sessions late, never early.
+    fn now(&self) -> u64 {
+        self.net.since(self.began).as_millis() as u64
+    }
+
+    async fn drive(&self) -> Result<(), Trouble> {
+        let tick = self.config.tick;
+        let mut next = self.net.now() + tick;
+        loop {
+            let woken = self.wake.notified();
+            self.turn()?;
+            let ends = self.core.borrow().next_end().map(|at| self.began + Duration::from_millis(at));
+            self.net.timeout_at(ends.map_or(next, |at| at.max(self.net.now()).min(next)), woken).await;
+            let mut made_up = 0;
+            while self.net.now() >= next {
+                made_up += 1;
+                if made_up > MADE_UP {
+                    next = self.net.now() + tick;
+                    break;
+                }
+                self.core.borrow_mut().tick();
+                next += tick;
+            }
+        }
+    }
+
+    fn turn(&self) -> Result<(), Trouble> {
+        let (leader, synced) = (self.core.borrow().leader(), self.core.borrow().synced);
+        let now = self.now();
+        self.core.borrow_mut().turn(now)?;
+        let outgoing = self.core.borrow_mut().outgoing();
+        let mut batches: BTreeMap<u64, Vec<Message>> = BTreeMap::new();
+        outgoing.into_iter().for_each(|m| batches.entry(m.to).or_default().push(m));
+        for (to, batch) in batches {
+            if self.peers.get(&to).is_none_or(|p| p.try_send(batch).is_err()) {
+                self.core.borrow_mut().unreachable(to);
+            }
+        }
+        let core = self.core.borrow();
+        if core.leader() != leader {
+            match core.leader() {
+                0 => self.net.log(format_args!("no leader, term {}", core.term())),
+                id => self.net.log(format_args!("member {id} leads, term {}", core.term())),
+            }
+        }
+        if core.synced != synced {
+            self.changed.notify_waiters();
+        }
+        Ok(())
+    }
+
+    fn take(&self, messages: Vec<Message>) {
+        messages.into_iter().for_each(|m| self.core.borrow_mut().message(m));
+        self.wake.notify_one();
+    }
+
+    fn unreachable(&self, member: u64) {
+        self.core.borrow_mut().unreachable(member);
+    }
+
+    async fn propose(&self, command: &Command, within: Duration) -> Ended {
+        let told = self.core.borrow_mut().propose(command);
+        self.wake.notify_one();
+        match self.net.timeout(within, told).await {
+            Some(Ok(ended)) => ended,
+            _ => Ended::Unknown,
+        }
+    }
+
+    /// Whether a majority has confirmed that this member leads, and all from before is applied.
+    async fn confirmed(&self, within: Duration) -> bool {
+        let told = self.core.borrow_mut().read();
+        self.wake.notify_one();
+        matches!(self.net.timeout(within, told).await, Some(Ok(true)))
+    }
+
+    fn status(&self) -> Status {
+        let core = self.core.borrow();
+        let (committed, applied) = core.lines();
+        let lag = |(id, matched): (u64, Option<u64>)| (id, matched.map(|m| committed.saturating_sub(m)));
+        Status {
+            cluster: self.config.cluster.clone(),
+            member: core.member(),
+            leader: Some(core.leader()).filter(|l| *l != 0),
+            since_ms: self.now().saturating_sub(core.since),
+            term: core.term(),
+            committed,
+            applied,
+            sessions: core.agreed().sessions().count(),
+            leases: core.agreed().leases().len(),
+            members: core.members().into_iter().map(lag).collect(),
+        }
+    }
+
+    /// Prometheus' text form.
+    fn figures(&self) -> String {
+        let status = self.status();
+        let core = self.core.borrow();
+        let registry = prometheus::Registry::new();
+        let gauge = |name: &str, help: &str, value: f64| {
+            if let Ok(gauge) = prometheus::Gauge::new(format!("mothpier_coordinator_{name}"), help) {
+                gauge.set(value);
+                let _ = registry.register(Box::new(gauge));
+            }
+        };
+        gauge("leads", "Whether this member leads.", f64::from(u8::from(core.leads())));
+        gauge("has_leader", "Whether it knows of a leader.", f64::from(u8::from(core.leader() != 0)));
+        gauge("term", "The present term.", status.term as f64);
+        gauge("committed_index", "The last line that is committed.", status.committed as f64);
+        gauge("applied_index", "The last line that is applied.", status.applied as f64);
+        gauge("sessions", "Sessions that live.", status.sessions as f64);
+        gauge("leases", "Leases that are held.", status.leases as f64);
+        gauge("proposals_waiting", "Commands that wait for their commit.", core.waiting() as f64);
+        prometheus::TextEncoder::new().encode_to_string(&registry.gather()).unwrap_or_default()
+    }
+}
--- a/crates/mothpier-net/src/lib.rs
+++ b/crates/mothpier-net/src/lib.rs
@@ -40,6 +40,10 @@
     /// Time since the Unix epoch.
     fn wall(&self) -> Duration;
 
+    /// Time since some fixed moment, on a clock that nobody sets and that also counts while the machine is suspended: for
+    /// what must not be believed longer than it is true.
+    fn awake(&self) -> Duration;
+
     /// Ends at a time, at once where it has passed.
     fn sleep_until(&self, at: Instant) -> impl Future<Output = ()>;
 
--- a/crates/mothpier-net/src/tokio_net.rs
+++ b/crates/mothpier-net/src/tokio_net.rs
@@ -35,6 +35,11 @@
         SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
     }
 
+    fn awake(&self) -> Duration {
+        let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+        Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec.unsigned_abs() as u32)
+    }
+
     fn sleep_until(&self, at: Instant) -> impl Future<Output = ()> {
         tokio::time::sleep_until(at.into())
     }
--- a/crates/mothpier-sim/src/net.rs
+++ b/crates/mothpier-sim/src/net.rs
@@ -427,6 +427,10 @@
         self.network.exec.now()
     }
 
+    fn awake(&self) -> Duration {
+        Duration::from_nanos(self.network.exec.nanos())
+    }
+
     fn wall(&self) -> Duration {
         EPOCH + Duration::from_nanos(self.network.exec.nanos())
     }
--- a/crates/mothpier-world/src/machine.rs
+++ b/crates/mothpier-world/src/machine.rs
@@ -43,6 +43,10 @@
         Tokio.wall()
     }
 
+    fn awake(&self) -> Duration {
+        Tokio.awake()
+    }
+
     fn sleep_until(&self, at: Instant) -> impl Future<Output = ()> {
         Tokio.sleep_until(at)
     }
--- a/crates/mothpierctl/src/main.rs
+++ b/crates/mothpierctl/src/main.rs
@@ -3,6 +3,7 @@
 mod check;
 mod compare;
 mod files;
+mod lease;
 mod new;
 mod plan;
 mod show;
@@ -126,6 +127,19 @@
         #[arg(long, value_name = "ID")]
         cold: Vec<String>,
     },
+    /// Leases of fleet-wide tasks: one process at a time holds each.
+    #[command(subcommand)]
+    Lease(lease::Lease),
+    /// The coordinators themselves.
+    #[command(subcommand)]
+    Coordinator(lease::Coordinator),
+    /// Becomes a command that ends when the process that started it does.
+    #[command(hide = true)]
+    Bound {
+        /// The command.
+        #[arg(required = true, trailing_var_arg = true, allow_hyphen_values = true)]
+        command: Vec<std::ffi::OsString>,
+    },
     /// Prints completions for a shell.
     Completions {
         /// The shell.
@@ -159,6 +173,9 @@
         Command::Plan { file, boxes, per_s, keys, cold } => {
             plan::run(&plan::Asked { file, boxes, per_s, keys, cold }, &hosts, out)
         }
+        Command::Lease(call) => lease::run(call, out),
+        Command::Coordinator(call) => lease::coordinator(call, out),
+        Command::Bound { command } => lease::bound(&command),
         Command::Completions { shell } => {
             let mut text = Vec::new();
             clap_complete::generate(shell, &mut Cli::command(), "mothpierctl", &mut text);
