Node: holders of leases give orders at the door, and only the latest one in its time is obeyed

Need: what a holder orders must not be done once another one holds the lease. A node with MOTHPIER_COORDINATION tells its clock (GET /api/clock), takes the header x-mothpier-act on its calls, refuses an old fence and an act whose time is over with 409, and obeys nobody before a majority told it the fences; it hears of grants by a watch, and keeps what it has seen over an upgrade (handover, merged, never lowered). Without the file nothing of it runs: no socket, no task, no check on the way of a request.

--- a/crates/mothpier/src/config.rs
+++ b/crates/mothpier/src/config.rs
@@ -1,5 +1,6 @@
 //! What the node is told at its start: the environment and the JSON file that it names.
 
+pub mod coordination;
 pub mod sidecar;
 pub mod sources;
 
@@ -57,6 +58,8 @@
     pub boxes: Option<Boxes>,
     /// There are more sources of boxes than the list.
     pub sources: Option<sources::Sources>,
+    /// Whom it obeys in the name of leases: those that the coordinators name.
+    pub coordination: Option<coordination::Coordination>,
     /// It is one application's sidecar.
     pub sidecar: Option<sidecar::Sidecar>,
     /// What the checks of its file found that does not keep it from starting, a line each.
@@ -199,6 +202,10 @@
         let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
         config.boxes = parse_boxes(&text).map_err(|e| format!("{path}: {e}"))?;
     }
+    if let Some(path) = env("MOTHPIER_COORDINATION") {
+        let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
+        config.coordination = Some(coordination::parse(&text).map_err(|e| format!("{path}: {e}"))?);
+    }
     if let Some(path) = env("MOTHPIER_SOURCES") {
         let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
         let read = sources::parse(&text, &config.site).map_err(|e| format!("{path}: {e}"))?;
@@ -334,6 +341,7 @@
         cluster: None,
         boxes: None,
         sources,
+        coordination: None,
         sidecar,
         warnings: lines(Severity::Warning),
     })
--- a/crates/mothpier/src/door.rs
+++ b/crates/mothpier/src/door.rs
@@ -15,6 +15,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use mothpier_coordination::Act;
 use mothpier_membership::hand::MOST_ID;
 use mothpier_net::{Listener, Net, Stream, Task};
 
@@ -28,6 +29,8 @@
 const CALL: Duration = Duration::from_secs(5);
 /// The least that the library takes for a head.
 const HEAD: usize = 8 * 1024;
+/// The header that names a lease, its fence and the act's time, as JSON.
+const ACT: &str = "x-mothpier-act";
 /// Between tries to accept while there is no descriptor left.
 const PAUSE: Duration = Duration::from_millis(20);
 
@@ -85,10 +88,11 @@
     let service = service_fn(move |request: Request<Incoming>| {
         let (operations, spoke) = (operations.clone(), spoke.clone());
         async move {
+            let act = act(&request);
             let call = read(request).await;
             spoke.set(true);
-            Ok::<_, Infallible>(match call {
-                Ok(call) => said(operations.call(call).await),
+            Ok::<_, Infallible>(match act.and_then(|act| Ok((call?, act))) {
+                Ok((call, act)) => said(operations.call(call, act).await),
                 Err(refusal) => *refusal,
             })
         }
@@ -106,7 +110,7 @@
     let get = method == Method::GET;
     let path = request.uri().path().to_owned();
     let wanted = match path.as_str() {
-        "/api/ready" | "/api/telemetry" => (get, "GET"),
+        "/api/ready" | "/api/telemetry" | "/api/clock" => (get, "GET"),
         "/api/exclude" | "/api/include" | "/api/evacuate" | "/api/rejoin" => (post, "POST"),
         _ => return Err(answer(StatusCode::NOT_FOUND, format!("nothing is at {path:.200}\n")).into()),
     };
@@ -119,6 +123,7 @@
     Ok(match path.as_str() {
         "/api/ready" => Call::Ready,
         "/api/telemetry" => Call::Figures,
+        "/api/clock" => Call::Clock,
         "/api/exclude" => Call::Exclude(id(request).await?),
         "/api/include" => Call::Include(id(request).await?),
         "/api/evacuate" => Call::Evacuate,
@@ -126,6 +131,13 @@
     })
 }
 
+/// The lease in whose name a call is made, where its head names one.
+fn act(request: &Request<Incoming>) -> Result<Option<Act>, Box<Response<Full<Bytes>>>> {
+    let Some(named) = request.headers().get(ACT) else { return Ok(None) };
+    let act = serde_json::from_slice(named.as_bytes());
+    act.map(Some).map_err(|e| answer(StatusCode::BAD_REQUEST, format!("{ACT} can't be read: {e}\n")).into())
+}
+
 /// The id that a body holds.
 async fn id(request: Request<Incoming>) -> Result<String, Box<Response<Full<Bytes>>>> {
     let bad = |why: &str| Box::new(answer(StatusCode::BAD_REQUEST, format!("{why}\n")));
@@ -144,6 +156,7 @@
     match reply {
         Reply::Yes(text) => answer(StatusCode::OK, text),
         Reply::NotFound(text) => answer(StatusCode::NOT_FOUND, text),
+        Reply::Disobeyed(text) => answer(StatusCode::CONFLICT, text),
         Reply::No(text) => answer(StatusCode::SERVICE_UNAVAILABLE, text),
     }
 }
--- a/crates/mothpier/src/handover.rs
+++ b/crates/mothpier/src/handover.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 
+use mothpier_coordination::{Floors, Obeyer};
 use serde::{Deserialize, Serialize};
 
 use crate::messages::List;
@@ -34,6 +35,9 @@
     list: Option<List>,
     #[serde(default)]
     listed: u64,
+    /// The lowest fences that may act.
+    #[serde(default)]
+    pub(crate) floors: Floors,
 }
 
 impl State {
@@ -66,9 +70,18 @@
         serde_json::to_vec(&State { list: None, ..self.clone() }).unwrap_or_default()
     }
 
+    /// Fences have been seen: none is lowered.
+    pub fn obeyed(&mut self, floors: &Floors) {
+        let mut both = Obeyer::default();
+        both.learn(self.floors.clone());
+        both.learn(floors.clone());
+        self.floors = both.handed_over().cloned().unwrap_or_default();
+    }
+
     /// Takes in what another process knows. The result is the same whoever takes in whom.
     pub fn merge(&mut self, other: State) {
         self.emptied = self.emptied.max(other.emptied);
+        self.obeyed(&other.floors);
         for (id, mark) in other.hand {
             let own = self.hand.entry(id).or_default();
             *own = mark.max(*own);
--- a/crates/mothpier/src/lib.rs
+++ b/crates/mothpier/src/lib.rs
@@ -16,6 +16,7 @@
 mod messages;
 mod names;
 mod node;
+mod obeying;
 mod operations;
 mod origin;
 mod peers;
@@ -33,6 +34,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::obeying::Obeying;
 use brassrouter::Micros;
 use mothpier_net::{Listener, Net};
 use mothpier_slots::{Pool, Tier};
@@ -268,6 +270,10 @@
         later.sleep(WITHOUT_DISCOVERY).await;
         without.listed();
     });
+    let obeying = match config.coordination {
+        Some(told) => Some(Obeying::new(net.clone(), told, succession.clone())?),
+        None => None,
+    };
     let operations = Rc::new(Operations {
         net: net.clone(),
         phase: phase.clone(),
@@ -275,7 +281,11 @@
         clients: clients.clone(),
         orders,
         succession: succession.clone(),
+        obeying: obeying.clone(),
     });
+    if let Some(obeying) = obeying {
+        net.spawn(obeying.run());
+    }
     if let Some(succession) = &succession {
         net.spawn(succession::run(operations.clone(), succession.clone(), share));
     }
@@ -295,7 +305,7 @@
                     reload(&net, discovery.as_ref(), read);
                 }
                 Some(Control::Call(call, tell)) => {
-                    let done = operations.clone().call(call);
+                    let done = operations.clone().call(call, None);
                     net.spawn(async move {
                         let _ = tell.send(done.await);
                     });
--- a/crates/mothpier/src/operations.rs
+++ b/crates/mothpier/src/operations.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use mothpier_coordination::Act;
 use mothpier_membership::hand::Refused;
 use mothpier_net::Net;
 use tokio::sync::{mpsc, oneshot};
@@ -11,6 +12,7 @@
 use crate::clients::Clients;
 use crate::figures::{Figures, States};
 use crate::messages::Order;
+use crate::obeying::Obeying;
 use crate::phase::Phase;
 use crate::succession::Succession;
 
@@ -25,6 +27,8 @@
     Ready,
     /// The figures.
     Figures,
+    /// What the clock says by which the time of a lease's orders is told.
+    Clock,
     /// Nothing more to this cache server.
     Exclude(String),
     /// This cache server may serve again.
@@ -44,6 +48,8 @@
     NotFound(String),
     /// It can't be, as things stand.
     No(String),
+    /// Whoever orders it in a lease's name is not obeyed.
+    Disobeyed(String),
 }
 
 /// The parts of the node that obey.
@@ -56,17 +62,34 @@
     pub orders: mpsc::Sender<Order>,
     /// Where another process may take this one's place.
     pub succession: Option<Rc<Succession>>,
+    /// Where holders of leases may give orders.
+    pub obeying: Option<Rc<Obeying<N>>>,
 }
 
 impl<N: Net> Operations<N> {
-    /// Carries out a call.
-    pub async fn call(self: Rc<Self>, call: Call) -> Reply {
-        let succession = self.succession.clone().filter(|_| !matches!(call, Call::Ready | Call::Figures));
+    /// Carries out a call, in the name of a lease where one is named.
+    pub async fn call(self: Rc<Self>, call: Call, act: Option<Act>) -> Reply {
+        let succession =
+            self.succession.clone().filter(|_| !matches!(call, Call::Ready | Call::Figures | Call::Clock));
         let _turn = match &succession {
             Some(succession) => Some(succession.turn().await),
             None => None,
         };
+        if let Some(act) = act {
+            // Now, and not when it came: it may have waited for its turn.
+            let obeyed = match &self.obeying {
+                Some(obeying) => obeying.obey(&act),
+                None => Err("this node knows no coordinators: nobody is obeyed in a lease's name".into()),
+            };
+            if let Err(why) = obeyed {
+                return Reply::Disobeyed(format!("not done: {why}\n"));
+            }
+        }
         match call {
+            Call::Clock => match &self.obeying {
+                Some(obeying) => Reply::Yes(obeying.clock()),
+                None => Reply::NotFound("this node knows no coordinators\n".into()),
+            },
             Call::Ready => match self.phase.ready() {
                 Ok(()) => {
                     if let Some(succession) = &self.succession {
--- a/crates/mothpier/src/succession.rs
+++ b/crates/mothpier/src/succession.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use mothpier_coordination::Floors;
 use mothpier_net::Net;
 use tokio::sync::{Mutex, MutexGuard, oneshot};
 
@@ -99,6 +100,11 @@
         self.turn.lock().await
     }
 
+    /// The fences that an earlier process, or the one beside this, has seen.
+    pub fn floors(&self) -> Floors {
+        self.state.borrow().floors.clone()
+    }
+
     /// The list that an earlier process held.
     pub fn list(&self) -> Option<List> {
         self.state.borrow_mut().take_list()
