--- a/crates/mothpier-trials/src/process.rs
+++ b/crates/mothpier-trials/src/process.rs
@@ -29,12 +29,15 @@
         Process { program, arguments, environment, log, child: RefCell::default() }
     }
 
-    /// Starts it.
+    /// Starts it, unless it runs: two faults may each have killed it and each mean to start it again.
     ///
     /// # Errors
     ///
     /// It can't be.
     pub fn start(&self) -> Result<(), String> {
+        if self.child.borrow_mut().as_mut().is_some_and(|c| matches!(c.try_wait(), Ok(None))) {
+            return Ok(());
+        }
         let log: File = OpenOptions::new()
             .create(true)
             .append(true)
