--- a/crates/mothpier-trials/src/contender.rs
+++ b/crates/mothpier-trials/src/contender.rs
@@ -27,7 +27,7 @@
     #[arg(long, value_delimiter = ',')]
     coordinators: Vec<SocketAddr>,
     /// The nodes' doors.
-    #[arg(long, value_delimiter = ',')]
+    #[arg(long, value_delimiter = ',', required_unless_present = "keeps")]
     nodes: Vec<SocketAddr>,
     /// Of its chance.
     #[arg(long)]
@@ -38,6 +38,12 @@
     /// Planted: it looks once whether it holds, and makes fences and times up.
     #[arg(long)]
     unfenced: bool,
+    /// Holds until it is killed.
+    #[arg(long)]
+    keeps: bool,
+    /// The lease.
+    #[arg(long, default_value = LEASE)]
+    lease: String,
 }
 
 #[derive(Deserialize)]
@@ -60,8 +66,11 @@
         life += 1;
         let name = format!("c{}:{life}:{}", told.seed, client.draw_name());
         let Ok(session) = Session::open(client.clone(), name, ttl, ttl * 2).await else { continue };
-        let Ok(Some(granted)) = session.acquire(LEASE, true).await else { continue };
-        eprintln!("holds fence {}", granted.fence);
+        let Ok(Some(granted)) = session.acquire(&told.lease, true).await else { continue };
+        eprintln!("holds fence {} at_us={}", granted.fence, Tokio.awake().as_micros());
+        while told.keeps && session.left().is_ok() {
+            tokio::time::sleep(ttl / 10).await;
+        }
         for i in 0..dice.within(ORDERS.0, ORDERS.1) {
             let node = told.nodes[dice.within(0, told.nodes.len() as u64) as usize];
             let Ok(clock) = http::ask(node, "GET", "/api/clock", None, "", CALL).await else { continue };
@@ -70,7 +79,7 @@
             let act = session.act(&granted, Acting { clock: clock.clock.clone(), now_ms });
             let act = match act {
                 _ if told.unfenced => Act {
-                    lease: LEASE.into(),
+                    lease: told.lease.clone(),
                     fence: (Tokio.awake().as_millis() as u64) << GRANT_BITS | granted.fence,
                     clock: clock.clock,
                     not_after_ms: now_ms + 3_600_000,
@@ -91,7 +100,7 @@
             }
         }
         match dice.within(0, 3) {
-            0 => drop(session.release(LEASE).await),
+            0 => drop(session.release(&told.lease).await),
             1 => session.close(ttl).await,
             // Left to run out.
             _ => {}
--- a/crates/mothpier-trials/src/main.rs
+++ b/crates/mothpier-trials/src/main.rs
@@ -4,8 +4,10 @@
 mod http;
 mod judge;
 mod link;
+mod measure;
 mod plan;
 mod process;
+mod programs;
 mod trial;
 
 use std::ops::Range;
@@ -42,6 +44,9 @@
         #[command(flatten)]
         options: Options,
     },
+    /// Measures how long things take and what they cost.
+    #[command(subcommand)]
+    Measure(Measure),
     /// One that wants the lease.
     #[command(hide = true)]
     Contender(contender::Told),
@@ -62,6 +67,27 @@
     },
 }
 
+#[derive(Subcommand)]
+enum Measure {
+    /// From the death of a holder to the next one's grant, and of a leader to the next commit.
+    Failover {
+        #[arg(long, default_value_t = 3)]
+        members: usize,
+        #[arg(long, default_value_t = 200)]
+        kills: usize,
+        /// A session's time.
+        #[arg(long, default_value_t = 1000)]
+        ttl_ms: u64,
+    },
+    /// Grants and renewals a second, what sessions cost at rest, a start from many leases.
+    Load {
+        #[arg(long, default_value_t = 3)]
+        members: usize,
+        #[arg(long, default_value_t = 10_000)]
+        leases: usize,
+    },
+}
+
 #[derive(Args, Clone, Debug)]
 struct Options {
     #[arg(long, default_value_t = 5)]
@@ -114,11 +140,15 @@
     (good, line)
 }
 
+/// Where the other programs are when nothing else is told.
+fn beside() -> Result<PathBuf, String> {
+    let own = std::env::current_exe().map_err(|e| e.to_string())?;
+    Ok(own.parent().map(PathBuf::from).unwrap_or_default())
+}
+
 impl Options {
     fn how(&self, folder: PathBuf, lane: u8) -> Result<How, String> {
-        let own = std::env::current_exe().map_err(|e| e.to_string())?;
-        let beside = own.parent().map(PathBuf::from).unwrap_or_default();
-        let programs = self.programs.clone().unwrap_or(beside);
+        let programs = self.programs.clone().map_or_else(beside, Ok)?;
         for name in ["mothpier", "mothpier-coordinator"] {
             if !programs.join(name).exists() {
                 return Err(format!("{} is not there: build it first", programs.join(name).display()));
@@ -197,6 +227,14 @@
 fn main() -> ExitCode {
     let ran = match Cli::parse().command {
         Command::Contender(told) => block(contender::run(told)).map(|()| true),
+        Command::Measure(measured) => beside().and_then(|programs| match measured {
+            Measure::Failover { members, kills, ttl_ms } => {
+                block(measure::failover(&programs, members, kills, ttl_ms)).map(|()| true)
+            }
+            Measure::Load { members, leases } => {
+                block(measure::load(&programs, members, leases)).map(|()| true)
+            }
+        }),
         Command::Run(Run::Leases { seeds, jobs, options }) => run(seeds, jobs, &options),
         Command::Replay { seed, keep, options } => options.how(keep.clone(), 0).and_then(|how| {
             let played = block(trial::play(&options.plan(seed), &how))?;
--- a/crates/mothpier-trials/src/process.rs
+++ b/crates/mothpier-trials/src/process.rs
@@ -72,6 +72,11 @@
         }
     }
 
+    /// Its number while it runs.
+    pub fn id(&self) -> Option<u32> {
+        self.child.borrow().as_ref().and_then(Child::id)
+    }
+
     /// Whether it has ended by itself.
     pub fn has_ended(&self) -> bool {
         self.child.borrow_mut().as_mut().is_some_and(|c| !matches!(c.try_wait(), Ok(None)))
--- a/crates/mothpier-trials/src/trial.rs
+++ b/crates/mothpier-trials/src/trial.rs
@@ -3,8 +3,8 @@
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddr};
-use std::path::{Path, PathBuf};
+use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -19,9 +19,8 @@
 use crate::link::Link;
 use crate::plan::{Fault, Plan, Way, Who};
 use crate::process::Process;
+use crate::programs::{self, address, write};
 
-/// A tick of the coordinators: elections take 10 to 20 of them.
-const TICK_MS: u64 = 20;
 /// After everything is mended, grants in whose name something is done are waited for so long; nothing is asserted of how
 /// fast they come.
 const PATIENCE: Duration = Duration::from_secs(60);
@@ -76,7 +75,7 @@
             return who;
         }
         let last = |process: &Process| {
-            let held = |line: &str| line.strip_prefix("holds fence ").and_then(|f| f.parse::<u64>().ok());
+            let held = |line: &str| line.strip_prefix("holds fence ")?.split(' ').next()?.parse::<u64>().ok();
             process.logged().lines().filter_map(held).max()
         };
         let all = self.processes.iter().filter(|(who, _)| matches!(who, Who::Contender(_)));
@@ -129,17 +128,6 @@
     }
 }
 
-/// Addresses of a trial: no two trials, of this process or another, share one.
-fn address(lane: u8, of: u8) -> SocketAddr {
-    let run = std::process::id();
-    let ip = Ipv4Addr::new(127, 64 + (run % 128) as u8, lane, of);
-    SocketAddr::from((ip, 7100 + (run / 128 % 1000) as u16))
-}
-
-fn write(path: &Path, text: &str) -> Result<(), String> {
-    std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))
-}
-
 /// A client of one node: each answer must name the request that it is for.
 async fn client(at: SocketAddr, answers: Rc<Cell<(u64, u64, u64)>>) {
     let mut number = 0u64;
@@ -211,31 +199,17 @@
     let program = |name: &str| how.programs.join(name);
     let log = |name: String| how.folder.join(format!("{name}.log"));
     for i in 1..=size.coordinators {
-        let folder = how.folder.join(format!("coordinator-{i}"));
-        let mut text = format!(
-            "cluster = \"trial\"\nmember = {i}\nlisten = \"{}\"\nfolder = {:?}\ntick_ms = {TICK_MS}\n",
-            coordinators[i - 1],
-            folder
-        );
-        for j in 1..=size.coordinators {
+        let peers = (1..=size.coordinators).map(|j| {
             let own = || coordinators[i - 1];
-            let at = links.get(&(Who::Coordinator(i), Who::Coordinator(j))).map_or_else(own, |l| l.at);
-            text += &format!("peer \"{j}\" {{ address = \"{at}\" }}\n");
-        }
-        let file = how.folder.join(format!("coordinator-{i}.hcl"));
-        write(&file, &text)?;
-        let file = file.display().to_string();
-        let init = std::process::Command::new(program("mothpier-coordinator")).args(["init", &file]).output();
-        let init = init.map_err(|e| format!("{}: {e}", program("mothpier-coordinator").display()))?;
-        if !init.status.success() {
-            return Err(String::from_utf8_lossy(&init.stderr).into_owned());
-        }
-        let process = Process::new(
-            program("mothpier-coordinator"),
-            vec!["run".into(), file],
-            Vec::new(),
-            log(format!("coordinator-{i}")),
-        );
+            links.get(&(Who::Coordinator(i), Who::Coordinator(j))).map_or_else(own, |l| l.at)
+        });
+        let process = programs::coordinator(
+            &how.programs,
+            &how.folder,
+            i,
+            coordinators[i - 1],
+            &peers.collect::<Vec<_>>(),
+        )?;
         processes.insert(Who::Coordinator(i), process);
     }
     // Two cache servers; the contenders take the second one out and in.
