Coordinators: members join, leave and are replaced while they serve; no number is used twice

Need: a member that lost its store must be replaced by a new one, and a group must grow and shrink while it serves. mothpier-coordinator join makes a store that knows nothing; coordinator add makes it a learner, which votes once it has what the others have; coordinator remove takes one out, a leader hands over first. The agreed state keeps each member's address and the highest number ever used.

--- a/crates/mothpier-coordination-client/src/lib.rs
+++ b/crates/mothpier-coordination-client/src/lib.rs
@@ -16,7 +16,7 @@
 use hyper::client::conn::http1;
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use mothpier_coordination::wire::{Call, Error, Failed, Leases, Status, Told};
+use mothpier_coordination::wire::{Call, Error, Failed, Leases, MemberCall, MemberChange, Status, Told};
 use mothpier_coordination::{Answer, Change, Command, Revision};
 use mothpier_net::{Net, Stream, Task};
 use serde::Deserialize;
@@ -199,6 +199,17 @@
         }
     }
 
+    /// Changes the coordinators themselves.
+    pub async fn change(&self, change: MemberChange, until: Instant) -> Outcome<()> {
+        let call = MemberCall { cluster: self.cluster.clone(), change };
+        let body = serde_json::to_vec(&call).unwrap_or_default().into();
+        match self.call(Method::POST, "/v1/members", body, until).await {
+            Outcome::Done(_) => Outcome::Done(()),
+            Outcome::NotDone(why) => Outcome::NotDone(why),
+            Outcome::MayHaveBeen(why) => Outcome::MayHaveBeen(why),
+        }
+    }
+
     async fn read<T: for<'a> Deserialize<'a>>(&self, path: &str, until: Instant) -> Result<T, String> {
         match self.call(Method::GET, path, Bytes::new(), until).await {
             Outcome::Done((status, bytes)) if status.is_success() => {
--- a/crates/mothpier-coordination/src/agreed.rs
+++ b/crates/mothpier-coordination/src/agreed.rs
@@ -63,6 +63,9 @@
     leases: BTreeMap<String, Lease>,
     values: BTreeMap<String, Value>,
     value_bytes: usize,
+    /// Where each coordinator is, by its number, and the highest number that was ever one's.
+    members: BTreeMap<u64, String>,
+    last_member: u64,
     /// The last changes; the first one's number is `revision - history.len() + 1`.
     history: VecDeque<Change>,
 }
@@ -98,6 +101,8 @@
             leases: BTreeMap::new(),
             values: BTreeMap::new(),
             value_bytes: 0,
+            members: BTreeMap::new(),
+            last_member: 0,
             history: VecDeque::new(),
         }
     }
@@ -333,6 +338,31 @@
         self.revision
     }
 
+    /// The state of a new fleet with these coordinators.
+    pub fn founded(members: BTreeMap<u64, String>) -> Self {
+        let last_member = members.keys().next_back().copied().unwrap_or_default();
+        Agreed { members, last_member, ..Agreed::default() }
+    }
+
+    /// A coordinator is a member from now on, or no more.
+    pub fn member(&mut self, number: u64, address: Option<String>) {
+        self.last_member = self.last_member.max(number);
+        match address {
+            Some(address) => drop(self.members.insert(number, address)),
+            None => drop(self.members.remove(&number)),
+        }
+    }
+
+    /// Where each coordinator is, by its number.
+    pub fn members(&self) -> &BTreeMap<u64, String> {
+        &self.members
+    }
+
+    /// The highest number that was ever a coordinator's: a number is not used again, for its first owner may have voted.
+    pub fn last_member(&self) -> u64 {
+        self.last_member
+    }
+
     /// The number of the last change.
     pub fn revision(&self) -> Revision {
         self.revision
--- a/crates/mothpier-coordination/src/wire.rs
+++ b/crates/mothpier-coordination/src/wire.rs
@@ -17,6 +17,34 @@
     pub command: Command,
 }
 
+/// A change of the coordinators themselves.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MemberCall {
+    /// The fleet's name.
+    pub cluster: String,
+    /// What is asked.
+    pub change: MemberChange,
+}
+
+/// One coordinator more or less.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum MemberChange {
+    /// A new one, under a number that was never another's. It votes once it has what the others have.
+    Add {
+        /// Its number.
+        member: u64,
+        /// Where it is reached.
+        address: std::net::SocketAddr,
+    },
+    /// One leaves for good.
+    Remove {
+        /// Its number.
+        member: u64,
+    },
+}
+
 /// A lease as it is shown.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Shown {
@@ -102,6 +130,9 @@
     pub sessions: usize,
     /// Leases that are held.
     pub leases: usize,
+    /// Those that are to vote once they have what the others have.
+    #[serde(default)]
+    pub learners: Vec<u64>,
     /// Those that vote, and by how many lines each lags; known to a leader.
     pub members: Vec<(u64, Option<u64>)>,
 }
--- a/crates/mothpier-coordinator/src/config.rs
+++ b/crates/mothpier-coordinator/src/config.rs
@@ -8,8 +8,8 @@
 use hcl_edit::expr::Expression;
 use hcl_edit::structure::{Body, Structure};
 
-/// Members of a fleet: an even number bears no more deaths than the odd one before it.
-const MOST_MEMBERS: usize = 7;
+use crate::core::MOST_MEMBERS;
+
 /// A tick: elections take 10 to 20 of them, a leader's words come every second one.
 pub const TICK: Duration = Duration::from_millis(50);
 
--- a/crates/mothpier-coordinator/src/core.rs
+++ b/crates/mothpier-coordinator/src/core.rs
@@ -5,9 +5,10 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use mothpier_coordination::wire::MemberChange;
 use mothpier_coordination::{Agreed, Answer, Command, Keeper};
 use protobuf::Message as _;
-use raft::eraftpb::{ConfState, Entry, EntryType, Message, Snapshot};
+use raft::eraftpb::{ConfChange, ConfChangeType, ConfState, Entry, EntryType, Message, Snapshot};
 use raft::storage::MemStorage;
 use raft::{Config, GetEntriesContext, RaftState, RawNode, StateRole, Storage};
 use tokio::sync::oneshot;
@@ -28,6 +29,10 @@
 const SNAPSHOT_EVERY: u64 = 10_000;
 /// Lines kept behind a snapshot, so that a member that is a little late needs no snapshot.
 const KEPT_BEHIND: u64 = 1_000;
+/// Members: an even number bears no more deaths than the odd one before it, and each write waits for most of them.
+pub const MOST_MEMBERS: usize = 7;
+/// One that lags by no more lines than this votes from then on.
+const CAUGHT_UP: u64 = 100;
 /// A proposal to end a session is made again after this time: it may have been lost with its leader.
 const EXPIRE_AGAIN_MS: u64 = 1_000;
 
@@ -82,6 +87,8 @@
 pub enum Ended {
     /// It was committed, and this came of it.
     Answered(Answer),
+    /// The members are as was asked.
+    Changed,
     /// It was not proposed: this member does not lead.
     NotLeading,
     /// It was proposed and may yet be committed under another leader.
@@ -124,12 +131,18 @@
     pub fn new(store: Store, found: Found, life: u64) -> Result<Core, Trouble> {
         let refused = |e: raft::Error| Trouble(format!("the store's parts don't fit: {e}"));
         let meta = found.snapshot.get_metadata().clone();
-        let agreed = Agreed::from_bytes(found.snapshot.get_data())
-            .map_err(|e| Trouble(format!("the snapshot in the store: {e}")))?;
+        let joins = meta.index == 0;
+        let agreed = match joins {
+            true => Agreed::default(),
+            false => Agreed::from_bytes(found.snapshot.get_data())
+                .map_err(|e| Trouble(format!("the snapshot in the store: {e}")))?,
+        };
         let lines = MemStorage::new();
         {
             let mut lines = lines.wl();
-            lines.apply_snapshot(found.snapshot.clone()).map_err(refused)?;
+            if !joins {
+                lines.apply_snapshot(found.snapshot.clone()).map_err(refused)?;
+            }
             lines.append(&found.entries).map_err(refused)?;
             lines.set_hardstate(found.vote);
         }
@@ -212,6 +225,95 @@
         told
     }
 
+    /// Proposes a change of members; what comes of it is told later.
+    ///
+    /// # Errors
+    ///
+    /// Why it can't be proposed.
+    pub fn change(&mut self, change: &MemberChange) -> Result<oneshot::Receiver<Ended>, String> {
+        let (tell, told) = oneshot::channel();
+        if !self.leads {
+            let _ = tell.send(Ended::NotLeading);
+            return Ok(told);
+        }
+        let known = |id: &u64| self.conf.voters.contains(id) || self.conf.learners.contains(id);
+        let mut proposed = ConfChange::default();
+        match change {
+            MemberChange::Add { member, address } => {
+                if known(member) && self.agreed.members().get(member) == Some(&address.to_string()) {
+                    // Asked again: it is one already.
+                    let _ = tell.send(Ended::Changed);
+                    return Ok(told);
+                }
+                let last = self.agreed.last_member();
+                if *member <= last {
+                    return Err(format!(
+                        "{member} was a member's number: take {} or higher, for who had it may have voted",
+                        last + 1
+                    ));
+                }
+                if self.conf.voters.len() + self.conf.learners.len() >= MOST_MEMBERS {
+                    return Err(format!("{MOST_MEMBERS} members at the most"));
+                }
+                proposed.node_id = *member;
+                proposed.set_change_type(ConfChangeType::AddLearnerNode);
+                proposed.set_context(address.to_string().into_bytes().into());
+            }
+            MemberChange::Remove { member } => {
+                if !known(member) {
+                    let _ = tell.send(Ended::Changed);
+                    return Ok(told);
+                }
+                if self.conf.voters.contains(member) && self.conf.voters.len() == 1 {
+                    return Err("it is the only one that votes".into());
+                }
+                if *member == self.member() {
+                    // Another one leads first, and does it.
+                    let next = self.conf.voters.iter().find(|v| *v != member);
+                    next.copied().into_iter().for_each(|next| self.raft.transfer_leader(next));
+                    let _ = tell.send(Ended::NotLeading);
+                    return Ok(told);
+                }
+                proposed.node_id = *member;
+                proposed.set_change_type(ConfChangeType::RemoveNode);
+            }
+        }
+        self.propose_change(proposed, tell);
+        Ok(told)
+    }
+
+    fn propose_change(&mut self, change: ConfChange, tell: oneshot::Sender<Ended>) {
+        if self.raft.raft.has_pending_conf() {
+            // One at a time: asked again a little later.
+            let _ = tell.send(Ended::NotLeading);
+            return;
+        }
+        let number = self.number();
+        match self.raft.propose_conf_change(number.to_be_bytes().to_vec(), change) {
+            Ok(()) => drop(self.proposals.insert(number, tell)),
+            Err(_) => drop(tell.send(Ended::NotLeading)),
+        }
+    }
+
+    /// A member that has what the others have votes from now on.
+    fn promote(&mut self) {
+        if !self.leads || self.conf.learners.is_empty() || self.raft.raft.has_pending_conf() {
+            return;
+        }
+        let (committed, _) = self.lines();
+        let ready = self.conf.learners.iter().copied().find(|id| {
+            let matched = self.raft.raft.prs().get(*id).map_or(0, |p| p.matched);
+            matched > 0 && matched + CAUGHT_UP >= committed
+        });
+        let Some(member) = ready else { return };
+        let mut change = ConfChange { node_id: member, ..ConfChange::default() };
+        change.set_change_type(ConfChangeType::AddNode);
+        let address = self.agreed.members().get(&member).cloned().unwrap_or_default();
+        change.set_context(address.into_bytes().into());
+        let (tell, _) = oneshot::channel();
+        self.propose_change(change, tell);
+    }
+
     /// Asks a majority whether this member still leads: true once all that was committed before is applied here.
     pub fn read(&mut self) -> oneshot::Receiver<bool> {
         let (tell, told) = oneshot::channel();
@@ -236,6 +338,7 @@
                 drop(self.propose(&expire));
             }
         }
+        self.promote();
         while self.raft.has_ready() {
             self.ready(now)?;
         }
@@ -352,6 +455,15 @@
                     let conf = self.raft.apply_conf_change(&change);
                     self.conf = conf.map_err(|e| Trouble(format!("a change of members: {e}")))?;
                     self.log.lines.wl().set_conf_state(self.conf.clone());
+                    // A snapshot from before does not name who has just come: that one would refuse it.
+                    self.log.wanted.set(true);
+                    let address = String::from_utf8_lossy(&change.context).into_owned();
+                    let stays = change.get_change_type() != ConfChangeType::RemoveNode;
+                    self.agreed.member(change.node_id, stays.then_some(address));
+                    let number = entry.context.as_ref().try_into().map(u64::from_be_bytes);
+                    if let Some(tell) = number.ok().and_then(|n| self.proposals.remove(&n)) {
+                        let _ = tell.send(Ended::Changed);
+                    }
                 }
                 EntryType::EntryConfChangeV2 => {
                     return Err(Trouble("the log holds a change of members of a newer program".into()));
@@ -458,6 +570,11 @@
         self.conf.voters.iter().map(|id| (*id, matched(*id))).collect()
     }
 
+    /// Those that are to vote.
+    pub fn learners(&self) -> &[u64] {
+        &self.conf.learners
+    }
+
     /// Proposals that wait for their commit.
     pub fn waiting(&self) -> usize {
         self.proposals.len()
--- a/crates/mothpier-coordinator/src/door.rs
+++ b/crates/mothpier-coordinator/src/door.rs
@@ -15,7 +15,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use mothpier_coordination::Command;
-use mothpier_coordination::wire::{CLUSTER, Call, Error, Failed, Leases, Shown};
+use mothpier_coordination::wire::{CLUSTER, Call, Error, Failed, Leases, MemberCall, Shown};
 use mothpier_net::{Listener, Net, Stream, Task};
 use protobuf::Message as _;
 use raft::eraftpb::Message;
@@ -100,6 +100,7 @@
     let query = request.uri().query().unwrap_or_default().to_owned();
     match (&method, path.as_str()) {
         (&Method::POST, "/v1/command") => command(member, request).await,
+        (&Method::POST, "/v1/members") => members(member, request).await,
         (&Method::POST, "/raft") => messages(member, request).await,
         (&Method::GET, "/v1/leases") => leases(member).await,
         (&Method::GET, "/v1/values") => values(member).await,
@@ -130,8 +131,13 @@
     if let Command::Expire { .. } = call.command {
         return failed(member, Error::BadCall, "sessions are ended by their leader alone".into());
     }
-    match member.propose(&call.command, COMMIT).await {
+    ended(member, member.propose(&call.command, COMMIT).await)
+}
+
+fn ended<N: Net>(member: &Member<N>, ended: Ended) -> Reply {
+    match ended {
         Ended::Answered(answer) => said(StatusCode::OK, &json!({"answer": answer})),
+        Ended::Changed => said(StatusCode::OK, &json!({"answer": "changed"})),
         Ended::NotLeading => failed(member, Error::NotLeader, "another member leads, or none".into()),
         Ended::Unknown => {
             failed(member, Error::Unknown, "not confirmed in time: it may have been done".into())
@@ -139,6 +145,24 @@
     }
 }
 
+async fn members<N: Net>(member: &Rc<Member<N>>, request: Request<Incoming>) -> Reply {
+    let call: MemberCall = match body(request, CALL).await {
+        Ok(bytes) => match serde_json::from_slice(&bytes) {
+            Ok(call) => call,
+            Err(e) => return failed(member, Error::BadCall, format!("the call can't be read: {e}")),
+        },
+        Err(why) => return failed(member, Error::BadCall, why),
+    };
+    if call.cluster != member.config.cluster {
+        let why = format!("this is a coordinator of {}, not of {:.128}", member.config.cluster, call.cluster);
+        return failed(member, Error::OtherCluster, why);
+    }
+    match member.change(&call.change, COMMIT).await {
+        Ok(done) => ended(member, done),
+        Err(why) => failed(member, Error::BadCall, why),
+    }
+}
+
 async fn messages<N: Net>(member: &Rc<Member<N>>, request: Request<Incoming>) -> Reply {
     let cluster = request.headers().get(CLUSTER).and_then(|v| v.to_str().ok()).unwrap_or_default();
     if cluster != member.config.cluster {
--- a/crates/mothpier-coordinator/src/lib.rs
+++ b/crates/mothpier-coordinator/src/lib.rs
@@ -14,7 +14,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use mothpier_coordination::wire::Status;
+use mothpier_coordination::wire::{MemberChange, Status};
 use mothpier_coordination::{Agreed, Command};
 use mothpier_net::Net;
 use raft::eraftpb::Message;
@@ -36,7 +36,8 @@
     wake: Notify,
     /// Something has changed.
     changed: Notify,
-    peers: BTreeMap<u64, mpsc::Sender<Vec<Message>>>,
+    /// Made when there is something to send; where a member is, its own file has the last word on.
+    peers: RefCell<BTreeMap<u64, mpsc::Sender<Vec<Message>>>>,
     began: Instant,
 }
 
@@ -47,7 +48,18 @@
 /// A folder that has one already, or can't be written.
 pub fn init(config: &Config) -> Result<(), Trouble> {
     let members: Vec<u64> = config.members.keys().copied().collect();
-    Store::init(&config.folder, &config.cluster, config.member, &members, &Agreed::default().to_bytes())
+    let addresses = config.members.iter().map(|(id, at)| (*id, at.to_string())).collect();
+    let state = Agreed::founded(addresses).to_bytes();
+    Store::init(&config.folder, &config.cluster, config.member, &members, &state)
+}
+
+/// Makes a store for a member that joins a fleet: it knows nothing until the leader tells it.
+///
+/// # Errors
+///
+/// A folder that has one already, or can't be written.
+pub fn join(config: &Config) -> Result<(), Trouble> {
+    Store::init(&config.folder, &config.cluster, config.member, &[], &[])
 }
 
 /// Runs a member until it fails.
@@ -67,10 +79,7 @@
             config.cluster
         )));
     }
-    let voters = found.snapshot.get_metadata().get_conf_state().voters.clone();
-    if let Some(unknown) = voters.iter().find(|v| !config.members.contains_key(v)) {
-        return Err(Trouble(format!("member {unknown} votes, and no `peer` block says where it is")));
-    }
+
     let listener = net
         .listen(config.listen)
         .await
@@ -80,12 +89,7 @@
         u64::from_be_bytes([entropy[0], entropy[1], entropy[2], entropy[3], entropy[4], entropy[5], 0, 0]);
     let mut core = Core::new(store, found, life)?;
     core.lead_if_alone();
-    let (mut peers, mut routes) = (BTreeMap::new(), Vec::new());
-    for to in config.members.keys().filter(|id| **id != config.member) {
-        let (send, receive) = mpsc::channel(peers::WAITING);
-        peers.insert(*to, send);
-        routes.push((*to, receive));
-    }
+
     net.log(format_args!("coordinator {} of {} listens at {}", config.member, config.cluster, config.listen));
     let began = net.now();
     let member = Rc::new(Member {
@@ -94,12 +98,9 @@
         core: RefCell::new(core),
         wake: Notify::new(),
         changed: Notify::new(),
-        peers,
+        peers: RefCell::default(),
         began,
     });
-    for (to, batches) in routes {
-        net.spawn(peers::run(member.clone(), to, batches));
-    }
     net.spawn(door::run(member.clone(), listener));
     member.drive().await
 }
@@ -111,7 +112,7 @@
         self.net.since(self.began).as_millis() as u64
     }
 
-    async fn drive(&self) -> Result<(), Trouble> {
+    async fn drive(self: &Rc<Self>) -> Result<(), Trouble> {
         let tick = self.config.tick;
         let mut next = self.net.now() + tick;
         loop {
@@ -132,7 +133,22 @@
         }
     }
 
-    fn turn(&self) -> Result<(), Trouble> {
+    /// Hands messages for a member to whoever carries them there; whether they were taken.
+    fn send(self: &Rc<Self>, to: u64, batch: Vec<Message>) -> bool {
+        let mut peers = self.peers.borrow_mut();
+        if let Some(peer) = peers.get(&to) {
+            return peer.try_send(batch).is_ok();
+        }
+        let told = || self.core.borrow().agreed().members().get(&to).and_then(|a| a.parse().ok());
+        let Some(address) = self.config.members.get(&to).copied().or_else(told) else { return false };
+        let (send, receive) = mpsc::channel(peers::WAITING);
+        self.net.spawn(peers::run(self.clone(), to, address, receive));
+        let taken = send.try_send(batch).is_ok();
+        peers.insert(to, send);
+        taken
+    }
+
+    fn turn(self: &Rc<Self>) -> Result<(), Trouble> {
         let (leader, synced) = (self.core.borrow().leader(), self.core.borrow().synced);
         let now = self.now();
         self.core.borrow_mut().turn(now)?;
@@ -140,7 +156,7 @@
         let mut batches: BTreeMap<u64, Vec<Message>> = BTreeMap::new();
         outgoing.into_iter().for_each(|m| batches.entry(m.to).or_default().push(m));
         for (to, batch) in batches {
-            if self.peers.get(&to).is_none_or(|p| p.try_send(batch).is_err()) {
+            if !self.send(to, batch) {
                 self.core.borrow_mut().unreachable(to);
             }
         }
@@ -175,6 +191,16 @@
         }
     }
 
+    /// Changes the members.
+    async fn change(&self, change: &MemberChange, within: Duration) -> Result<Ended, String> {
+        let told = self.core.borrow_mut().change(change)?;
+        self.wake.notify_one();
+        Ok(match self.net.timeout(within, told).await {
+            Some(Ok(ended)) => ended,
+            _ => Ended::Unknown,
+        })
+    }
+
     /// Whether a majority has confirmed that this member leads, and all from before is applied.
     async fn confirmed(&self, within: Duration) -> bool {
         let told = self.core.borrow_mut().read();
@@ -196,6 +222,7 @@
             applied,
             sessions: core.agreed().sessions().count(),
             leases: core.agreed().leases().len(),
+            learners: core.learners().to_vec(),
             members: core.members().into_iter().map(lag).collect(),
         }
     }
--- a/crates/mothpier-coordinator/src/main.rs
+++ b/crates/mothpier-coordinator/src/main.rs
@@ -34,6 +34,11 @@
         /// Its file.
         file: PathBuf,
     },
+    /// Makes the store of a member that joins a fleet. It knows nothing until it is added: `mothpierctl coordinator add`.
+    Join {
+        /// Its file.
+        file: PathBuf,
+    },
     /// Runs a member.
     Run(Run),
     /// Checks a file.
@@ -64,6 +69,7 @@
 fn prepared(command: Command) -> Result<Option<Config>, Trouble> {
     match command {
         Command::Init { file } => mothpier_coordinator::init(&read(&file)?).map(|()| None),
+        Command::Join { file } => mothpier_coordinator::join(&read(&file)?).map(|()| None),
         Command::Check { file } => read(&file).map(|_| None),
         Command::Run(Run { single: Some(folder), listen, .. }) => {
             let config = config::single(folder, listen);
--- a/crates/mothpier-coordinator/src/peers.rs
+++ b/crates/mothpier-coordinator/src/peers.rs
@@ -1,6 +1,7 @@
 //! Messages to other members: one connection to each, made anew when it fails; what can't be sent now is dropped, for the
 //! library sends again what still matters.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -25,8 +26,12 @@
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// Sends what comes to a member for as long as there is one.
-pub async fn run<N: Net>(member: Rc<Member<N>>, to: u64, mut batches: mpsc::Receiver<Vec<Message>>) {
-    let Some(address) = member.config.members.get(&to).copied() else { return };
+pub async fn run<N: Net>(
+    member: Rc<Member<N>>,
+    to: u64,
+    address: SocketAddr,
+    mut batches: mpsc::Receiver<Vec<Message>>,
+) {
     let net = member.net.clone();
     while let Some(mut batch) = batches.recv().await {
         // All that is there goes at once.
--- a/crates/mothpier-coordinator/src/store.rs
+++ b/crates/mothpier-coordinator/src/store.rs
@@ -66,7 +66,7 @@
 }
 
 impl Store {
-    /// Makes a store for a new member of a new fleet. There must be none.
+    /// Makes a store for a member of a new fleet, or, with no members, for one that joins a fleet. There must be none.
     ///
     /// # Errors
     ///
@@ -91,14 +91,17 @@
         let aside = folder.join(format!("{FILE}.new"));
         let _ = std::fs::remove_file(&aside);
         let db = Database::create(&aside).map_err(trouble("the store can't be made"))?;
-        let mut snapshot = Snapshot::default();
-        snapshot.mut_metadata().index = FIRST;
-        snapshot.mut_metadata().term = FIRST;
-        snapshot
-            .mut_metadata()
-            .set_conf_state(ConfState { voters: members.to_vec(), ..ConfState::default() });
-        snapshot.set_data(state.to_vec().into());
-        let vote = HardState { term: FIRST, commit: FIRST, ..HardState::default() };
+        let (mut snapshot, mut vote) = (Snapshot::default(), HardState::default());
+        // One that joins knows nothing, not even who votes: the leader tells it.
+        if !members.is_empty() {
+            snapshot.mut_metadata().index = FIRST;
+            snapshot.mut_metadata().term = FIRST;
+            snapshot
+                .mut_metadata()
+                .set_conf_state(ConfState { voters: members.to_vec(), ..ConfState::default() });
+            snapshot.set_data(state.to_vec().into());
+            (vote.term, vote.commit) = (FIRST, FIRST);
+        }
         let about = About { format: FORMAT, cluster: cluster.into(), member };
         let about = serde_json::to_vec(&about).map_err(trouble("the store can't be made"))?;
         let write = || -> Result<(), Box<dyn std::error::Error>> {
--- a/crates/mothpier-coordinator/tests/service.rs
+++ b/crates/mothpier-coordinator/tests/service.rs
@@ -307,6 +307,80 @@
     assert!((0..number).all(|n| all["values"][format!("k{n}")].is_object()), "of {number} something is lost");
 }
 
+/// A member that joins: its file names those that are there, and itself.
+fn joining(place: &Path, number: usize, peers: &[(usize, SocketAddr)]) -> Member {
+    let (file, folder, at) = (place.join(format!("{number}.hcl")), place.join(format!("{number}")), free());
+    let mut text = format!(
+        "cluster = \"manila\"\nmember = {number}\nlisten = \"{at}\"\nfolder = {folder:?}\ntick_ms = 20\n"
+    );
+    for (i, at) in peers.iter().copied().chain([(number, at)]) {
+        text += &format!("peer \"{i}\" {{ address = \"{at}\" }}\n");
+    }
+    std::fs::write(&file, text).unwrap();
+    assert!(program().arg("join").arg(&file).status().unwrap().success());
+    Member::start(&file, at, folder)
+}
+
+fn change(at: &[SocketAddr], change: Value) -> (u16, String) {
+    let body = json!({"cluster": "manila", "change": change}).to_string();
+    until("a change of members", || {
+        let told = at
+            .iter()
+            .filter_map(|at| post(*at, "/v1/members", &body))
+            .find(|(s, _)| *s == 200 || *s == 400)?;
+        Some((told.0, told.1["message"].as_str().unwrap_or_default().to_owned()))
+    })
+}
+
+#[test]
+fn members_are_replaced_one_by_one_while_it_serves_and_a_number_is_never_used_again() {
+    let place = tempfile::tempdir().unwrap();
+    let mut members: Vec<(usize, Member)> =
+        three(place.path()).into_iter().enumerate().map(|(i, m)| (i + 1, m)).collect();
+    let addresses = |members: &[(usize, Member)]| members.iter().map(|(_, m)| m.at).collect::<Vec<_>>();
+    done(&addresses(&members), "manila", open("s"));
+    let mut number = 0;
+    let mut write = |at: &[SocketAddr]| {
+        number += 1;
+        assert_eq!(done(at, "manila", put("s", number, &format!("k{number}")))["is"], "stored");
+        number
+    };
+    // All three founders go, the leader among them, and three others come.
+    for round in 0..3 {
+        let at = addresses(&members);
+        write(&at);
+        let peers: Vec<(usize, SocketAddr)> = members.iter().map(|(i, m)| (*i, m.at)).collect();
+        let next = joining(place.path(), 4 + round, &peers);
+        let add = json!({"add": {"member": 4 + round, "address": next.at}});
+        assert_eq!(change(&at, add.clone()).0, 200);
+        assert_eq!(change(&at, add).0, 200, "asked again it is one already");
+        members.push((4 + round, next));
+        let at = addresses(&members);
+        until("it votes", || {
+            at.iter().filter_map(|at| get(*at, "/v1/status")).find(|(_, s)| {
+                let votes =
+                    s["members"].as_array().is_some_and(|m| m.iter().any(|m| m[0] == 4 + round as u64));
+                s["leader"] == s["member"] && votes && s["learners"] == json!([])
+            })
+        });
+        write(&at);
+        let gone = members[0].0;
+        assert_eq!(change(&at, json!({"remove": {"member": gone}})).0, 200);
+        drop(members.remove(0));
+        write(&addresses(&members));
+    }
+    let at = addresses(&members);
+    let (status, why) = change(&at, json!({"add": {"member": 1, "address": "127.0.0.1:9"}}));
+    assert!(status == 400 && why.contains("take 7 or higher"), "{why}");
+    let last = write(&at);
+    let (_, all) =
+        until("a read", || at.iter().filter_map(|at| get(*at, "/v1/values")).find(|(s, _)| *s == 200));
+    assert!((1..=last).all(|n| all["values"][format!("k{n}")].is_object()), "something is lost");
+    // Three of them bear one death.
+    members[0].1.kill();
+    write(&addresses(&members)[1..]);
+}
+
 #[test]
 fn a_file_that_is_wrong_and_a_store_of_another_member_are_clear_errors_and_an_exit() {
     let place = tempfile::tempdir().unwrap();
--- a/crates/mothpierctl/src/lease.rs
+++ b/crates/mothpierctl/src/lease.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use clap::{Args, Subcommand};
+use mothpier_coordination::wire::MemberChange;
 use mothpier_coordination::{Answer, Command as Agreed};
 use mothpier_coordination_client::{Client, Outcome, Session};
 use mothpier_net::{Net, Tokio};
@@ -102,6 +103,23 @@
         #[command(flatten)]
         at: Where,
     },
+    /// Adds a member that runs already, with a store made by `mothpier-coordinator join`. It votes once it has what the
+    /// others have.
+    Add {
+        /// Its number: one that was never a member's.
+        member: u64,
+        /// Where the others reach it.
+        address: SocketAddr,
+        #[command(flatten)]
+        at: Where,
+    },
+    /// Removes a member for good: its number is not used again.
+    Remove {
+        /// Its number.
+        member: u64,
+        #[command(flatten)]
+        at: Where,
+    },
 }
 
 /// Runs a future on a runtime of one thread.
@@ -184,7 +202,15 @@
 
 /// Shows the coordinators.
 pub fn coordinator(call: Coordinator, out: show::Out) -> Result<u8, String> {
-    let Coordinator::Status { at } = call;
+    let at = match call {
+        Coordinator::Status { at } => at,
+        Coordinator::Add { member, address, at } => {
+            return change(at, MemberChange::Add { member, address }, &format!("member {member} is added"));
+        }
+        Coordinator::Remove { member, at } => {
+            return change(at, MemberChange::Remove { member }, &format!("member {member} is removed"));
+        }
+    };
     let addresses = at.coordinators.clone();
     let all = block(async { Ok(client(at)?.statuses(Tokio.now() + PATIENCE).await) })?;
     let led = all.iter().flatten().any(|s| s.leader == Some(s.member));
@@ -231,6 +257,18 @@
     Ok(if led { GOOD } else { crate::FOUND })
 }
 
+fn change(at: Where, change: MemberChange, done: &str) -> Result<u8, String> {
+    block(async {
+        match client(at)?.change(change, Tokio.now() + PATIENCE).await {
+            Outcome::Done(()) => print(&format!("{done}\n")),
+            Outcome::NotDone(why) => Err(format!("not done: {why}")),
+            Outcome::MayHaveBeen(why) => {
+                Err(format!("it may have been done: {why}; asked again it is done once"))
+            }
+        }
+    })
+}
+
 /// Becomes a command that is killed when the one that started it dies: a holder that is gone can't end it any more.
 pub fn bound(command: &[OsString]) -> Result<u8, String> {
     rustix::process::set_parent_process_death_signal(Some(Signal::KILL)).map_err(|e| e.to_string())?;
