Leases: nothing is given up while an order is on its way; coordinators in simulated time

Ruled out: clocks (within their bound), the store (no change was lost), the fences of those who obey (they had not heard of the next grant yet).

Change: a session knows the orders that nobody has answered and gives nothing up before they are answered or their time is over (Session::act, answered, release, close); the model has the condition and a thirteenth twin without it, which is refuted.

New: mothpier-sim coordinators plays members over the product's own store on disks that lose and tear what was not synced and fill up, clocks that run apart within the bound, links that lose, double, delay and are cut one way and both, crashes, stops, one that obeys from nothing.

--- a/crates/mothpier-coordination-client/src/session.rs
+++ b/crates/mothpier-coordination-client/src/session.rs
@@ -60,6 +60,8 @@
     hold: RefCell<Hold>,
     number: Cell<u64>,
     ended: RefCell<Option<String>>,
+    /// Orders that nobody has answered: fence, the clock that they go by and what it said, and until when they may begin.
+    out: RefCell<Vec<(Fence, String, u64, u64)>>,
     /// Word of each renewal and of the end.
     pub changed: Notify,
     renewing: RefCell<Option<N::Task>>,
@@ -93,6 +95,7 @@
             hold: RefCell::new(Hold::new(ttl_ms)),
             number: Cell::new(0),
             ended: RefCell::default(),
+            out: RefCell::default(),
             changed: Notify::new(),
             renewing: RefCell::default(),
         });
@@ -230,22 +233,44 @@
         }
     }
 
-    /// Gives a lease up.
+    /// An act was answered, whatever the answer: it is not on its way any more.
+    pub fn answered(&self, act: &Act, told_ms: u64) {
+        let same = |o: &(Fence, String, u64, u64)| (o.0, &o.1, o.2) == (act.fence, &act.clock, told_ms);
+        let mut out = self.out.borrow_mut();
+        if let Some(at) = out.iter().position(same) {
+            out.remove(at);
+        }
+    }
+
+    /// Waits until nothing that was ordered can begin any more. An order that nobody has answered may still be on its way:
+    /// were the lease given up now, it would be done beside the next holder.
+    async fn quiet(&self) {
+        let until = self.out.borrow().iter().map(|o| o.3).max().unwrap_or(0);
+        let wait = until.saturating_sub(self.clock());
+        self.client.net().sleep(Duration::from_millis(wait)).await;
+        self.out.borrow_mut().clear();
+    }
+
+    /// Gives a lease up, once nothing that was ordered in its name can begin any more.
     ///
     /// # Errors
     ///
     /// The session is over.
     pub async fn release(&self, lease: &str) -> Result<(), Lost> {
+        self.quiet().await;
         self.ask(Request::Release { lease: lease.into() }).await.map(|_| ())
     }
 
     /// An act in a lease's name, for one whose clock was asked before: it must not begin once the session's time is over.
+    /// Until [`Session::answered`] is called for it, or that time is over, the lease is not given up.
     ///
     /// # Errors
     ///
     /// The session is over.
     pub fn act(&self, granted: &Granted, told: Acting) -> Result<Act, Lost> {
         let left = self.left()?;
+        let until = self.clock() + left.as_millis() as u64;
+        self.out.borrow_mut().push((granted.fence, told.clock.clone(), told.now_ms, until));
         Ok(Act {
             lease: granted.lease.clone(),
             fence: granted.fence,
@@ -254,8 +279,9 @@
         })
     }
 
-    /// Ends the session: all that it holds is free at once.
+    /// Ends the session, once nothing that was ordered in its name can begin any more: all that it holds is free then.
     pub async fn close(&self, within: Duration) {
+        self.quiet().await;
         if let Some(task) = self.renewing.borrow_mut().take() {
             task.abort();
         }
--- a/crates/mothpier-coordination/tests/model.rs
+++ b/crates/mothpier-coordination/tests/model.rs
@@ -37,6 +37,7 @@
     ExpiryByTheWallClock,
     OpenAgainIsNoRenewal,
     LeaderNeverExpires,
+    GivesUpTooSoon,
 }
 
 /// A world's bounds.
@@ -404,7 +405,10 @@
             if c.opened < if i == 0 { self.opens } else { 1 } {
                 steps.push(Step::Open(i));
             }
-            let releases = self.releases && c.fence.is_some() && c.asked == 1;
+            // Not while an order of its own is on its way: it would be done beside the next holder.
+            let order = |m: &Message| matches!(m, Message::Act(whose, ..) if *whose == i);
+            let quiet = self.twin == Twin::GivesUpTooSoon || !w.net.keys().any(order);
+            let releases = self.releases && quiet && c.fence.is_some() && c.asked == 1;
             if c.open && ((c.asked == 0 && self.releases) || releases) {
                 steps.push(Step::Ask(i));
             }
@@ -627,6 +631,7 @@
 fn nobody_acts_beside_another_while_clocks_keep_their_bound() {
     let calm = Bounds { leaders: 0, renewals: 0, ..Bounds::new() };
     assert!(check("one leader, no renewal", Bounds { ticks: 6, ..calm }).is_empty());
+    assert!(check("given up early", Bounds { ticks: 1, releases: true, errs: 0, ..calm }).is_empty());
     assert!(check("a second leader", Bounds { ticks: 4, leaders: 1, ..calm }).is_empty());
     if large() {
         assert!(check("a renewal", Bounds { ticks: 4, renewals: 1, ..calm }).is_empty());
@@ -691,6 +696,7 @@
             Bounds { releases: true, clients: 1, ticks: 1, ..untimed },
             GIVEN_UP,
         ),
+        (Twin::GivesUpTooSoon, Bounds { releases: true, ticks: 1, ..calm }, BESIDE),
         (Twin::LeaderNeverExpires, Bounds { live: true, ..untimed }, AGAIN),
     ];
     for (twin, bounds, claim) in refuted {
--- a/crates/mothpier-coordinator/src/core.rs
+++ b/crates/mothpier-coordinator/src/core.rs
@@ -196,6 +196,13 @@
         self.raft.tick();
     }
 
+    /// A tick in a world without chance: a member that hears of no leader waits so many ticks, from [`ELECTION`] to below
+    /// twice as many, where the library would draw them.
+    pub fn tick_of(&mut self, patience: usize) {
+        self.raft.raft.set_randomized_election_timeout(patience);
+        self.raft.tick();
+    }
+
     /// A message of another member. One that is of no use is dropped: the library's own rule.
     pub fn message(&mut self, message: Message) {
         let _ = self.raft.step(message);
--- a/crates/mothpier-coordinator/src/store.rs
+++ b/crates/mothpier-coordinator/src/store.rs
@@ -5,7 +5,9 @@
 
 use protobuf::Message as _;
 use raft::eraftpb::{ConfState, Entry, HardState, Snapshot};
-use redb::{Database, DatabaseError, ReadableDatabase, ReadableTable, StorageError, TableDefinition};
+use redb::{
+    Database, DatabaseError, ReadableDatabase, ReadableTable, StorageBackend, StorageError, TableDefinition,
+};
 use serde::{Deserialize, Serialize};
 
 /// Who this is, as JSON; what the store's format is.
@@ -65,7 +67,67 @@
     move |e| Trouble(format!("{what}: {e}"))
 }
 
+/// Fills a new store.
+fn found(db: &Database, cluster: &str, member: u64, members: &[u64], state: &[u8]) -> Result<(), Trouble> {
+    let (mut snapshot, mut vote) = (Snapshot::default(), HardState::default());
+    // One that joins knows nothing, not even who votes: the leader tells it.
+    if !members.is_empty() {
+        snapshot.mut_metadata().index = FIRST;
+        snapshot.mut_metadata().term = FIRST;
+        snapshot
+            .mut_metadata()
+            .set_conf_state(ConfState { voters: members.to_vec(), ..ConfState::default() });
+        snapshot.set_data(state.to_vec().into());
+        (vote.term, vote.commit) = (FIRST, FIRST);
+    }
+    let about = About { format: FORMAT, cluster: cluster.into(), member };
+    let about = serde_json::to_vec(&about).map_err(trouble("the store can't be made"))?;
+    let write = || -> Result<(), Box<dyn std::error::Error>> {
+        let txn = db.begin_write()?;
+        txn.open_table(ABOUT)?.insert("about", about.as_slice())?;
+        txn.open_table(LOG)?;
+        {
+            let mut table = txn.open_table(STATE)?;
+            table.insert("vote", vote.write_to_bytes()?.as_slice())?;
+            table.insert("snapshot", snapshot.write_to_bytes()?.as_slice())?;
+        }
+        txn.commit()?;
+        Ok(())
+    };
+    write().map_err(trouble("the store can't be made"))
+}
+
 impl Store {
+    /// Makes a store as `init` does, on a device of one's own.
+    ///
+    /// # Errors
+    ///
+    /// A device that can't be written.
+    pub fn init_on(
+        device: impl StorageBackend,
+        cluster: &str,
+        member: u64,
+        members: &[u64],
+        state: &[u8],
+    ) -> Result<(), Trouble> {
+        let db =
+            Database::builder().create_with_backend(device).map_err(trouble("the store can't be made"))?;
+        found(&db, cluster, member, members, state)
+    }
+
+    /// Opens a store on a device of one's own and reads all of it.
+    ///
+    /// # Errors
+    ///
+    /// One that is cut, foreign or newer.
+    pub fn open_on(device: impl StorageBackend) -> Result<(Store, Found), Trouble> {
+        let db =
+            Database::builder().create_with_backend(device).map_err(trouble("the store can't be opened"))?;
+        let store = Store { db };
+        let found = store.read().map_err(trouble("the store can't be read"))?;
+        Ok((store, found))
+    }
+
     /// Makes a store for a member of a new fleet, or, with no members, for one that joins a fleet. There must be none.
     ///
     /// # Errors
@@ -91,32 +153,7 @@
         let aside = folder.join(format!("{FILE}.new"));
         let _ = std::fs::remove_file(&aside);
         let db = Database::create(&aside).map_err(trouble("the store can't be made"))?;
-        let (mut snapshot, mut vote) = (Snapshot::default(), HardState::default());
-        // One that joins knows nothing, not even who votes: the leader tells it.
-        if !members.is_empty() {
-            snapshot.mut_metadata().index = FIRST;
-            snapshot.mut_metadata().term = FIRST;
-            snapshot
-                .mut_metadata()
-                .set_conf_state(ConfState { voters: members.to_vec(), ..ConfState::default() });
-            snapshot.set_data(state.to_vec().into());
-            (vote.term, vote.commit) = (FIRST, FIRST);
-        }
-        let about = About { format: FORMAT, cluster: cluster.into(), member };
-        let about = serde_json::to_vec(&about).map_err(trouble("the store can't be made"))?;
-        let write = || -> Result<(), Box<dyn std::error::Error>> {
-            let txn = db.begin_write()?;
-            txn.open_table(ABOUT)?.insert("about", about.as_slice())?;
-            txn.open_table(LOG)?;
-            {
-                let mut table = txn.open_table(STATE)?;
-                table.insert("vote", vote.write_to_bytes()?.as_slice())?;
-                table.insert("snapshot", snapshot.write_to_bytes()?.as_slice())?;
-            }
-            txn.commit()?;
-            Ok(())
-        };
-        write().map_err(trouble("the store can't be made"))?;
+        found(&db, cluster, member, members, state)?;
         drop(db);
         std::fs::rename(&aside, &file).map_err(trouble("the store can't be named"))?;
         std::fs::File::open(folder).and_then(|f| f.sync_all()).map_err(trouble("the folder can't be synced"))
--- a/crates/mothpier-sim/src/main.rs
+++ b/crates/mothpier-sim/src/main.rs
@@ -1,7 +1,9 @@
 //! `mothpier-sim`: plays the node's own network code on a virtual clock against faults drawn from seeds, and judges
 //! the four rules from outside.
 
+mod coordinators;
 mod daily_cases;
+mod disk;
 mod exec;
 mod many;
 mod measure;
@@ -61,6 +63,19 @@
         #[arg(long, short)]
         quiet: bool,
     },
+    /// Plays coordinators, holders of a lease and those who obey, against faults of links, machines, clocks and disks. The
+    /// last line is "N seeds, N broken".
+    Coordinators {
+        /// The first seed and the one behind the last.
+        #[arg(long, value_name = "FROM..TO", value_parser = seeds)]
+        seeds: Range<u64>,
+        /// Threads; as many as cores when not told.
+        #[arg(long)]
+        jobs: Option<usize>,
+        /// Leaves one condition out after the other, each until that is found.
+        #[arg(long)]
+        twins: bool,
+    },
     /// Plays one seed, or a run from a file. The last line is "trace HASH".
     Replay {
         /// A seed, or a file as `shrink` writes it.
@@ -196,6 +211,7 @@
     std::panic::set_hook(Box::new(|_| {}));
     let result = match Cli::parse().command {
         Command::Run { seeds, jobs, plant, state, quiet } => run(seeds, jobs, plant, state, quiet),
+        Command::Coordinators { seeds, jobs, twins } => coordinators(seeds, jobs, twins),
         Command::Replay { run, trace, plant } => replay(&run, trace, plant),
         Command::Plants { seeds } => plants(seeds),
         Command::Scenarios { name, plant, trace } => scenarios(name.as_deref(), plant, trace),
@@ -330,6 +346,72 @@
     Ok(shown.broken.is_empty())
 }
 
+/// Plays coordinators on all cores; whether no rule was broken, or every twin was found.
+fn coordinators(seeds: Range<u64>, jobs: Option<usize>, twins: bool) -> Result<bool, String> {
+    let threads = jobs.unwrap_or_else(|| std::thread::available_parallelism().map_or(1, usize::from));
+    let each = |twin: Option<coordinators::Twin>| {
+        let next = std::sync::Mutex::new(seeds.clone());
+        let all = std::sync::Mutex::new(Vec::new());
+        std::thread::scope(|scope| {
+            for _ in 0..threads.max(1) {
+                scope.spawn(|| {
+                    loop {
+                        let Some(seed) = next.lock().ok().and_then(|mut n| n.next()) else { return };
+                        let played = coordinators::play(seed, twin);
+                        let found = !played.broken.is_empty();
+                        if let Ok(mut all) = all.lock() {
+                            all.push((seed, played));
+                        }
+                        // One that shows a planted mistake is enough.
+                        if twin.is_some()
+                            && found
+                            && let Ok(mut next) = next.lock()
+                        {
+                            *next = 0..0;
+                        }
+                    }
+                });
+            }
+        });
+        let mut all = all.into_inner().unwrap_or_default();
+        all.sort_by_key(|(seed, _)| *seed);
+        all
+    };
+    if twins {
+        let mut good = true;
+        for twin in coordinators::TWINS {
+            let all = each(Some(twin));
+            match all.iter().find(|(_, p)| !p.broken.is_empty()) {
+                Some((seed, played)) => {
+                    say(&format!("{twin:?}: found in seed {seed}: {}\n", played.broken[0]))
+                }
+                None => {
+                    good = false;
+                    say(&format!("{twin:?}: NOT found in {} seeds\n", all.len()));
+                }
+            }
+        }
+        return Ok(good);
+    }
+    let all = each(None);
+    let mut broken = 0;
+    for (seed, played) in all.iter().filter(|(_, p)| !p.broken.is_empty()) {
+        broken += 1;
+        say(&format!("seed {seed}: {}\n", played.broken.join("; ")));
+    }
+    let sum = |of: fn(&coordinators::Played) -> usize| all.iter().map(|(_, p)| of(p)).sum::<usize>();
+    say(&format!(
+        "{} grants acted, {} changes acknowledged, {} elections, {} crashes, {} full disks\n",
+        sum(|p| p.grants),
+        sum(|p| p.changes),
+        sum(|p| p.elections),
+        sum(|p| p.crashes),
+        sum(|p| p.full)
+    ));
+    say(&format!("{} seeds, {broken} broken\n", all.len()));
+    Ok(broken == 0)
+}
+
 fn replay(run: &str, trace: bool, plant: Option<Plant>) -> Result<bool, String> {
     let kept = kept(run, plant)?;
     let report = play::play(kept.seed, &play::Options { lines: trace, ..kept.options() });
--- a/crates/mothpier-trials/src/contender.rs
+++ b/crates/mothpier-trials/src/contender.rs
@@ -89,9 +89,13 @@
             };
             // Between the look and the act: here a stop of any length may fall.
             tokio::time::sleep(Duration::from_millis(dice.within(0, 30))).await;
-            let act = serde_json::to_string(&act).unwrap_or_default();
+            let text = serde_json::to_string(&act).unwrap_or_default();
             let path = if i % 2 == 0 { "/api/exclude" } else { "/api/include" };
-            match http::ask(node, "POST", path, Some(&act), "s-2", CALL).await {
+            let said = http::ask(node, "POST", path, Some(&text), "s-2", CALL).await;
+            if said.is_ok() {
+                session.answered(&act, now_ms);
+            }
+            match said {
                 Ok((200, _)) => {}
                 Ok((status, why)) => {
                     eprintln!("fence {}: {node} says {status}: {}", granted.fence, why.trim_end())
