Leases: an order that comes twice is done once

Change: an order has a number; one that obeys remembers those within their time (65,536 at the most; more are refused) and does none twice.

--- a/crates/mothpier-coordination-client/src/session.rs
+++ b/crates/mothpier-coordination-client/src/session.rs
@@ -60,8 +60,9 @@
     hold: RefCell<Hold>,
     number: Cell<u64>,
     ended: RefCell<Option<String>>,
-    /// Orders that nobody has answered: fence, the clock that they go by and what it said, and until when they may begin.
-    out: RefCell<Vec<(Fence, String, u64, u64)>>,
+    /// Orders that were given, and those that nobody has answered: their number, and until when they may begin.
+    orders: Cell<u64>,
+    out: RefCell<Vec<(u64, u64)>>,
     /// Word of each renewal and of the end.
     pub changed: Notify,
     renewing: RefCell<Option<N::Task>>,
@@ -95,6 +96,7 @@
             hold: RefCell::new(Hold::new(ttl_ms)),
             number: Cell::new(0),
             ended: RefCell::default(),
+            orders: Cell::new(0),
             out: RefCell::default(),
             changed: Notify::new(),
             renewing: RefCell::default(),
@@ -234,18 +236,14 @@
     }
 
     /// An act was answered, whatever the answer: it is not on its way any more.
-    pub fn answered(&self, act: &Act, told_ms: u64) {
-        let same = |o: &(Fence, String, u64, u64)| (o.0, &o.1, o.2) == (act.fence, &act.clock, told_ms);
-        let mut out = self.out.borrow_mut();
-        if let Some(at) = out.iter().position(same) {
-            out.remove(at);
-        }
+    pub fn answered(&self, act: &Act) {
+        self.out.borrow_mut().retain(|(number, _)| *number != act.number);
     }
 
     /// Waits until nothing that was ordered can begin any more. An order that nobody has answered may still be on its way:
     /// were the lease given up now, it would be done beside the next holder.
     async fn quiet(&self) {
-        let until = self.out.borrow().iter().map(|o| o.3).max().unwrap_or(0);
+        let until = self.out.borrow().iter().map(|(_, until)| *until).max().unwrap_or(0);
         let wait = until.saturating_sub(self.clock());
         self.client.net().sleep(Duration::from_millis(wait)).await;
         self.out.borrow_mut().clear();
@@ -270,12 +268,15 @@
     pub fn act(&self, granted: &Granted, told: Acting) -> Result<Act, Lost> {
         let left = self.left()?;
         let until = self.clock() + left.as_millis() as u64;
-        self.out.borrow_mut().push((granted.fence, told.clock.clone(), told.now_ms, until));
+        let number = self.orders.get() + 1;
+        self.orders.set(number);
+        self.out.borrow_mut().push((number, until));
         Ok(Act {
             lease: granted.lease.clone(),
             fence: granted.fence,
             clock: told.clock,
             not_after_ms: told.now_ms + left.as_millis() as u64,
+            number,
         })
     }
 
--- a/crates/mothpier-coordination/src/obey.rs
+++ b/crates/mothpier-coordination/src/obey.rs
@@ -1,13 +1,16 @@
 //! Whom one that acts for a holder obeys: a node, the tool. It refuses a fence lower than it has seen, and an act whose
 //! time is over; one that has begun from nothing knows no fences and obeys nobody until a quorum has told it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
 use crate::command::Fence;
 use crate::limits;
 
+/// Orders within their time that are remembered.
+const MOST_DONE: usize = 65_536;
+
 /// An order that a holder gives.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -21,6 +24,9 @@
     /// It must not begin at this time or later. The holder adds what is left of its own time to what that clock said
     /// before; no two clocks are compared.
     pub not_after_ms: u64,
+    /// No other order of this grant has it: an order that comes twice is done once. Its second copy may come when the holder,
+    /// who has heard of the first, has given the lease up.
+    pub number: u64,
 }
 
 /// The lowest fences that may act.
@@ -53,6 +59,10 @@
     TooLate,
     /// The time is of another clock: it was told before this process began.
     OtherClock,
+    /// It has been done.
+    Done,
+    /// More orders are within their time than can be remembered.
+    TooMany,
     /// The lease's name is none.
     BadName,
 }
@@ -64,6 +74,8 @@
             Disobeyed::OldFence { least } => write!(f, "an old fence: {least} or higher is obeyed"),
             Disobeyed::TooLate => write!(f, "the time in which this could begin is over"),
             Disobeyed::OtherClock => write!(f, "the time is of another clock: ask for this one first"),
+            Disobeyed::Done => write!(f, "this order has been done"),
+            Disobeyed::TooMany => write!(f, "more orders are within their time than are remembered"),
             Disobeyed::BadName => write!(f, "no lease can have this name"),
         }
     }
@@ -75,12 +87,14 @@
     /// The name of its clock, new with every process.
     clock: String,
     floors: Option<Floors>,
+    /// Orders that were done and could come again: their time, fence and number.
+    done: BTreeSet<(u64, Fence, u64)>,
 }
 
 impl Obeyer {
     /// One that begins from nothing.
     pub fn new(clock: String) -> Self {
-        Obeyer { clock, floors: None }
+        Obeyer { clock, floors: None, done: BTreeSet::new() }
     }
 
     /// The name of its clock.
@@ -146,9 +160,28 @@
     /// Why not.
     pub fn obey(&mut self, act: &Act, now: u64) -> Result<(), Disobeyed> {
         self.in_time(act, now)?;
+        self.once(act, now)?;
         self.fenced(act)
     }
 
+    /// Whether the act was not done yet; it is from now on.
+    ///
+    /// # Errors
+    ///
+    /// It was, or that can't be remembered.
+    pub fn once(&mut self, act: &Act, now: u64) -> Result<(), Disobeyed> {
+        // What could come no more in its time need not be known.
+        self.done = self.done.split_off(&(now + 1, 0, 0));
+        if self.done.len() >= MOST_DONE {
+            return Err(Disobeyed::TooMany);
+        }
+        if self.done.insert((act.not_after_ms, act.fence, act.number)) {
+            Ok(())
+        } else {
+            Err(Disobeyed::Done)
+        }
+    }
+
     /// Leases beyond what is kept count among the others: those with the lowest fences go, and raise the bound of all
     /// that are not named. That refuses too much, never too little.
     fn forget(&mut self) {
@@ -167,7 +200,28 @@
     use super::*;
 
     fn act(lease: &str, fence: Fence, not_after_ms: u64) -> Act {
-        Act { lease: lease.into(), fence, clock: "here".into(), not_after_ms }
+        Act { lease: lease.into(), fence, clock: "here".into(), not_after_ms, number: not_after_ms + fence }
+    }
+
+    #[test]
+    fn an_order_that_comes_twice_is_done_once() {
+        let mut obeyer = Obeyer::new("here".into());
+        obeyer.learn(Floors::default());
+        let one = act("roll", 1, 100);
+        assert_eq!(obeyer.obey(&one, 10), Ok(()));
+        assert_eq!(obeyer.obey(&one, 50), Err(Disobeyed::Done));
+        assert_eq!(
+            obeyer.obey(&Act { number: 7, ..one.clone() }, 50),
+            Ok(()),
+            "another order of the same moment"
+        );
+        assert_eq!(obeyer.obey(&one, 100), Err(Disobeyed::TooLate));
+        for number in 0..MOST_DONE as u64 {
+            let _ = obeyer.obey(&Act { number, not_after_ms: 200, ..one.clone() }, 150);
+        }
+        let over = Act { number: u64::MAX, not_after_ms: 200, ..one.clone() };
+        assert_eq!(obeyer.obey(&over, 150), Err(Disobeyed::TooMany));
+        assert_eq!(obeyer.obey(&Act { not_after_ms: 300, ..over }, 200), Ok(()), "their time is over");
     }
 
     #[test]
--- a/crates/mothpier-coordination/tests/model.rs
+++ b/crates/mothpier-coordination/tests/model.rs
@@ -38,6 +38,7 @@
     OpenAgainIsNoRenewal,
     LeaderNeverExpires,
     GivesUpTooSoon,
+    ObeysTwice,
 }
 
 /// A world's bounds.
@@ -300,6 +301,11 @@
                 } else {
                     Ok(())
                 };
+                let once = match self.timed && self.twin != Twin::ObeysTwice {
+                    true => l.obeyer.once(act, now),
+                    false => Ok(()),
+                };
+                let in_time = in_time.and(once);
                 let fenced = if self.twin == Twin::NoFence { Ok(()) } else { l.obeyer.fenced(act) };
                 if in_time.is_ok() && fenced.is_ok() {
                     let this = Some((act.fence, *client));
@@ -406,8 +412,8 @@
                 steps.push(Step::Open(i));
             }
             // Not while an order of its own is on its way: it would be done beside the next holder.
-            let order = |m: &Message| matches!(m, Message::Act(whose, ..) if *whose == i);
-            let quiet = self.twin == Twin::GivesUpTooSoon || !w.net.keys().any(order);
+            let out = |(m, copies): (&Message, &u8)| matches!(m, Message::Act(whose, ..) if *whose == i && *copies == 2);
+            let quiet = self.twin == Twin::GivesUpTooSoon || !w.net.iter().any(out);
             let releases = self.releases && quiet && c.fence.is_some() && c.asked == 1;
             if c.open && ((c.asked == 0 && self.releases) || releases) {
                 steps.push(Step::Ask(i));
@@ -523,8 +529,11 @@
                     fence: c.fence?,
                     clock: format!("{j}"),
                     not_after_ms: told + left,
+                    number: 1,
                 };
-                w.net.insert(Message::Act(i, j, act), 1);
+                // Doubled where a holder may give up after the first copy was answered.
+                let copies = if self.releases { 2 } else { 1 };
+                w.net.insert(Message::Act(i, j, act), copies);
             }
             Step::Deliver(message) => {
                 let copies = w.net.get_mut(&message)?;
@@ -696,6 +705,7 @@
             Bounds { releases: true, clients: 1, ticks: 1, ..untimed },
             GIVEN_UP,
         ),
+        (Twin::ObeysTwice, Bounds { releases: true, ticks: 1, ..calm }, BESIDE),
         (Twin::GivesUpTooSoon, Bounds { releases: true, ticks: 1, ..calm }, BESIDE),
         (Twin::LeaderNeverExpires, Bounds { live: true, ..untimed }, AGAIN),
     ];
--- a/crates/mothpier-sim/src/coordinators.rs
+++ b/crates/mothpier-sim/src/coordinators.rs
@@ -35,6 +35,8 @@
     CountedFromTheAnswer,
     /// A holder keeps nothing off its end while clocks err more than they may.
     DriftBeyondTheBound,
+    /// Those who obey do an order again that comes twice.
+    ObeysTwice,
     /// Those who obey look at neither fence nor time.
     ObeysAnybody,
     /// Those who obey begin from nothing and obey, and look at the fence alone.
@@ -50,7 +52,8 @@
 }
 
 /// All of them.
-pub const TWINS: [Twin; 8] = [
+pub const TWINS: [Twin; 9] = [
+    Twin::ObeysTwice,
     Twin::GivesUpTooSoon,
     Twin::CountedFromTheAnswer,
     Twin::DriftBeyondTheBound,
@@ -110,7 +113,7 @@
     Clock,
     Time(u64, u64),
     Act(Act),
-    /// The act that must not begin at or after that time was answered.
+    /// The act of that number was answered.
     Acted(u64),
 }
 
@@ -154,8 +157,8 @@
     acquired: u64,
     fence: Option<Fence>,
     acts: u64,
-    /// Orders that nobody has answered, by whom they go to and their time there, and until when the last one may begin.
-    out: (BTreeSet<(usize, u64)>, u64),
+    /// Orders that nobody has answered, by their numbers, and until when the last one may begin.
+    out: (BTreeSet<u64>, u64),
     waits_for_time: Option<(usize, u64)>,
     last_change: u64,
     next_at: u64,
@@ -554,11 +557,12 @@
         let now = l.clock.at(self.now);
         let obeyed = match self.twin {
             Some(Twin::ObeysAnybody) => Ok(()),
+            Some(Twin::ObeysTwice) => l.obeyer.in_time(act, now).and_then(|()| l.obeyer.fenced(act)),
             Some(Twin::ObeysFromNothing) => l.obeyer.fenced(act),
             _ => l.obeyer.obey(act, now),
         };
         let Who::Client(whose) = from else { return };
-        self.send(Who::Obeyer(i), from, What::Acted(act.not_after_ms));
+        self.send(Who::Obeyer(i), from, What::Acted(act.number));
         (self.now, i, act.fence, obeyed.is_ok()).hash(&mut self.hash);
         if obeyed.is_err() {
             return;
@@ -712,21 +716,19 @@
                 c.waits_for_time = None;
                 let (Some(left), Some(fence)) = (c.hold.left(local), c.fence) else { return };
                 c.acts += 1;
-                c.out.0.insert((j, time + left));
+                self.numbers += 1;
+                c.out.0.insert(self.numbers);
                 c.out.1 = c.out.1.max(local + left);
                 let act = Act {
                     lease: LEASE.into(),
                     fence,
                     clock: format!("{j}-{life}"),
                     not_after_ms: time + left,
+                    number: self.numbers,
                 };
                 self.send(Who::Client(i), from, What::Act(act));
             }
-            What::Acted(not_after) => {
-                if let Who::Obeyer(j) = from {
-                    c.out.0.remove(&(j, not_after));
-                }
-            }
+            What::Acted(number) => drop(c.out.0.remove(&number)),
             What::Answer(number, reply) => {
                 if let Some((n, asked_at, _)) = c.renewing
                     && n == number
--- a/crates/mothpier-trials/src/contender.rs
+++ b/crates/mothpier-trials/src/contender.rs
@@ -83,6 +83,7 @@
                     fence: (Tokio.awake().as_millis() as u64) << GRANT_BITS | granted.fence,
                     clock: clock.clock,
                     not_after_ms: now_ms + 3_600_000,
+                    number: i,
                 },
                 Ok(act) => act,
                 Err(_) => break,
@@ -93,7 +94,7 @@
             let path = if i % 2 == 0 { "/api/exclude" } else { "/api/include" };
             let said = http::ask(node, "POST", path, Some(&text), "s-2", CALL).await;
             if said.is_ok() {
-                session.answered(&act, now_ms);
+                session.answered(&act);
             }
             match said {
                 Ok((200, _)) => {}
