Client: a refusal is final, and not asked for again until the time is over

Found by a test of lease run: at another fleet's coordinators the client took the refusal for a failure and asked again as fast as it could, until its time was over. A refusal is an outcome of its own now. One that obeys marks an order as done only when it is done: one that it refused for want of knowledge may come again.

--- a/crates/mothpier-coordination-client/src/lib.rs
+++ b/crates/mothpier-coordination-client/src/lib.rs
@@ -37,6 +37,8 @@
     Done(T),
     /// It was not done, and never will be.
     NotDone(String),
+    /// It was not done, and asking again is of no use: another fleet, or a call that can't be read.
+    Refused(String),
     /// Nobody knows: it may have been done, or may yet be.
     MayHaveBeen(String),
 }
@@ -169,7 +171,7 @@
                         }
                     }
                     Ok(failed) if failed.error == Error::Unknown => (maybe, why) = (true, failed.message),
-                    Ok(failed) => return Outcome::NotDone(failed.message),
+                    Ok(failed) => return Outcome::Refused(failed.message),
                     Err(_) => {
                         self.last.set(place);
                         return Outcome::Done((status, bytes));
@@ -195,6 +197,7 @@
                 Err(e) => Outcome::MayHaveBeen(format!("an answer that can't be read: {e}")),
             },
             Outcome::NotDone(why) => Outcome::NotDone(why),
+            Outcome::Refused(why) => Outcome::Refused(why),
             Outcome::MayHaveBeen(why) => Outcome::MayHaveBeen(why),
         }
     }
@@ -206,6 +209,7 @@
         match self.call(Method::POST, "/v1/members", body, until).await {
             Outcome::Done(_) => Outcome::Done(()),
             Outcome::NotDone(why) => Outcome::NotDone(why),
+            Outcome::Refused(why) => Outcome::Refused(why),
             Outcome::MayHaveBeen(why) => Outcome::MayHaveBeen(why),
         }
     }
@@ -216,7 +220,7 @@
                 serde_json::from_slice(&bytes).map_err(|e| format!("an answer that can't be read: {e}"))
             }
             Outcome::Done((status, _)) => Err(format!("answered {status}")),
-            Outcome::NotDone(why) | Outcome::MayHaveBeen(why) => Err(why),
+            Outcome::NotDone(why) | Outcome::Refused(why) | Outcome::MayHaveBeen(why) => Err(why),
         }
     }
 
--- a/crates/mothpier-coordination-client/src/session.rs
+++ b/crates/mothpier-coordination-client/src/session.rs
@@ -113,6 +113,7 @@
                     break;
                 }
                 Outcome::Done(Answer::Refused { why }) => return Err(why.to_string()),
+                Outcome::Refused(why) => return Err(why),
                 Outcome::Done(other) => return Err(format!("an answer to something else: {other:?}")),
                 Outcome::NotDone(why) | Outcome::MayHaveBeen(why) if client.net().now() >= until => {
                     return Err(why);
@@ -168,7 +169,7 @@
                 self.changed.notify_waiters();
                 return false;
             }
-            Outcome::NotDone(_) | Outcome::MayHaveBeen(_) => {}
+            Outcome::NotDone(_) | Outcome::Refused(_) | Outcome::MayHaveBeen(_) => {}
         }
         self.changed.notify_waiters();
         true
@@ -204,6 +205,7 @@
                     return Err(Lost::Ended(why.to_string()));
                 }
                 Outcome::Done(answer) => return Ok(answer),
+                Outcome::Refused(why) => return Err(Lost::Ended(why)),
                 Outcome::NotDone(_) | Outcome::MayHaveBeen(_) => {}
             }
         }
--- a/crates/mothpier-coordination/src/obey.rs
+++ b/crates/mothpier-coordination/src/obey.rs
@@ -160,8 +160,9 @@
     /// Why not.
     pub fn obey(&mut self, act: &Act, now: u64) -> Result<(), Disobeyed> {
         self.in_time(act, now)?;
-        self.once(act, now)?;
-        self.fenced(act)
+        // One that is refused is not done, and may come again once more is known.
+        self.fenced(act)?;
+        self.once(act, now)
     }
 
     /// Whether the act was not done yet; it is from now on.
--- a/crates/mothpier-coordination/tests/model.rs
+++ b/crates/mothpier-coordination/tests/model.rs
@@ -301,13 +301,10 @@
                 } else {
                     Ok(())
                 };
-                let once = match self.timed && self.twin != Twin::ObeysTwice {
-                    true => l.obeyer.once(act, now),
-                    false => Ok(()),
-                };
-                let in_time = in_time.and(once);
                 let fenced = if self.twin == Twin::NoFence { Ok(()) } else { l.obeyer.fenced(act) };
-                if in_time.is_ok() && fenced.is_ok() {
+                let once = self.timed && self.twin != Twin::ObeysTwice;
+                let once = !once || (in_time.is_ok() && fenced.is_ok() && l.obeyer.once(act, now).is_ok());
+                if once && in_time.is_ok() && fenced.is_ok() {
                     let this = Some((act.fence, *client));
                     let other =
                         |last: Option<(Fence, usize)>| last > this && last.map(|l| l.0) != Some(act.fence);
--- a/crates/mothpierctl/src/lease.rs
+++ b/crates/mothpierctl/src/lease.rs
@@ -193,7 +193,7 @@
                 )),
                 Outcome::Done(Answer::Refused { why }) => Err(format!("{name}: {why}")),
                 Outcome::Done(other) => Err(format!("an answer to something else: {other:?}")),
-                Outcome::NotDone(why) => Err(format!("not done: {why}")),
+                Outcome::NotDone(why) | Outcome::Refused(why) => Err(format!("not done: {why}")),
                 Outcome::MayHaveBeen(why) => Err(format!("it may have been done: {why}")),
             }
         }),
@@ -261,7 +261,7 @@
     block(async {
         match client(at)?.change(change, Tokio.now() + PATIENCE).await {
             Outcome::Done(()) => print(&format!("{done}\n")),
-            Outcome::NotDone(why) => Err(format!("not done: {why}")),
+            Outcome::NotDone(why) | Outcome::Refused(why) => Err(format!("not done: {why}")),
             Outcome::MayHaveBeen(why) => {
                 Err(format!("it may have been done: {why}; asked again it is done once"))
             }
