Coordinators: both kinds of calls are read and refused in one place

Need: the door read commands and changes of members by the same ten lines. One function reads a call of this fleet or gives its refusal. The package's twelve tests pass, the seven with real processes among them (kills, cut-off leaders, bad input of eleven kinds, another fleet's calls).

--- a/crates/mothpier-coordinator/src/door.rs
+++ b/crates/mothpier-coordinator/src/door.rs
@@ -19,7 +19,7 @@
 use mothpier_net::{Listener, Net, Stream, Task};
 use protobuf::Message as _;
 use raft::eraftpb::Message;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use serde_json::json;
 
 use crate::Member;
@@ -116,18 +116,28 @@
     whole.map(|w| w.to_bytes()).map_err(|_| format!("the body is over {most} bytes, or did not come whole"))
 }
 
+/// Reads a call of this fleet; the answer where it is none.
+async fn read<T: for<'a> Deserialize<'a>, N: Net>(
+    member: &Member<N>,
+    request: Request<Incoming>,
+    cluster: fn(&T) -> &str,
+) -> Result<T, Box<Reply>> {
+    let bad = |why| Box::new(failed(member, Error::BadCall, why));
+    let bytes = body(request, CALL).await.map_err(bad)?;
+    let call: T = serde_json::from_slice(&bytes).map_err(|e| bad(format!("the call can't be read: {e}")))?;
+    let (own, other) = (&member.config.cluster, cluster(&call));
+    if own != other {
+        let why = format!("this is a coordinator of {own}, not of {other:.128}");
+        return Err(failed(member, Error::OtherCluster, why).into());
+    }
+    Ok(call)
+}
+
 async fn command<N: Net>(member: &Rc<Member<N>>, request: Request<Incoming>) -> Reply {
-    let call: Call = match body(request, CALL).await {
-        Ok(bytes) => match serde_json::from_slice(&bytes) {
-            Ok(call) => call,
-            Err(e) => return failed(member, Error::BadCall, format!("the call can't be read: {e}")),
-        },
-        Err(why) => return failed(member, Error::BadCall, why),
+    let call: Call = match read(member, request, |call: &Call| &call.cluster).await {
+        Ok(call) => call,
+        Err(refusal) => return *refusal,
     };
-    if call.cluster != member.config.cluster {
-        let why = format!("this is a coordinator of {}, not of {:.128}", member.config.cluster, call.cluster);
-        return failed(member, Error::OtherCluster, why);
-    }
     if let Command::Expire { .. } = call.command {
         return failed(member, Error::BadCall, "sessions are ended by their leader alone".into());
     }
@@ -146,17 +156,10 @@
 }
 
 async fn members<N: Net>(member: &Rc<Member<N>>, request: Request<Incoming>) -> Reply {
-    let call: MemberCall = match body(request, CALL).await {
-        Ok(bytes) => match serde_json::from_slice(&bytes) {
-            Ok(call) => call,
-            Err(e) => return failed(member, Error::BadCall, format!("the call can't be read: {e}")),
-        },
-        Err(why) => return failed(member, Error::BadCall, why),
+    let call: MemberCall = match read(member, request, |call: &MemberCall| &call.cluster).await {
+        Ok(call) => call,
+        Err(refusal) => return *refusal,
     };
-    if call.cluster != member.config.cluster {
-        let why = format!("this is a coordinator of {}, not of {:.128}", member.config.cluster, call.cluster);
-        return failed(member, Error::OtherCluster, why);
-    }
     match member.change(&call.change, COMMIT).await {
         Ok(done) => ended(member, done),
         Err(why) => failed(member, Error::BadCall, why),
