--- a/crates/mothpier-coordination/src/agreed.rs
+++ b/crates/mothpier-coordination/src/agreed.rs
@@ -6,6 +6,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::command::{Answer, Change, Command, FORMAT, Fence, Refusal, Request, Revision, SessionId};
+use crate::fleet::Fleet;
+use crate::fleet::ask::{FleetAsk, FleetChange};
+use crate::fleet::timers::Timer;
 use crate::limits;
 use crate::obey::Floors;
 
@@ -66,6 +69,9 @@
     /// Where each coordinator is, by its number, and the highest number that was ever one's.
     members: BTreeMap<u64, String>,
     last_member: u64,
+    /// Nodes, cache servers and who of them is out. Format 1 had none.
+    #[serde(default)]
+    fleet: Fleet,
     /// The last changes; the first one's number is `revision - history.len() + 1`.
     history: VecDeque<Change>,
 }
@@ -103,6 +109,7 @@
             value_bytes: 0,
             members: BTreeMap::new(),
             last_member: 0,
+            fleet: Fleet::default(),
             history: VecDeque::new(),
         }
     }
@@ -136,11 +143,35 @@
                 }
             },
             Command::Break { lease, fence } => self.break_lease(lease, *fence),
+            Command::Due { timer } => self.due(timer),
         };
         debug_assert!(self.is_whole());
         answer
     }
 
+    fn due(&mut self, timer: &Timer) -> Answer {
+        let mut changes = Vec::new();
+        self.fleet.due(timer, &mut changes);
+        self.fleet_changed(changes);
+        Answer::Fleet { answer: crate::fleet::ask::FleetAnswer::Done }
+    }
+
+    fn of_fleet(&mut self, session: &str, what: &FleetAsk) -> Answer {
+        let mut changes = Vec::new();
+        let answer = self.fleet.ask(session, what, &mut changes);
+        self.fleet_changed(changes);
+        match answer {
+            Ok(answer) => Answer::Fleet { answer },
+            Err(fleet) => refused(Refusal::Fleet { fleet }),
+        }
+    }
+
+    fn fleet_changed(&mut self, changes: Vec<FleetChange>) {
+        for what in changes {
+            self.changed(Change::Fleet { what });
+        }
+    }
+
     /// Names it and its holder's session renewals no more: nothing is taken from a holder that may still act.
     fn break_lease(&mut self, lease: &str, fence: Fence) -> Answer {
         let holder = self.leases.get(lease).filter(|l| l.fence == fence).map(|l| l.holder.clone());
@@ -208,6 +239,7 @@
             Request::Release { lease } => self.release(session, lease),
             Request::Put { key, value, at } => self.put(key, value, *at),
             Request::Delete { key, at } => self.delete(key, *at),
+            Request::Fleet { what } => self.of_fleet(session, what),
         };
         if let Some(s) = self.sessions.get_mut(session) {
             (s.number, s.answer) = (number, Some(answer.clone()));
@@ -291,6 +323,9 @@
         if self.ended.len() > limits::ENDED {
             self.ended.pop_front();
         }
+        let mut changes = Vec::new();
+        self.fleet.session_over(session, &mut changes);
+        self.fleet_changed(changes);
     }
 
     fn put(&mut self, key: &str, value: &str, at: Option<Revision>) -> Answer {
@@ -398,6 +433,11 @@
         &self.values
     }
 
+    /// Nodes, cache servers, and who of them is out.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
     /// What one that obeys has to know before it obeys anybody.
     pub fn floors(&self) -> Floors {
         let held = self.leases.iter().map(|(name, lease)| (name.clone(), lease.fence)).collect();
@@ -422,10 +462,12 @@
         }
         let damaged = |e: serde_json::Error| Unreadable::Damaged(e.to_string());
         let Format { format } = serde_json::from_slice(bytes).map_err(damaged)?;
-        if format != FORMAT {
+        if !(1..=FORMAT).contains(&format) {
             return Err(Unreadable::Format(format));
         }
-        let state: Agreed = serde_json::from_slice(bytes).map_err(damaged)?;
+        let mut state: Agreed = serde_json::from_slice(bytes).map_err(damaged)?;
+        // What an older program wrote is whole; from now on it may hold what that one can't read.
+        state.format = FORMAT;
         if state.is_whole() { Ok(state) } else { Err(Unreadable::Damaged("its parts don't fit".into())) }
     }
 
@@ -434,7 +476,8 @@
         let within = self.history.len() as u64 <= self.revision
             && self.history.len() <= limits::HISTORY
             && self.sessions.len() <= limits::SESSIONS
-            && self.leases.len() <= limits::LEASES;
+            && self.leases.len() <= limits::LEASES
+            && self.fleet.is_whole();
         // Looked through whole only while that is cheap: the states of tests and models.
         within
             && (self.leases.len() > 64
--- a/crates/mothpier-coordination/src/command.rs
+++ b/crates/mothpier-coordination/src/command.rs
@@ -3,8 +3,11 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::fleet::ask::{FleetAnswer, FleetAsk, FleetChange, FleetRefusal};
+use crate::fleet::timers::Timer;
+
 /// Version of commands in the log and of the state in snapshots.
-pub const FORMAT: u32 = 1;
+pub const FORMAT: u32 = 2;
 
 /// A number that rises with every grant of any lease: who has the higher one was granted later.
 pub type Fence = u64;
@@ -57,6 +60,11 @@
         /// The fence under which it is held.
         fence: Fence,
     },
+    /// A leader has waited for a timer of the fleet.
+    Due {
+        /// Which.
+        timer: Timer,
+    },
 }
 
 /// What a session asks for.
@@ -91,6 +99,11 @@
         /// Only where its last change has this number.
         at: Option<Revision>,
     },
+    /// Something of the fleet: its nodes, its drains.
+    Fleet {
+        /// What.
+        what: FleetAsk,
+    },
 }
 
 /// What came of a command.
@@ -127,6 +140,11 @@
     },
     /// The lease's holder is renewed no more.
     Broken,
+    /// Of the fleet.
+    Fleet {
+        /// What came of it.
+        answer: FleetAnswer,
+    },
     /// Nothing has changed.
     Refused {
         /// Why.
@@ -184,6 +202,11 @@
         /// The longest.
         most_ms: u64,
     },
+    /// Of the fleet.
+    Fleet {
+        /// Why.
+        fleet: FleetRefusal,
+    },
 }
 
 impl std::fmt::Display for Refusal {
@@ -204,6 +227,7 @@
             Refusal::BadTtl { least_ms, most_ms } => {
                 write!(f, "a session's time lies between {least_ms} and {most_ms} ms")
             }
+            Refusal::Fleet { fleet } => write!(f, "{fleet}"),
         }
     }
 }
@@ -240,4 +264,9 @@
         /// Its name.
         key: String,
     },
+    /// Of the fleet.
+    Fleet {
+        /// What.
+        what: FleetChange,
+    },
 }
--- a/crates/mothpier-coordination/src/lib.rs
+++ b/crates/mothpier-coordination/src/lib.rs
@@ -3,6 +3,7 @@
 //! | module | what it decides |
 //! | --- | --- |
 //! | `agreed` | the replicated state machine: commands in their committed order make sessions, leases, fences and values |
+//! | `fleet` | who is out, who may go next, halts: the rule on drains, as a part of the agreed state |
 //! | `keeper` | at the leader: when a session has not been renewed for its whole time |
 //! | `hold` | at a holder: until when it may act, by its own clock |
 //! | `obey` | at whoever is told to act: which holder it obeys |
@@ -14,6 +15,7 @@
 
 pub mod agreed;
 pub mod command;
+pub mod fleet;
 pub mod hold;
 pub mod keeper;
 pub mod limits;
--- a/crates/mothpier-coordination/src/wire.rs
+++ b/crates/mothpier-coordination/src/wire.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::fleet::Fleet;
+use crate::fleet::ask::Told as Drain;
 use crate::{Answer, Command, Floors};
 
 /// The header that names the fleet in messages between members.
@@ -75,6 +77,24 @@
     pub leases: Vec<Shown>,
 }
 
+/// The whole fleet, as a majority confirmed it.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct FleetShown {
+    /// The number of the last change.
+    pub revision: u64,
+    /// The fleet.
+    pub fleet: Fleet,
+}
+
+/// The drains, as nodes need to know them and a majority confirmed them.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Drains {
+    /// The number of the last change.
+    pub revision: u64,
+    /// The drains.
+    pub drains: Vec<Drain>,
+}
+
 /// Why a call came to nothing.
 #[derive(Debug, Serialize, Deserialize, PartialEq, Eq)]
 #[serde(rename_all = "snake_case")]
--- a/crates/mothpier-coordination/tests/agreed.rs
+++ b/crates/mothpier-coordination/tests/agreed.rs
@@ -138,8 +138,13 @@
     let bytes = Agreed::default().to_bytes();
     let text = String::from_utf8(bytes.clone()).unwrap();
     assert_eq!(Agreed::from_bytes(&bytes), Ok(Agreed::default()));
-    let newer = text.replace("\"format\":1", "\"format\":2");
-    assert_eq!(Agreed::from_bytes(newer.as_bytes()), Err(Unreadable::Format(2)));
+    let newer = text.replace("\"format\":2", "\"format\":3");
+    assert_eq!(Agreed::from_bytes(newer.as_bytes()), Err(Unreadable::Format(3)));
+    // As the program before this one wrote it, without a fleet.
+    let (before, behind) = text.split_once("\"fleet\":").unwrap();
+    let (_, behind) = behind.split_once(",\"history\"").unwrap();
+    let older = format!("{before}\"history\"{behind}").replace("\"format\":2", "\"format\":1");
+    assert_eq!(Agreed::from_bytes(older.as_bytes()), Ok(Agreed::default()));
     for cut in 0..bytes.len() {
         assert!(matches!(Agreed::from_bytes(&bytes[..cut]), Err(Unreadable::Damaged(_))), "{cut}");
     }
