Coordinators: the fleet is asked for, read and watched; its timers are the leader's

Change: GET /v1/fleet and /v1/drains, confirmed by a majority; Command::Due, proposed by the leader alone after a time on its own clock, a new leader counts anew; the client library asks and reads.

--- a/crates/mothpier-coordination-client/src/lib.rs
+++ b/crates/mothpier-coordination-client/src/lib.rs
@@ -16,7 +16,9 @@
 use hyper::client::conn::http1;
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use mothpier_coordination::wire::{Call, Error, Failed, Leases, MemberCall, MemberChange, Status, Told};
+use mothpier_coordination::wire::{
+    Call, Drains, Error, Failed, FleetShown, Leases, MemberCall, MemberChange, Status, Told,
+};
 use mothpier_coordination::{Answer, Change, Command, Revision};
 use mothpier_net::{Net, Stream, Task};
 use serde::Deserialize;
@@ -233,6 +235,24 @@
         self.read("/v1/leases", until).await
     }
 
+    /// The whole fleet, as a majority confirmed it.
+    ///
+    /// # Errors
+    ///
+    /// Why it could not be read in time.
+    pub async fn fleet(&self, until: Instant) -> Result<FleetShown, String> {
+        self.read("/v1/fleet", until).await
+    }
+
+    /// The drains as nodes need to know them, as a majority confirmed them.
+    ///
+    /// # Errors
+    ///
+    /// Why they could not be read in time.
+    pub async fn drains(&self, until: Instant) -> Result<Drains, String> {
+        self.read("/v1/drains", until).await
+    }
+
     /// How each coordinator shows itself, by their numbers.
     pub async fn statuses(&self, until: Instant) -> Vec<Result<Status, String>> {
         let mut all = Vec::new();
--- a/crates/mothpier-coordination-client/src/session.rs
+++ b/crates/mothpier-coordination-client/src/session.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use mothpier_coordination::fleet::ask::{FleetAnswer, FleetAsk, FleetRefusal};
 use mothpier_coordination::{Act, Answer, Command, Fence, Hold, Refusal, Request};
 use mothpier_net::{Net, Task};
 use tokio::sync::Notify;
@@ -237,6 +238,19 @@
         }
     }
 
+    /// Asks for something of the fleet; one thing at a time.
+    ///
+    /// # Errors
+    ///
+    /// The session is over.
+    pub async fn fleet(&self, what: FleetAsk) -> Result<Result<FleetAnswer, FleetRefusal>, Lost> {
+        match self.ask(Request::Fleet { what }).await? {
+            Answer::Fleet { answer } => Ok(Ok(answer)),
+            Answer::Refused { why: Refusal::Fleet { fleet } } => Ok(Err(fleet)),
+            other => Err(Lost::Ended(format!("an answer to something else: {other:?}"))),
+        }
+    }
+
     /// An act was answered, whatever the answer: it is not on its way any more.
     pub fn answered(&self, act: &Act) {
         self.out.borrow_mut().retain(|(number, _)| *number != act.number);
--- a/crates/mothpier-coordinator/src/core.rs
+++ b/crates/mothpier-coordinator/src/core.rs
@@ -5,8 +5,9 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use mothpier_coordination::fleet::timers::Timers;
 use mothpier_coordination::wire::MemberChange;
-use mothpier_coordination::{Agreed, Answer, Command, Keeper};
+use mothpier_coordination::{Agreed, Answer, Command, Keeper, Request};
 use protobuf::Message as _;
 use raft::eraftpb::{ConfChange, ConfChangeType, ConfState, Entry, EntryType, Message, Snapshot};
 use raft::storage::MemStorage;
@@ -33,7 +34,8 @@
 pub const MOST_MEMBERS: usize = 7;
 /// One that lags by no more lines than this votes from then on.
 const CAUGHT_UP: u64 = 100;
-/// A proposal to end a session is made again after this time: it may have been lost with its leader.
+/// A proposal to end a session, or that a timer is due, is made again after this time: it may have been lost with its
+/// leader.
 const EXPIRE_AGAIN_MS: u64 = 1_000;
 
 /// The log in memory, as the library reads it; snapshots are this member's own.
@@ -103,6 +105,9 @@
     conf: ConfState,
     agreed: Agreed,
     keeper: Keeper,
+    timers: Timers,
+    /// The fleet may want other timers than it did.
+    moved: bool,
     leads: bool,
     applied: u64,
     snapshot_at: u64,
@@ -169,6 +174,8 @@
             conf: meta.get_conf_state().clone(),
             agreed,
             keeper: Keeper::default(),
+            timers: Timers::default(),
+            moved: false,
             leads: false,
             applied: meta.index,
             snapshot_at: meta.index,
@@ -344,11 +351,17 @@
             for expire in self.keeper.due(now, EXPIRE_AGAIN_MS) {
                 drop(self.propose(&expire));
             }
+            for timer in self.timers.due(now, EXPIRE_AGAIN_MS) {
+                drop(self.propose(&Command::Due { timer }));
+            }
         }
         self.promote();
         while self.raft.has_ready() {
             self.ready(now)?;
         }
+        if std::mem::take(&mut self.moved) && self.leads {
+            self.timers.wanted(now, &self.agreed.fleet().timers());
+        }
         self.snapshot()
     }
 
@@ -411,6 +424,7 @@
         if leads && !self.leads {
             let sessions = self.agreed.sessions().map(|(name, s)| (name, s.ttl_ms, s.renewals));
             self.keeper.lead(now, sessions);
+            (self.timers, self.moved) = (Timers::default(), true);
         }
         if !leads && self.leads {
             // Whoever leads now may commit them; nobody here will hear of it.
@@ -495,6 +509,10 @@
             }
             (Command::Expire { session, .. } | Command::Close { session }, Answer::Closed) => {
                 self.keeper.over(session);
+                self.moved = true;
+            }
+            (Command::Ask { request: Request::Fleet { .. }, .. } | Command::Due { .. }, _) => {
+                self.moved = true
             }
             _ => {}
         }
@@ -540,9 +558,9 @@
         self.keeper.left(now, session)
     }
 
-    /// When a session ends that is not renewed, in ms of the machine's clock; at a leader.
+    /// When a session ends that is not renewed, or a timer is due, in ms of the machine's clock; at a leader.
     pub fn next_end(&self) -> Option<u64> {
-        self.keeper.next().filter(|_| self.leads)
+        self.keeper.next().into_iter().chain(self.timers.next()).min().filter(|_| self.leads)
     }
 
     /// Whether this member leads, as far as it knows.
--- a/crates/mothpier-coordinator/src/door.rs
+++ b/crates/mothpier-coordinator/src/door.rs
@@ -15,7 +15,9 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use mothpier_coordination::Command;
-use mothpier_coordination::wire::{CLUSTER, Call, Error, Failed, Leases, MemberCall, Shown};
+use mothpier_coordination::wire::{
+    CLUSTER, Call, Drains, Error, Failed, FleetShown, Leases, MemberCall, Shown,
+};
 use mothpier_net::{Listener, Net, Stream, Task};
 use protobuf::Message as _;
 use raft::eraftpb::Message;
@@ -29,8 +31,8 @@
 const CALLERS: usize = 1024;
 /// A connection that has said nothing whole for so long is closed.
 const QUIET: Duration = Duration::from_secs(90);
-/// Bytes of a client's call: the largest value and what stands round it.
-const CALL: usize = 64 * 1024;
+/// Bytes of a client's call: a list of as many cache servers as a fleet may have.
+const CALL: usize = 512 * 1024;
 /// Bytes of other members' messages: a snapshot of all that the limits let in.
 const MESSAGES: usize = 64 * 1024 * 1024;
 /// A command that is not committed by then may be later, or never.
@@ -39,6 +41,8 @@
 const WATCH: Duration = Duration::from_secs(60);
 /// Changes in one answer to a watch.
 const CHANGES: usize = 512;
+/// Why what is held can't be told.
+const NOT_CONFIRMED: &str = "a majority did not confirm that this member leads";
 type Reply = Response<Full<Bytes>>;
 
 /// Those who are in, the first one first.
@@ -104,6 +108,8 @@
         (&Method::POST, "/raft") => messages(member, request).await,
         (&Method::GET, "/v1/leases") => leases(member).await,
         (&Method::GET, "/v1/values") => values(member).await,
+        (&Method::GET, "/v1/fleet") => fleet(member).await,
+        (&Method::GET, "/v1/drains") => drains(member).await,
         (&Method::GET, "/v1/watch") => watch(member, &query).await,
         (&Method::GET, "/v1/status") => said(StatusCode::OK, &member.status()),
         (&Method::GET, "/metrics") => text(StatusCode::OK, member.figures()),
@@ -138,8 +144,9 @@
         Ok(call) => call,
         Err(refusal) => return *refusal,
     };
-    if let Command::Expire { .. } = call.command {
-        return failed(member, Error::BadCall, "sessions are ended by their leader alone".into());
+    if let Command::Expire { .. } | Command::Due { .. } = call.command {
+        let why = "sessions and timers are ended by their leader alone";
+        return failed(member, Error::BadCall, why.into());
     }
     ended(member, member.propose(&call.command, COMMIT).await)
 }
@@ -193,7 +200,7 @@
 
 async fn leases<N: Net>(member: &Rc<Member<N>>) -> Reply {
     if !member.confirmed(COMMIT).await {
-        return failed(member, Error::NotLeader, "a majority did not confirm that this member leads".into());
+        return failed(member, Error::NotLeader, NOT_CONFIRMED.into());
     }
     let now = member.now();
     let core = member.core.borrow();
@@ -216,12 +223,30 @@
 
 async fn values<N: Net>(member: &Rc<Member<N>>) -> Reply {
     if !member.confirmed(COMMIT).await {
-        return failed(member, Error::NotLeader, "a majority did not confirm that this member leads".into());
+        return failed(member, Error::NotLeader, NOT_CONFIRMED.into());
     }
     let core = member.core.borrow();
     said(StatusCode::OK, &json!({"revision": core.agreed().revision(), "values": core.agreed().values()}))
 }
 
+async fn fleet<N: Net>(member: &Rc<Member<N>>) -> Reply {
+    if !member.confirmed(COMMIT).await {
+        return failed(member, Error::NotLeader, NOT_CONFIRMED.into());
+    }
+    let core = member.core.borrow();
+    let agreed = core.agreed();
+    said(StatusCode::OK, &FleetShown { revision: agreed.revision(), fleet: agreed.fleet().clone() })
+}
+
+async fn drains<N: Net>(member: &Rc<Member<N>>) -> Reply {
+    if !member.confirmed(COMMIT).await {
+        return failed(member, Error::NotLeader, NOT_CONFIRMED.into());
+    }
+    let core = member.core.borrow();
+    let agreed = core.agreed();
+    said(StatusCode::OK, &Drains { revision: agreed.revision(), drains: agreed.fleet().told() })
+}
+
 async fn watch<N: Net>(member: &Rc<Member<N>>, query: &str) -> Reply {
     let figure = |name: &str| {
         let pair = query.split('&').filter_map(|p| p.split_once('=')).find(|(n, _)| *n == name);
