Node: takes part in the fleet's drains, and says ready only when it knows who is out

Change: a block fleet in the file of coordination; a session, reports of what changes, marks by agreement beside those by hand, confirmations once in effect, the last known drains on the shelf; without coordinators it starts after start_alone. Off without the block. The node's own tests pass.

--- a/crates/mothpier-membership/src/hand.rs
+++ b/crates/mothpier-membership/src/hand.rs
@@ -2,11 +2,11 @@
 //!
 //! | the sources say | by hand | it counts as |
 //! | --- | --- | --- |
-//! | ready | out | draining |
+//! | ready | out, or drained by the fleet's agreement | draining |
 //! | draining, gone, nothing | out | what they say; it stays out when it comes back |
 //! | anything | back in | what they say, cold since the call back unless they know of a start after the call out |
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::line::{Line, Phase};
 
@@ -44,6 +44,8 @@
     listed: BTreeMap<String, Line>,
     /// Out, and since when.
     out: BTreeMap<String, u64>,
+    /// Drained by the fleet's agreement, and since when: a set of its own, so that neither word undoes the other.
+    agreed: BTreeMap<String, u64>,
     /// Back, when they were taken out and when they came back.
     back: BTreeMap<String, (u64, u64)>,
 }
@@ -102,7 +104,9 @@
     /// One that neither the sources nor the hand know.
     pub fn include(&mut self, now: u64, id: &str) -> Result<Option<Line>, Refused> {
         let since = self.out.remove(id);
+        let drained = self.agreed.contains_key(id);
         match (since, self.listed.get(id).cloned()) {
+            (Some(_), Some(_)) if drained => Ok(None),
             (None, None) => Err(Refused::Unknown),
             (None, Some(line)) if self.is_origin(&line) => Err(Refused::Origin),
             (None, Some(_)) | (Some(_), None) => Ok(None),
@@ -113,6 +117,32 @@
         }
     }
 
+    /// Who is drained by the fleet's agreement, all of them. Gives the lines that change by it.
+    pub fn agree(&mut self, now: u64, drained: &BTreeSet<String>) -> Vec<Line> {
+        let mut changed: Vec<Line> = Vec::new();
+        let over: Vec<(String, u64)> = self.agreed.extract_if(.., |id, _| !drained.contains(id)).collect();
+        for (id, since) in over.into_iter().filter(|(id, _)| !self.out.contains_key(id)) {
+            let line = self.listed.get(&id).filter(|line| !self.is_origin(line)).cloned();
+            if let Some(line) = line {
+                self.back.insert(id, (since, now));
+                changed.push(self.counts(line));
+            }
+        }
+        for id in drained.iter().take(MOST_OUT) {
+            if self.agreed.insert(id.clone(), now).is_none() && !self.out.contains_key(id) {
+                self.back.remove(id);
+                let line = self.listed.get(id).filter(|line| !self.is_origin(line)).cloned();
+                changed.extend(line.map(|line| self.counts(line)));
+            }
+        }
+        changed
+    }
+
+    /// The cache servers that the sources say are ready, whatever is said by hand.
+    pub fn ready(&self) -> impl Iterator<Item = &Line> {
+        self.listed.values().filter(|line| line.phase == Phase::Ready && !self.is_origin(line))
+    }
+
     /// One that knows of nobody who is out.
     pub fn emptied(self) -> Self {
         Hand::new(self.origin)
@@ -147,16 +177,21 @@
     /// The cache servers that the sources name, and whether each takes requests as far as they and the hand say.
     pub fn members(&self) -> impl Iterator<Item = (&str, bool)> {
         let boxes = self.listed.values().filter(|line| !self.is_origin(line));
-        boxes.map(|l| (l.id.as_str(), l.phase == Phase::Ready && !self.out.contains_key(&l.id)))
+        boxes.map(|l| (l.id.as_str(), l.phase == Phase::Ready && !self.is_out(l)))
     }
 
     fn is_origin(&self, line: &Line) -> bool {
         self.origin.as_ref().is_some_and(|kind| *kind == line.flavor)
     }
 
+    fn is_out(&self, line: &Line) -> bool {
+        // The origin is no cache server, whatever it is called.
+        self.out.contains_key(&line.id) || self.agreed.contains_key(&line.id) && !self.is_origin(line)
+    }
+
     /// A line as it counts.
     fn counts(&self, mut line: Line) -> Line {
-        if self.out.contains_key(&line.id) {
+        if self.is_out(&line) {
             if line.phase == Phase::Ready {
                 line.phase = Phase::Draining;
             }
@@ -244,6 +279,35 @@
         assert_eq!(hand.include(960, "a").unwrap().unwrap().up_since_ms, 960);
     }
 
+    #[test]
+    fn the_fleet_and_the_hand_each_keep_a_box_out_and_neither_undoes_the_other() {
+        let mut hand = hand();
+        let drained = |ids: &[&str]| ids.iter().map(|id| (*id).to_owned()).collect::<BTreeSet<_>>();
+        let changed = hand.agree(100, &drained(&["a", "o", "later"]));
+        assert_eq!(
+            changed.iter().map(|l| (l.id.as_str(), l.phase)).collect::<Vec<_>>(),
+            [("a", Phase::Draining)]
+        );
+        assert!(hand.agree(110, &drained(&["a", "o", "later"])).is_empty(), "the same again changes nothing");
+        assert_eq!(
+            hand.list(false, vec![line("o", Phase::Ready, 5)])[0].phase,
+            Phase::Ready,
+            "the origin stays"
+        );
+        assert_eq!(hand.list(false, vec![line("later", Phase::Ready, 5)])[0].phase, Phase::Draining);
+        // Also by hand: the fleet's way back does not bring it back, nor the hand's while the fleet drains it.
+        assert_eq!(hand.exclude(120, "a").unwrap().unwrap().phase, Phase::Draining);
+        assert_eq!(hand.include(130, "a"), Ok(None));
+        hand.exclude(140, "a").unwrap();
+        let changed = hand.agree(150, &drained(&[]));
+        assert_eq!(
+            changed.iter().map(|l| (l.id.as_str(), l.up_since_ms)).collect::<Vec<_>>(),
+            [("later", 150)]
+        );
+        assert_eq!(hand.include(160, "a").unwrap().unwrap().phase, Phase::Ready);
+        assert_eq!(hand.ready().map(|l| l.id.as_str()).collect::<Vec<_>>(), ["a", "b", "later"]);
+    }
+
     #[test]
     fn another_process_of_the_node_knows_the_same_and_members_tell_who_is_out() {
         let mut old = hand();
--- a/crates/mothpier/src/figures.rs
+++ b/crates/mothpier/src/figures.rs
@@ -79,6 +79,14 @@
         }
     }
 
+    /// Requests that ended, and those of them that were turned away or failed.
+    pub fn totals(&self) -> (u64, u64) {
+        self.requests.iter().fold((0, 0), |(all, bad), [completed, rejected, failed]| {
+            let not_completed = rejected.get() + failed.get();
+            (all + completed.get() + not_completed, bad + not_completed)
+        })
+    }
+
     /// The last byte of an attempt has been written to a cache server.
     pub fn attempt(&self) {
         self.upstream.inc();
--- a/crates/mothpier/src/handover.rs
+++ b/crates/mothpier/src/handover.rs
@@ -1,7 +1,7 @@
 //! What one process of a node leaves to the next, and how two that live at once agree. Pure: marks with a time, of which
 //! the later one counts, so that either may be told anything in any order.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use mothpier_coordination::{Floors, Obeyer};
 use serde::{Deserialize, Serialize};
@@ -38,6 +38,19 @@
     /// The lowest fences that may act.
     #[serde(default)]
     pub(crate) floors: Floors,
+    /// Who the fleet has drained, as this node last knew it, and when that was.
+    #[serde(default)]
+    drained: Drained,
+}
+
+/// Who the fleet has drained.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Drained {
+    at: u64,
+    /// Cache servers.
+    pub out: BTreeSet<String>,
+    /// This node.
+    pub own: bool,
 }
 
 impl State {
@@ -82,6 +95,7 @@
     pub fn merge(&mut self, other: State) {
         self.emptied = self.emptied.max(other.emptied);
         self.obeyed(&other.floors);
+        self.drained = self.drained.clone().max(other.drained);
         for (id, mark) in other.hand {
             let own = self.hand.entry(id).or_default();
             *own = mark.max(*own);
@@ -92,6 +106,18 @@
         *self = std::mem::take(self).bounded();
     }
 
+    /// Who the fleet has drained as of now.
+    pub fn drained(&mut self, now: u64, out: BTreeSet<String>, own: bool) {
+        if self.drained.out != out || self.drained.own != own {
+            self.drained = Drained { at: now.max(self.drained.at + 1), out, own };
+        }
+    }
+
+    /// Who the fleet had drained when that was last known.
+    pub fn last_drained(&self) -> Drained {
+        self.drained.clone()
+    }
+
     /// A server is out by hand, or may serve again.
     pub fn hand(&mut self, now: u64, id: &str, out: bool) {
         let before = self.hand.get(id).copied().unwrap_or_default();
--- a/crates/mothpier/src/lib.rs
+++ b/crates/mothpier/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod config;
 mod discovery;
 mod door;
+mod drains;
 mod figures;
 mod handover;
 mod http;
@@ -270,7 +271,8 @@
         later.sleep(WITHOUT_DISCOVERY).await;
         without.listed();
     });
-    let obeying = match config.coordination {
+    let coordination = config.coordination;
+    let obeying = match coordination.clone() {
         Some(told) => Some(Obeying::new(net.clone(), told, succession.clone())?),
         None => None,
     };
@@ -286,6 +288,11 @@
     if let Some(obeying) = obeying {
         net.spawn(obeying.run());
     }
+    if let Some((told, settings)) = coordination.and_then(|told| Some((told.clone(), told.fleet?))) {
+        let drains = drains::Drains::new(operations.clone(), &told, settings, &config.name)?;
+        phase.waits_for_fleet();
+        net.spawn(drains.run());
+    }
     if let Some(succession) = &succession {
         net.spawn(succession::run(operations.clone(), succession.clone(), share));
     }
--- a/crates/mothpier/src/messages.rs
+++ b/crates/mothpier/src/messages.rs
@@ -2,12 +2,13 @@
 //! origin, discovery and peers bring an [`Input`], and the node alone drives them.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
 use brassrouter::{Request, RequestId, ServerId, Status};
 use bytes::Bytes;
+use mothpier_membership::Line;
 use mothpier_membership::hand::Refused;
 use redis_protocol::resp2::types::BytesFrame;
 use serde::{Deserialize, Serialize};
@@ -59,6 +60,10 @@
     Hand { id: String, out: bool, tell: oneshot::Sender<Result<bool, Refused>> },
     /// Who is out by hand as of now, whoever was told.
     Out(BTreeMap<String, u64>),
+    /// Who is drained by the fleet's agreement, all of them; told once it is so.
+    Drained { out: BTreeSet<String>, tell: oneshot::Sender<()> },
+    /// The cache servers that the sources say are ready, if these are others than the number says.
+    Ready { held: u64, tell: oneshot::Sender<Option<(u64, Vec<Line>)>> },
     /// This process is so much of the node.
     Part(f64),
     /// The list as it is held, if that is another one than the number says.
--- a/crates/mothpier/src/node.rs
+++ b/crates/mothpier/src/node.rs
@@ -319,6 +319,15 @@
                 let lines = self.hand.take_over(self.clock.now() / 1000, &out);
                 self.changed(lines);
             }
+            Order::Drained { out, tell } => {
+                let lines = self.hand.agree(self.clock.now() / 1000, &out);
+                self.changed(lines);
+                let _ = tell.send(());
+            }
+            Order::Ready { held, tell } => {
+                let ready = || self.hand.ready().cloned().collect();
+                let _ = tell.send((self.lists != held).then(|| (self.lists, ready())));
+            }
             Order::Part(part) => {
                 self.events.push_back(Event::Part(part));
                 self.settle();
--- a/crates/mothpier/src/operations.rs
+++ b/crates/mothpier/src/operations.rs
@@ -13,7 +13,7 @@
 use crate::figures::{Figures, States};
 use crate::messages::Order;
 use crate::obeying::Obeying;
-use crate::phase::Phase;
+use crate::phase::{Phase, Whose};
 use crate::succession::Succession;
 
 /// After a front has heard the first no it sends new connections for another 0.2 s, and it may ask only every 0.1 s;
@@ -103,14 +103,14 @@
             Call::Exclude(id) => self.by_hand(id, true).await,
             Call::Include(id) => self.by_hand(id, false).await,
             Call::Evacuate => {
-                self.clone().empty();
+                self.clone().empty(Whose::Hand);
                 if let Some(succession) = &self.succession {
                     succession.said(&self.net, |state, now| state.empty(now, true));
                 }
                 Reply::Yes("evacuating\n".into())
             }
             Call::Rejoin => {
-                self.refill();
+                self.refill(Whose::Hand);
                 if let Some(succession) = &self.succession {
                     succession.said(&self.net, |state, now| state.empty(now, false));
                 }
@@ -157,21 +157,24 @@
     pub async fn agree(self: &Rc<Self>, out: BTreeMap<String, u64>, emptied: bool) {
         let _ = self.orders.send(Order::Out(out)).await;
         if emptied {
-            self.clone().empty();
+            self.clone().empty(Whose::Hand);
         } else {
-            self.refill();
+            self.refill(Whose::Hand);
         }
     }
 
-    fn refill(&self) {
-        if self.phase.refill() {
+    /// It is called back.
+    pub fn refill(&self, whose: Whose) {
+        if self.phase.refill(whose) {
             self.net.log("back to work: takes requests again");
         }
     }
 
-    fn empty(self: Rc<Self>) {
-        if let Some(call) = self.phase.empty() {
-            self.net.log("emptied by hand: connections close, requests are answered to their ends");
+    /// It is called off.
+    pub fn empty(self: Rc<Self>, whose: Whose) {
+        if let Some(call) = self.phase.empty(whose) {
+            let by = if whose == Whose::Hand { "emptied by hand" } else { "drained by the fleet" };
+            self.net.log(format_args!("{by}: connections close, requests are answered to their ends"));
             let net = self.net.clone();
             net.clone().spawn(async move {
                 net.sleep(STILL_COMING).await;
--- a/crates/mothpier/src/phase.rs
+++ b/crates/mothpier/src/phase.rs
@@ -4,6 +4,7 @@
 //! | --- | --- | --- | --- |
 //! | no list yet | no | yes | stay |
 //! | at work | yes | yes | stay |
+//! | not told by the fleet who is out | no | yes | stay |
 //! | emptied, at first | no | yes | stay: a front still sends new ones |
 //! | emptied | no | yes, for whoever asks whether it is back | close between two requests |
 //! | ending, at first | `PING` as before, `ready` no | yes | stay |
@@ -19,15 +20,26 @@
 /// what crosses its close is asked again elsewhere. Soon after SIGTERM what is still read would not be answered in time.
 const CUT: Duration = Duration::from_millis(100);
 
+/// Whose word it is that a node takes no work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Whose {
+    /// Staff's, at its door.
+    Hand,
+    /// The fleet's, by agreement.
+    Fleet,
+}
+
 /// The phase, and word of its change to all who wait. Not a `watch`: that wakes those who wait in an order drawn at
 /// random, and equal runs would differ.
 #[derive(Default)]
 pub struct Phase {
     /// There is a list of servers.
     listed: Cell<bool>,
-    /// Staff have called it off; which of their calls it was.
-    emptied: Cell<bool>,
+    /// Staff, and the fleet, have called it off; which of the calls it was.
+    emptied: [Cell<bool>; 2],
     calls: Cell<u64>,
+    /// The fleet has not yet said who is out.
+    untold: Cell<bool>,
     stopping: Cell<bool>,
     /// Since when connections close between two requests.
     closing: Cell<Option<Instant>>,
@@ -48,13 +60,31 @@
 
     /// What keeps it from work, in words.
     pub fn at_work(&self) -> Result<(), &'static str> {
-        match (self.listed.get(), self.emptied.get()) {
-            (_, true) => Err("emptied by hand"),
-            (false, _) => Err("no list of servers yet"),
+        match (self.emptied[Whose::Hand as usize].get(), self.emptied[Whose::Fleet as usize].get()) {
+            (true, _) => Err("emptied by hand"),
+            (_, true) => Err("drained by the fleet"),
+            _ if !self.listed.get() => Err("no list of servers yet"),
+            _ if self.untold.get() => Err("who of the fleet is out is not known yet"),
             _ => Ok(()),
         }
     }
 
+    /// It must not say that it is ready before the fleet has said who is out.
+    pub fn waits_for_fleet(&self) {
+        self.untold.set(true);
+    }
+
+    /// The fleet has said who is out, or is waited for no longer.
+    pub fn told(&self) {
+        if self.untold.replace(false) {
+            self.changed.notify_waiters();
+        }
+    }
+
+    fn is_emptied(&self) -> bool {
+        self.emptied.iter().any(Cell::get)
+    }
+
     /// What keeps this process from serving from now on.
     pub fn ready(&self) -> Result<(), &'static str> {
         if self.stopping.get() { Err("stopping") } else { self.at_work() }
@@ -62,37 +92,38 @@
 
     /// Whether this process lets clients in.
     pub fn serves(&self) -> bool {
-        self.listed.get() && !self.shut.get()
+        self.listed.get() && !self.untold.get() && !self.shut.get()
     }
 
-    /// Waits until there is a list of servers.
+    /// Waits until it could serve: there is a list of servers, and it is known who of them is out.
     pub async fn until_listed(&self) {
         loop {
             let word = self.word();
-            if self.listed.get() {
+            if self.listed.get() && !self.untold.get() {
                 return;
             }
             word.await;
         }
     }
 
-    /// Staff call it off: it says no from now on. Gives the number of the call where it was at work until now.
-    pub fn empty(&self) -> Option<u64> {
-        let before = self.emptied.replace(true);
+    /// It is called off and says no from now on. Gives the number of the call where it was at work until now.
+    pub fn empty(&self, whose: Whose) -> Option<u64> {
+        let before = self.is_emptied();
+        self.emptied[whose as usize].set(true);
         self.calls.set(self.calls.get() + u64::from(!before));
         (!before).then(|| self.calls.get())
     }
 
     /// The front sends nothing new any more: connections close, unless another call came since that one.
     pub fn close_emptied(&self, call: u64, now: Instant) {
-        if self.emptied.get() && self.calls.get() == call && self.closing.get().is_none() {
+        if self.is_emptied() && self.calls.get() == call && self.closing.get().is_none() {
             self.close(now);
         }
     }
 
-    /// Staff call it back; whether it had been emptied.
-    pub fn refill(&self) -> bool {
-        let before = self.emptied.replace(false);
+    /// It is called back; whether that brings it back to work.
+    pub fn refill(&self, whose: Whose) -> bool {
+        let before = self.emptied[whose as usize].replace(false) && !self.is_emptied();
         if before && !self.shut.get() {
             self.closing.set(None);
         }
@@ -163,25 +194,38 @@
         assert_eq!(phase.ready(), Err("no list of servers yet"));
         phase.listed();
         assert_eq!(phase.ready(), Ok(()));
-        assert!(!phase.refill(), "it was at work");
-        let first = phase.empty().unwrap();
-        assert_eq!(phase.empty(), None, "emptied twice is emptied once");
+        assert!(!phase.refill(Whose::Hand), "it was at work");
+        let first = phase.empty(Whose::Hand).unwrap();
+        assert_eq!(phase.empty(Whose::Hand), None, "emptied twice is emptied once");
         assert_eq!(phase.at_work(), Err("emptied by hand"));
         assert!(!phase.closing(), "a front still sends");
         // Called back in the midst: the first call closes nothing any more.
-        assert!(phase.refill());
+        assert!(phase.refill(Whose::Hand));
         phase.close_emptied(first, now);
         assert!(!phase.closing());
-        let second = phase.empty().unwrap();
+        let second = phase.empty(Whose::Hand).unwrap();
         phase.close_emptied(first, now);
         assert!(!phase.closing(), "the time of the second call is not over");
         phase.close_emptied(second, now);
         assert!(phase.closing() && !phase.is_shut());
         assert_eq!(phase.cut(), Some(now + CUT));
-        assert!(phase.refill());
+        assert!(phase.refill(Whose::Hand));
         assert!(!phase.closing() && phase.ready().is_ok());
     }
 
+    #[test]
+    fn the_fleet_and_the_hand_each_keep_a_node_from_work() {
+        let phase = Phase::default();
+        phase.listed();
+        phase.waits_for_fleet();
+        assert_eq!((phase.ready(), phase.serves()), (Err("who of the fleet is out is not known yet"), false));
+        phase.told();
+        assert!(phase.empty(Whose::Fleet).is_some() && phase.empty(Whose::Hand).is_none());
+        assert!(!phase.refill(Whose::Hand));
+        assert_eq!(phase.ready(), Err("drained by the fleet"));
+        assert!(phase.refill(Whose::Fleet) && phase.ready().is_ok() && !phase.refill(Whose::Fleet));
+    }
+
     #[test]
     fn nothing_calls_back_a_node_that_ends() {
         let (phase, now) = (Phase::default(), Instant::now());
@@ -189,9 +233,9 @@
         phase.stop();
         assert_eq!((phase.at_work(), phase.ready()), (Ok(()), Err("stopping")));
         phase.shut(now, false);
-        let call = phase.empty().unwrap();
+        let call = phase.empty(Whose::Hand).unwrap();
         phase.close_emptied(call, now + CUT);
-        assert!(phase.refill());
+        assert!(phase.refill(Whose::Hand));
         assert!(phase.closing() && phase.is_shut());
         assert_eq!(phase.cut(), Some(now + CUT));
     }
--- a/crates/mothpier/src/succession.rs
+++ b/crates/mothpier/src/succession.rs
@@ -8,7 +8,7 @@
 use mothpier_net::Net;
 use tokio::sync::{Mutex, MutexGuard, oneshot};
 
-use crate::handover::{State, part};
+use crate::handover::{Drained, State, part};
 use crate::messages::{List, Order};
 use crate::operations::Operations;
 use crate::shelf::Shelf;
@@ -105,6 +105,11 @@
         self.state.borrow().floors.clone()
     }
 
+    /// Who the fleet had drained when a process of this node last knew it.
+    pub fn drained(&self) -> Drained {
+        self.state.borrow().last_drained()
+    }
+
     /// The list that an earlier process held.
     pub fn list(&self) -> Option<List> {
         self.state.borrow_mut().take_list()
