mothpierctl fleet: status, drain, back, halt, resume, forget, limits, plan, history

Change: the tool's commands, limits in HCL with errors that name what is wrong, exit codes 4 (a limit or a halt) and 5 (may have been done); a drain outlives the command that asked for it.

--- a/crates/mothpierctl/src/lease.rs
+++ b/crates/mothpierctl/src/lease.rs
@@ -123,13 +123,14 @@
 }
 
 /// Runs a future on a runtime of one thread.
-fn block<T>(future: impl Future<Output = Result<T, String>>) -> Result<T, String> {
+pub fn block<T>(future: impl Future<Output = Result<T, String>>) -> Result<T, String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| e.to_string())?;
     tokio::task::LocalSet::new().block_on(&runtime, future)
 }
 
-fn client(at: Where) -> Result<Rc<Client<Tokio>>, String> {
+/// A client of the coordinators.
+pub fn client(at: Where) -> Result<Rc<Client<Tokio>>, String> {
     Client::new(Tokio, at.cluster, at.coordinators)
 }
 
--- a/crates/mothpierctl/src/main.rs
+++ b/crates/mothpierctl/src/main.rs
@@ -3,6 +3,9 @@
 mod check;
 mod compare;
 mod files;
+mod fleet;
+mod fleet_limits;
+mod fleet_shown;
 mod lease;
 mod new;
 mod plan;
@@ -130,6 +133,12 @@
     /// Leases of fleet-wide tasks: one process at a time holds each.
     #[command(subcommand)]
     Lease(lease::Lease),
+    /// Who of the fleet is out, and who may go next: drains that all nodes agree on.
+    ///
+    /// Exit codes: 0 done; 2 it could not be asked; 4 a limit or a halt is in the way; 5 it may have been done: ask `fleet
+    /// status`.
+    #[command(subcommand)]
+    Fleet(fleet::Call),
     /// The coordinators themselves.
     #[command(subcommand)]
     Coordinator(lease::Coordinator),
@@ -174,6 +183,7 @@
             plan::run(&plan::Asked { file, boxes, per_s, keys, cold }, &hosts, out)
         }
         Command::Lease(call) => lease::run(call, out),
+        Command::Fleet(call) => fleet::run(call, out),
         Command::Coordinator(call) => lease::coordinator(call, out),
         Command::Bound { command } => lease::bound(&command),
         Command::Completions { shell } => {
