Trials: run drains, real processes and staff with the tool, judged at the far ends

Judged: requests at cache servers that were out, nodes that say they are drained at once, cache servers kept out by a node's log, wrong answers, all back in the end.

--- a/crates/mothpier-trials/src/main.rs
+++ b/crates/mothpier-trials/src/main.rs
@@ -1,6 +1,8 @@
 //! `mothpier-trials`: several real processes of mothpier's programs on loopback, and the faults between them.
 
 mod contender;
+mod drains;
+mod drains_judge;
 mod http;
 mod judge;
 mod link;
@@ -65,6 +67,40 @@
         #[command(flatten)]
         options: Options,
     },
+    /// Coordinators, nodes under traffic, cache servers, and staff who take nodes and cache servers out and back: never
+    /// more out than the limits allow, nothing sent to what is out, and all back in the end.
+    Drains {
+        /// Seeds, as 0..8.
+        #[arg(long, value_parser = seeds)]
+        seeds: Range<u64>,
+        /// Trials that run at once.
+        #[arg(long, default_value_t = 2)]
+        jobs: u8,
+        #[command(flatten)]
+        of: DrainOptions,
+    },
+}
+
+#[derive(Args, Clone, Debug)]
+struct DrainOptions {
+    #[arg(long, default_value_t = 5)]
+    coordinators: usize,
+    #[arg(long, default_value_t = 12)]
+    nodes: usize,
+    #[arg(long, default_value_t = 18)]
+    servers: usize,
+    /// Drains that staff ask for; 0 for the same trial without any.
+    #[arg(long, default_value_t = 20)]
+    people: usize,
+    /// For how long things go wrong.
+    #[arg(long, default_value_t = 8000)]
+    ms: u64,
+    /// Keeps every process's log, in a folder for each seed.
+    #[arg(long)]
+    keep: Option<PathBuf>,
+    /// Where the other programs are; beside this one when not told.
+    #[arg(long)]
+    programs: Option<PathBuf>,
 }
 
 #[derive(Subcommand)]
@@ -148,13 +184,8 @@
 
 impl Options {
     fn how(&self, folder: PathBuf, lane: u8) -> Result<How, String> {
-        let programs = self.programs.clone().map_or_else(beside, Ok)?;
-        for name in ["mothpier", "mothpier-coordinator"] {
-            if !programs.join(name).exists() {
-                return Err(format!("{} is not there: build it first", programs.join(name).display()));
-            }
-        }
-        Ok(How { programs, folder, unfenced: self.plant_unfenced, lane })
+        let how = how(self.programs.as_ref(), folder, lane, &["mothpier", "mothpier-coordinator"])?;
+        Ok(How { unfenced: self.plant_unfenced, ..how })
     }
 
     fn plan(&self, seed: u64) -> Plan {
@@ -163,24 +194,68 @@
     }
 }
 
-/// Plays seeds, some at once; whether all were good.
-fn run(seeds: Range<u64>, jobs: u8, options: &Options) -> Result<bool, String> {
-    let next = std::sync::Mutex::new(seeds.clone());
+/// Plays seeds of drains, some at once; whether all were good.
+fn run_drains(seeds: Range<u64>, jobs: u8, of: &DrainOptions) -> Result<bool, String> {
+    let size =
+        Size { coordinators: of.coordinators, nodes: of.nodes, contenders: 1, ms: of.ms, ttl_ms: 1500 };
+    let one = |seed: u64, lane: u8| -> Result<drains::Played, String> {
+        let folder = tempfile::tempdir().map_err(|e| e.to_string())?;
+        let kept = of.keep.as_ref().map(|keep| keep.join(seed.to_string()));
+        let at = kept.unwrap_or_else(|| folder.path().to_owned());
+        let how = how(of.programs.as_ref(), at, lane, &["mothpier", "mothpier-coordinator", "mothpierctl"])?;
+        let crowd = drains::Crowd { servers: of.servers, people: of.people };
+        block(drains::play(&Plan::draw(seed, size), crowd, &how))
+    };
+    let played = each(seeds, jobs, |seed, lane| {
+        let played = one(seed, lane);
+        match &played {
+            Ok(p) => {
+                let (all, good, _) = p.answers;
+                println!(
+                    "seed {seed}: {} times a cache server was out and {} a node, {} requests to them, at most {} nodes and \
+                     {} cache servers out at once, {good} of {all} requests in time{}",
+                    p.outs.0,
+                    p.outs.1,
+                    p.sent_to_out.len(),
+                    p.most.0,
+                    p.most.1,
+                    p.wrong().iter().map(|w| format!("\n  {w}")).collect::<String>()
+                );
+            }
+            Err(why) => println!("seed {seed}: not played: {why}"),
+        }
+        (played, false)
+    })?;
+    let good = played.iter().filter(|(_, p)| p.as_ref().is_ok_and(|p| p.wrong().is_empty())).count();
+    let sum = |of: fn(&drains::Played) -> u64| -> u64 {
+        played.iter().filter_map(|(_, p)| p.as_ref().ok()).map(of).sum()
+    };
+    println!(
+        "{good} of {} seeds good; {} times out, {} requests to what was out, {:.2} % of {} requests in time",
+        played.len(),
+        sum(|p| (p.outs.0 + p.outs.1) as u64),
+        sum(|p| p.sent_to_out.len() as u64),
+        100.0 * sum(|p| p.answers.1) as f64 / sum(|p| p.answers.0).max(1) as f64,
+        sum(|p| p.answers.0),
+    );
+    Ok(good == played.len())
+}
+
+/// Plays seeds, some at once, until one is enough; what came of each.
+fn each<T: Send>(
+    seeds: Range<u64>,
+    jobs: u8,
+    play: impl Fn(u64, u8) -> (T, bool) + Sync,
+) -> Result<Vec<(u64, T)>, String> {
+    let next = std::sync::Mutex::new(seeds);
     let played = std::sync::Mutex::new(Vec::new());
     std::thread::scope(|scope| {
         for lane in 0..jobs.max(1) {
-            let (next, played) = (&next, &played);
+            let (next, played, play) = (&next, &played, &play);
             scope.spawn(move || {
                 loop {
                     let Some(seed) = next.lock().ok().and_then(|mut n| n.next()) else { return };
-                    let one = play(seed, lane, options);
-                    match &one {
-                        Ok(one) => println!("{}", verdict(seed, one, options.plant_unfenced).1),
-                        Err(why) => println!("seed {seed}: not played: {why}"),
-                    }
-                    // One that shows the planted mistake is enough.
-                    let enough =
-                        options.plant_unfenced && one.as_ref().is_ok_and(|o| !o.verdict.beside.is_empty());
+                    let (one, enough) = play(seed, lane);
                     if let Ok(mut played) = played.lock() {
                         played.push((seed, one));
                     }
@@ -191,7 +266,32 @@
             });
         }
     });
-    let played = played.into_inner().map_err(|e| e.to_string())?;
+    played.into_inner().map_err(|e| e.to_string())
+}
+
+/// How a trial is played, with the programs that it needs.
+fn how(programs: Option<&PathBuf>, folder: PathBuf, lane: u8, needs: &[&str]) -> Result<How, String> {
+    let programs = programs.cloned().map_or_else(beside, Ok)?;
+    for name in needs {
+        if !programs.join(name).exists() {
+            return Err(format!("{} is not there: build it first", programs.join(name).display()));
+        }
+    }
+    Ok(How { programs, folder, unfenced: false, lane })
+}
+
+/// Plays seeds, some at once; whether all were good.
+fn run(seeds: Range<u64>, jobs: u8, options: &Options) -> Result<bool, String> {
+    let played = each(seeds, jobs, |seed, lane| {
+        let one = play(seed, lane, options);
+        match &one {
+            Ok(one) => println!("{}", verdict(seed, one, options.plant_unfenced).1),
+            Err(why) => println!("seed {seed}: not played: {why}"),
+        }
+        // One that shows the planted mistake is enough.
+        let enough = options.plant_unfenced && one.as_ref().is_ok_and(|o| !o.verdict.beside.is_empty());
+        (one, enough)
+    })?;
     let found: Vec<u64> = played
         .iter()
         .filter(|(_, p)| p.as_ref().is_ok_and(|p| !p.verdict.beside.is_empty()))
@@ -236,6 +336,7 @@
             }
         }),
         Command::Run(Run::Leases { seeds, jobs, options }) => run(seeds, jobs, &options),
+        Command::Run(Run::Drains { seeds, jobs, of }) => run_drains(seeds, jobs, &of),
         Command::Replay { seed, keep, options } => options.how(keep.clone(), 0).and_then(|how| {
             let played = block(trial::play(&options.plan(seed), &how))?;
             let (good, line) = verdict(seed, &played, options.plant_unfenced);
--- a/crates/mothpier-trials/src/plan.rs
+++ b/crates/mothpier-trials/src/plan.rs
@@ -11,7 +11,7 @@
     Coordinator(usize),
     /// A node, from 0.
     Node(usize),
-    /// One that wants the lease, from 0.
+    /// One that wants the lease, from 0; of drains, the desk of the staff.
     Contender(usize),
     /// Whoever of them holds it when its time comes.
     Holder,
@@ -87,7 +87,9 @@
         let any = |dice: &Dice| match dice.within(0, 10) {
             0..4 => Who::Coordinator(dice.within(1, size.coordinators as u64 + 1) as usize),
             4..6 => Who::Node(dice.within(0, size.nodes as u64) as usize),
-            6..8 => Who::Holder,
+            // Where nobody holds a lease it falls to the nodes.
+            6..8 if size.contenders > 1 => Who::Holder,
+            6..8 => Who::Node(dice.within(0, size.nodes as u64) as usize),
             _ => Who::Contender(dice.within(0, size.contenders as u64) as usize),
         };
         let mut at = 500;
@@ -122,7 +124,8 @@
                 7 => faults.push((at, Fault::KillAllCoordinators(dice.within(50, 500)))),
                 // Up to three lifetimes: a holder may be stopped between its check and its act.
                 _ => {
-                    let who = if dice.chance(0.7) { Who::Holder } else { any(&dice) };
+                    let holds = size.contenders > 1 && dice.chance(0.7);
+                    let who = if holds { Who::Holder } else { any(&dice) };
                     faults.push((at, Fault::Stop(who, dice.within(200, 3 * size.ttl_ms))));
                 }
             }
--- a/crates/mothpier-trials/src/trial.rs
+++ b/crates/mothpier-trials/src/trial.rs
@@ -56,10 +56,14 @@
     pub ended: Vec<Who>,
 }
 
-struct Fleet {
-    processes: BTreeMap<Who, Process>,
-    links: BTreeMap<(Who, Who), Rc<Link>>,
-    nodes: usize,
+/// The processes of a trial and the links between them.
+pub struct Fleet {
+    /// The processes.
+    pub processes: BTreeMap<Who, Process>,
+    /// The links.
+    pub links: BTreeMap<(Who, Who), Rc<Link>>,
+    /// How many nodes there are.
+    pub nodes: usize,
 }
 
 impl Fleet {
@@ -82,7 +86,8 @@
         all.max_by_key(|(_, process)| last(process)).map_or(Who::Contender(0), |(who, _)| *who)
     }
 
-    fn set(&self, of: impl Fn(Who, Who) -> bool, way: Way) {
+    /// Links from one to another behave so from now on.
+    pub fn set(&self, of: impl Fn(Who, Who) -> bool, way: Way) {
         self.links.iter().filter(|((from, to), _)| of(*from, *to)).for_each(|(_, link)| link.set(way));
     }
 
@@ -97,7 +102,7 @@
     }
 
     /// Carries a fault out; what lasts is a task.
-    fn befall(self: &Rc<Self>, fault: &Fault, tasks: &mut Vec<tokio::task::JoinHandle<()>>) {
+    pub fn befall(self: &Rc<Self>, fault: &Fault, tasks: &mut Vec<tokio::task::JoinHandle<()>>) {
         match *fault {
             // All links of whoever held it are mended with those of whoever holds it then.
             Fault::Links(Who::Holder, Way::Open) => {
@@ -166,6 +171,22 @@
     }
 }
 
+/// The coordinators at these addresses, each reaching the others through its own links; not started yet.
+pub fn members(
+    how: &How,
+    addresses: &[SocketAddr],
+    links: &BTreeMap<(Who, Who), Rc<Link>>,
+) -> Result<Vec<(Who, Process)>, String> {
+    let one = |i: usize, own: SocketAddr| {
+        let peers = (1..=addresses.len())
+            .map(|j| links.get(&(Who::Coordinator(i), Who::Coordinator(j))).map_or(own, |l| l.at));
+        let peers: Vec<SocketAddr> = peers.collect();
+        let process = programs::coordinator(&how.programs, &how.folder, i, own, &peers)?;
+        Ok((Who::Coordinator(i), process))
+    };
+    addresses.iter().enumerate().map(|(i, own)| one(i + 1, *own)).collect()
+}
+
 async fn started(plan: &Plan, how: &How) -> Result<(Rc<Fleet>, Vec<SocketAddr>), String> {
     let size = plan.size;
     let coordinators: Vec<SocketAddr> =
@@ -196,43 +217,23 @@
     let through = |from: Who| -> Vec<SocketAddr> {
         (1..=size.coordinators).map(|i| links[&(from, Who::Coordinator(i))].at).collect()
     };
-    let program = |name: &str| how.programs.join(name);
     let log = |name: String| how.folder.join(format!("{name}.log"));
-    for i in 1..=size.coordinators {
-        let peers = (1..=size.coordinators).map(|j| {
-            let own = || coordinators[i - 1];
-            links.get(&(Who::Coordinator(i), Who::Coordinator(j))).map_or_else(own, |l| l.at)
-        });
-        let process = programs::coordinator(
-            &how.programs,
-            &how.folder,
-            i,
-            coordinators[i - 1],
-            &peers.collect::<Vec<_>>(),
-        )?;
-        processes.insert(Who::Coordinator(i), process);
-    }
+    processes.extend(self::members(how, &coordinators, &links)?);
     // Two cache servers; the contenders take the second one out and in.
     let value = |asked: &[String]| loopback::array(asked.get(2).map_or("", |id| id));
     let boxes = [loopback::serve(loopback::command, value), loopback::serve(loopback::command, value)];
     let list = [("s-1", boxes[0]), ("s-2", boxes[1])].map(|(id, at)| loopback::member(id, at, "m", "ready"));
     for i in 0..size.nodes {
         let discovery = Discovery::start(&list.join(","));
-        let name = format!("node-{i}");
-        let (file, told) = (how.folder.join(format!("{name}.json")), how.folder.join(format!("{name}.hcl")));
-        write(&file, &loopback::config(&name, discovery.address, 1024))?;
-        let coordinators: Vec<String> =
-            through(Who::Node(i)).iter().map(|a| format!("{:?}", a.to_string())).collect();
-        write(&told, &format!("cluster = \"trial\"\ncoordinators = [{}]\n", coordinators.join(", ")))?;
-        let environment = [
-            ("ROUTER_CONFIG", file.display().to_string()),
-            ("ROUTER_LISTEN", fronts[i].to_string()),
-            ("ROUTER_OPERATOR", doors[i].to_string()),
-            ("MOTHPIER_COORDINATION", told.display().to_string()),
-        ];
-        let environment = environment.map(|(name, value)| (name.to_owned(), value)).to_vec();
-        let process = Process::new(program("mothpier"), Vec::new(), environment, log(name));
-        processes.insert(Who::Node(i), process);
+        let node = programs::Node {
+            name: format!("node-{i}"),
+            front: fronts[i],
+            door: doors[i],
+            discovery: discovery.address,
+            coordinators: &through(Who::Node(i)),
+            fleet: "",
+        };
+        processes.insert(Who::Node(i), node.process(&how.programs, &how.folder)?);
     }
     let own = std::env::current_exe().map_err(|e| e.to_string())?;
     for i in 0..size.contenders {
