--- a/crates/mothpier-sim/src/coordinators.rs
+++ b/crates/mothpier-sim/src/coordinators.rs
@@ -27,6 +27,11 @@
 const END: u64 = 30_000;
 /// A client that has heard nothing asks elsewhere after this time.
 const PATIENCE: u64 = 300;
+/// Messages that come twice, and that take twenty times as long as the rest.
+const DOUBLED: f64 = 0.1;
+const SLOW: f64 = 0.1;
+/// Orders whose holder stops between its look at the clock and its act, for up to two lifetimes.
+const STOPS: f64 = 0.25;
 
 /// A mistake that is planted: one condition is left out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -267,7 +272,11 @@
         hash: DefaultHasher::new(),
         dice,
     };
-    world.run(seed);
+    // Consensus that finds its own rules broken ends its process: with a planted mistake that is one way to find it.
+    let ran = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| world.run(seed)));
+    if ran.is_err() {
+        world.broken("a member ended by itself".into());
+    }
     world.played.trace = world.hash.finish();
     world.played
 }
@@ -317,15 +326,18 @@
         if cut(from, to) || self.dice.chance(self.loss) {
             return;
         }
-        let copies = if self.dice.chance(0.03) { 2 } else { 1 };
+        let copies = if self.dice.chance(DOUBLED) { 2 } else { 1 };
         for _ in 0..copies {
-            let slow = if self.dice.chance(0.05) { 20 * self.late } else { self.late };
-            self.numbers += 1;
-            self.coming
-                .insert((self.now + self.dice.within(1, slow), self.numbers), (from, to, what.clone()));
+            let slow = if self.dice.chance(SLOW) { 20 * self.late } else { self.late };
+            self.arrive(self.dice.within(1, slow), from, to, what.clone());
         }
     }
 
+    fn arrive(&mut self, after: u64, from: Who, to: Who, what: What) {
+        self.numbers += 1;
+        self.coming.insert((self.now + after, self.numbers), (from, to, what));
+    }
+
     /// Draws what goes wrong next.
     fn trouble(&mut self) {
         if self.now < self.trouble_at {
@@ -339,7 +351,12 @@
         );
         match self.dice.within(0, 10) {
             0 | 1 => self.isolate(Who::Member(member), lasts),
-            2 => self.isolate(Who::Client(client), lasts),
+            2 => {
+                // Whoever holds the lease, more often than not.
+                let holder = self.clients.iter().position(|c| c.fence.is_some());
+                let cut_off = holder.filter(|_| self.dice.chance(0.7)).unwrap_or(client);
+                self.isolate(Who::Client(cut_off), lasts);
+            }
             3 => {
                 let other = self.dice.within(0, self.machines.len() as u64) as usize;
                 self.cut.insert((Who::Member(member), Who::Member(other)), self.now + lasts);
@@ -677,8 +694,8 @@
             c.acts = 0;
             c.waits_for_time = None;
             let quiet = c.out.0.is_empty() || local >= c.out.1 || self.twin == Some(Twin::GivesUpTooSoon);
-            match self.dice.within(0, 3) {
-                0 if quiet => {
+            match self.dice.within(0, 4) {
+                0 | 3 if quiet => {
                     let c = &mut self.clients[i];
                     c.number += 1;
                     (c.fence, c.acquired) = (None, 0);
@@ -726,6 +743,10 @@
                     not_after_ms: time + left,
                     number: self.numbers,
                 };
+                if self.now < TROUBLE && self.dice.chance(STOPS) {
+                    let stopped = self.dice.within(1, 2 * TTL);
+                    return self.arrive(stopped, Who::Client(i), from, What::Act(act));
+                }
                 self.send(Who::Client(i), from, What::Act(act));
             }
             What::Acted(number) => drop(c.out.0.remove(&number)),
--- a/crates/mothpier-sim/src/main.rs
+++ b/crates/mothpier-sim/src/main.rs
@@ -4,6 +4,7 @@
 mod coordinators;
 mod daily_cases;
 mod disk;
+mod drains;
 mod exec;
 mod many;
 mod measure;
@@ -20,6 +21,7 @@
 mod source_cases;
 mod word;
 
+use std::collections::BTreeMap;
 use std::io::Write;
 use std::ops::Range;
 use std::path::PathBuf;
@@ -76,6 +78,31 @@
         #[arg(long)]
         twins: bool,
     },
+    /// Plays the fleet's agreement on drains: nodes that are cut off and crash, leaders that change, staff who take cache
+    /// servers and nodes out and back. The last line is "N seeds, N broken".
+    Drains {
+        /// The first seed and the one behind the last.
+        #[arg(long, value_name = "FROM..TO", value_parser = seeds)]
+        seeds: Range<u64>,
+        /// Threads; as many as cores when not told.
+        #[arg(long)]
+        jobs: Option<usize>,
+        /// Leaves one condition out after the other, each until that is found.
+        #[arg(long)]
+        twins: bool,
+    },
+    /// Measures how long it takes to take every cache server and node of a fleet out and back, by limit, under faults.
+    Roll {
+        /// Nodes.
+        #[arg(long, default_value_t = 300, value_parser = clap::value_parser!(u16).range(2..=1000))]
+        nodes: u16,
+        /// Cache servers.
+        #[arg(long, default_value_t = 200, value_parser = clap::value_parser!(u16).range(2..=1000))]
+        servers: u16,
+        /// The seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// Plays one seed, or a run from a file. The last line is "trace HASH".
     Replay {
         /// A seed, or a file as `shrink` writes it.
@@ -212,6 +239,10 @@
     let result = match Cli::parse().command {
         Command::Run { seeds, jobs, plant, state, quiet } => run(seeds, jobs, plant, state, quiet),
         Command::Coordinators { seeds, jobs, twins } => coordinators(seeds, jobs, twins),
+        Command::Drains { seeds, jobs, twins } => drains(seeds, jobs, twins),
+        Command::Roll { nodes, servers, seed } => {
+            drains::roll(usize::from(nodes), usize::from(servers), seed, &say).map(|()| true)
+        }
         Command::Replay { run, trace, plant } => replay(&run, trace, plant),
         Command::Plants { seeds } => plants(seeds),
         Command::Scenarios { name, plant, trace } => scenarios(name.as_deref(), plant, trace),
@@ -347,59 +378,86 @@
 }
 
 /// Plays coordinators on all cores; whether no rule was broken, or every twin was found.
-fn coordinators(seeds: Range<u64>, jobs: Option<usize>, twins: bool) -> Result<bool, String> {
+/// Plays seeds on several threads until one is enough; what came of each.
+fn seeds_at_once<T: Send>(
+    seeds: &Range<u64>,
+    jobs: Option<usize>,
+    play: impl Fn(u64) -> T + Sync,
+    enough: impl Fn(&T) -> bool + Sync,
+) -> BTreeMap<u64, T> {
     let threads = jobs.unwrap_or_else(|| std::thread::available_parallelism().map_or(1, usize::from));
-    let each = |twin: Option<coordinators::Twin>| {
-        let next = std::sync::Mutex::new(seeds.clone());
-        let all = std::sync::Mutex::new(Vec::new());
-        std::thread::scope(|scope| {
-            for _ in 0..threads.max(1) {
-                scope.spawn(|| {
-                    loop {
-                        let Some(seed) = next.lock().ok().and_then(|mut n| n.next()) else { return };
-                        let played = coordinators::play(seed, twin);
-                        let found = !played.broken.is_empty();
-                        if let Ok(mut all) = all.lock() {
-                            all.push((seed, played));
-                        }
-                        // One that shows a planted mistake is enough.
-                        if twin.is_some()
-                            && found
-                            && let Ok(mut next) = next.lock()
-                        {
-                            *next = 0..0;
-                        }
+    let next = std::sync::Mutex::new(seeds.clone());
+    let all = std::sync::Mutex::new(BTreeMap::new());
+    std::thread::scope(|scope| {
+        for _ in 0..threads.max(1) {
+            scope.spawn(|| {
+                loop {
+                    let Some(seed) = next.lock().ok().and_then(|mut n| n.next()) else { return };
+                    let played = play(seed);
+                    let last = enough(&played);
+                    if let Ok(mut all) = all.lock() {
+                        all.insert(seed, played);
+                    }
+                    if last && let Ok(mut next) = next.lock() {
+                        *next = 0..0;
                     }
-                });
-            }
-        });
-        let mut all = all.into_inner().unwrap_or_default();
-        all.sort_by_key(|(seed, _)| *seed);
-        all
-    };
-    if twins {
-        let mut good = true;
-        for twin in coordinators::TWINS {
-            let all = each(Some(twin));
-            match all.iter().find(|(_, p)| !p.broken.is_empty()) {
-                Some((seed, played)) => {
-                    say(&format!("{twin:?}: found in seed {seed}: {}\n", played.broken[0]))
-                }
-                None => {
-                    good = false;
-                    say(&format!("{twin:?}: NOT found in {} seeds\n", all.len()));
                 }
+            });
+        }
+    });
+    all.into_inner().unwrap_or_default()
+}
+
+/// Plays each planted mistake until it is found; whether all were.
+fn planted_found<W: Copy + std::fmt::Debug + Sync>(
+    twins: &[W],
+    seeds: &Range<u64>,
+    jobs: Option<usize>,
+    play: impl Fn(u64, W) -> Vec<String> + Sync,
+) -> bool {
+    let mut good = true;
+    for twin in twins {
+        let all = seeds_at_once(seeds, jobs, |seed| play(seed, *twin), |broken| !broken.is_empty());
+        match all.iter().find(|(_, broken)| !broken.is_empty()) {
+            Some((seed, broken)) => say(&format!("{twin:?}: found in seed {seed}: {}\n", broken[0])),
+            None => {
+                good = false;
+                say(&format!("{twin:?}: NOT found in {} seeds\n", all.len()));
             }
         }
-        return Ok(good);
     }
-    let all = each(None);
-    let mut broken = 0;
-    for (seed, played) in all.iter().filter(|(_, p)| !p.broken.is_empty()) {
-        broken += 1;
-        say(&format!("seed {seed}: {}\n", played.broken.join("; ")));
+    good
+}
+
+/// Says which seeds are broken, and how many.
+fn broken_seeds<'a>(all: impl Iterator<Item = (&'a u64, &'a Vec<String>)>) -> usize {
+    let mut count = 0;
+    for (seed, broken) in all.filter(|(_, broken)| !broken.is_empty()) {
+        count += 1;
+        say(&format!("seed {seed}: {}\n", broken.join("; ")));
+    }
+    count
+}
+
+fn drains(seeds: Range<u64>, jobs: Option<usize>, twins: bool) -> Result<bool, String> {
+    let one = |seed, twin| drains::play(seed, drains::small(seed), false, twin);
+    if twins {
+        return Ok(planted_found(&drains::TWINS, &seeds, jobs, |seed, twin| one(seed, Some(twin)).broken));
+    }
+    let all = seeds_at_once(&seeds, jobs, |seed| one(seed, None), |_| false);
+    let broken = broken_seeds(all.iter().map(|(seed, p)| (seed, &p.broken)));
+    say(&format!("{}\n{} seeds, {broken} broken\n", drains::sum(&all), all.len()));
+    Ok(broken == 0)
+}
+
+fn coordinators(seeds: Range<u64>, jobs: Option<usize>, twins: bool) -> Result<bool, String> {
+    if twins {
+        let play = |seed, twin| coordinators::play(seed, Some(twin)).broken;
+        return Ok(planted_found(&coordinators::TWINS, &seeds, jobs, play));
     }
-    let sum = |of: fn(&coordinators::Played) -> usize| all.iter().map(|(_, p)| of(p)).sum::<usize>();
+    let all = seeds_at_once(&seeds, jobs, |seed| coordinators::play(seed, None), |_| false);
+    let broken = broken_seeds(all.iter().map(|(seed, p)| (seed, &p.broken)));
+    let sum = |of: fn(&coordinators::Played) -> usize| all.values().map(of).sum::<usize>();
     say(&format!(
         "{} grants acted, {} changes acknowledged, {} elections, {} crashes, {} full disks\n",
         sum(|p| p.grants),
