Drains: hundreds that wait are not each looked at while all places are taken

Cause: with 500 drains asked at once every command reckoned who is out once for each of them, and nodes were told of drains that only wait. Change: where all places are taken only those that have one are looked at; what waits is not told to nodes.

--- a/crates/mothpier-coordination/src/fleet/mod.rs
+++ b/crates/mothpier-coordination/src/fleet/mod.rs
@@ -629,14 +629,22 @@
 
     fn stages(&mut self, changes: &mut Vec<FleetChange>) {
         let numbers: Vec<u64> = self.drains.keys().copied().collect();
+        // Hundreds may wait: while all places are taken nobody is looked at who does not have one.
+        let mut full: BTreeMap<Kind, Option<BTreeSet<String>>> = BTreeMap::new();
         for number in &numbers {
             let Some(drain) = self.drains.get(number) else { continue };
             match drain.stage {
                 Stage::Asked => {
+                    let kind = drain.subject.kind;
+                    let taken = full.entry(kind).or_insert_with(|| self.full(kind));
+                    if !drain.force && taken.as_ref().is_some_and(|out| !out.contains(&drain.subject.id)) {
+                        continue;
+                    }
                     let may = drain.force
                         || self.halt.as_ref().is_none_or(|_| !self.holds(Condition::HaltTakesBack))
                             && self.why_not(&drain.subject).is_none();
                     if may {
+                        full.remove(&kind);
                         self.to(*number, Stage::Leaving, changes);
                     }
                 }
@@ -762,6 +770,16 @@
         out
     }
 
+    /// All that are out, where they take all places.
+    fn full(&self, kind: Kind) -> Option<BTreeSet<String>> {
+        let most = match kind {
+            Kind::Node => self.limits.nodes.out_most,
+            Kind::Server => self.limits.servers.out_most,
+        };
+        let out = self.out(kind);
+        (out.len() >= most as usize).then(|| out.into_keys().map(str::to_owned).collect())
+    }
+
     fn zone(&self, kind: Kind, id: &str) -> &str {
         match kind {
             Kind::Node => self.nodes.get(id).map_or("", |n| &n.zone),
@@ -845,7 +863,7 @@
         (mean >= u64::from(most)).then(|| format!("nodes refuse or fail {mean} percent of their requests"))
     }
 
-    /// The drains as nodes need to know them.
+    /// The drains as nodes need to know them: what only waits is nothing to them.
     pub fn told(&self) -> Vec<Told> {
         let told = |(number, d): (&u64, &Drain)| Told {
             drain: *number,
@@ -853,7 +871,7 @@
             stage: d.stage,
             turn: d.turn,
         };
-        self.drains.iter().map(told).collect()
+        self.drains.iter().filter(|(_, d)| d.stage != Stage::Asked).map(told).collect()
     }
 
     /// Whether its parts fit together.
