Node: with a fleet it lets nobody in before it knows who is out

Cause: a front holds a node for ready for up to its next question; one that was killed and began anew in that time accepted clients before it had read who is out. Change: with a block fleet nobody is let in until that is known or start_alone is over. Without the block nothing changes.

--- a/crates/mothpier/src/lib.rs
+++ b/crates/mothpier/src/lib.rs
@@ -263,6 +263,9 @@
         // Beside another process nobody is let in before this one could serve as well.
         if inherits {
             listed.until_listed().await;
+        } else {
+            // What it does not know to be out it would send to: whoever does not ask first whether it is ready waits.
+            listed.until_told().await;
         }
         accept.await;
     });
--- a/crates/mothpier/src/phase.rs
+++ b/crates/mothpier/src/phase.rs
@@ -81,6 +81,17 @@
         }
     }
 
+    /// Waits until the fleet has said who is out, or is waited for no longer.
+    pub async fn until_told(&self) {
+        loop {
+            let word = self.word();
+            if !self.untold.get() {
+                return;
+            }
+            word.await;
+        }
+    }
+
     fn is_emptied(&self) -> bool {
         self.emptied.iter().any(Cell::get)
     }
