Trials: what a trial starts ends with it, however it ends

Cause: the processes of a trial whose harness was killed ran on: 136 of them after one was ended by hand, and they took the machine from all that came behind (load 35). Change: each is started by way of the trials' own program, which asks to be killed with the thread that started it.

--- a/crates/mothpier-trials/src/main.rs
+++ b/crates/mothpier-trials/src/main.rs
@@ -50,6 +50,13 @@
     /// Measures how long things take and what they cost.
     #[command(subcommand)]
     Measure(Measure),
+    /// Becomes a program that ends when the trial does.
+    #[command(hide = true)]
+    Bound {
+        /// The program and its arguments.
+        #[arg(required = true, trailing_var_arg = true, allow_hyphen_values = true)]
+        command: Vec<std::ffi::OsString>,
+    },
     /// One that wants the lease.
     #[command(hide = true)]
     Contender(contender::Told),
@@ -341,6 +348,7 @@
 
 fn main() -> ExitCode {
     let ran = match Cli::parse().command {
+        Command::Bound { command } => Err(process::Process::become_bound(&command)),
         Command::Contender(told) => block(contender::run(told)).map(|()| true),
         Command::Measure(measured) => beside().and_then(|programs| match measured {
             Measure::Failover { members, kills, ttl_ms } => {
--- a/crates/mothpier-trials/src/process.rs
+++ b/crates/mothpier-trials/src/process.rs
@@ -1,11 +1,13 @@
 //! A process of a trial: started, stopped, gone on, killed and started again, with its log.
 
 use std::cell::RefCell;
+use std::ffi::OsString;
 use std::fs::{File, OpenOptions};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::Stdio;
 
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Signal, kill_process, set_parent_process_death_signal};
 use tokio::process::{Child, Command};
 
 /// A process, and how it is started.
@@ -43,7 +45,11 @@
             .append(true)
             .open(&self.log)
             .map_err(|e| format!("{}: {e}", self.log.display()))?;
-        let child = Command::new(&self.program)
+        // By way of this program: what it becomes ends when the trial does, however that ends.
+        let own = std::env::current_exe().map_err(|e| e.to_string())?;
+        let child = Command::new(own)
+            .args(["bound", "--"])
+            .arg(&self.program)
             .args(&self.arguments)
             .envs(self.environment.iter().cloned())
             .stdin(Stdio::null())
@@ -72,6 +78,16 @@
         }
     }
 
+    /// Becomes a program that is killed when the thread that started it is gone; gives why it could not.
+    pub fn become_bound(command: &[OsString]) -> String {
+        if let Err(e) = set_parent_process_death_signal(Some(Signal::KILL)) {
+            return e.to_string();
+        }
+        let Some((program, arguments)) = command.split_first() else { return "no program".into() };
+        let error = std::process::Command::new(program).args(arguments).exec();
+        format!("{}: {error}", program.display())
+    }
+
     /// Its number while it runs.
     pub fn id(&self) -> Option<u32> {
         self.child.borrow().as_ref().and_then(Child::id)
