Trials: staff's tools end with the trial too

Cause: four tools of a killed harness waited on for coordinators that were gone. Change: they are started as the other processes are.

--- a/crates/mothpier-trials/src/drains.rs
+++ b/crates/mothpier-trials/src/drains.rs
@@ -247,7 +247,9 @@
     /// Runs the tool; its exit code, or nothing where it was killed.
     pub async fn tool(&self, arguments: &[&str], within: Duration) -> Option<i32> {
         let at: Vec<String> = self.desk.iter().map(SocketAddr::to_string).collect();
-        let mut child = tokio::process::Command::new(&self.tool)
+        let mut child = tokio::process::Command::new(std::env::current_exe().ok()?)
+            .args(["bound", "--"])
+            .arg(&self.tool)
             .arg("fleet")
             .args(arguments)
             .env("MOTHPIER_COORDINATORS", at.join(","))
