--- a/crates/mothpier-coordination/src/fleet/mod.rs
+++ b/crates/mothpier-coordination/src/fleet/mod.rs
@@ -29,6 +29,8 @@
 pub const REASON: usize = 500;
 /// What happened is kept for so many events.
 pub const EVENTS: usize = 1_000;
+/// The latest end of a drain, ms from its grant: thirty days.
+pub const LONGEST_MS: u64 = 30 * 24 * 3600 * 1000;
 /// Names in a refusal.
 const NAMED: usize = 5;
 
@@ -375,6 +377,9 @@
         if let Some(halt) = self.halt.as_ref().filter(|_| !wanted.force) {
             return Err(FleetRefusal::Halted { word: halt.word.clone() });
         }
+        if wanted.for_ms.is_some_and(|ms| ms > LONGEST_MS) {
+            return Err(bad("a drain's latest end is at most thirty days away"));
+        }
         let fresh = Drain {
             subject: subject.clone(),
             word: word.clone(),
@@ -488,7 +493,12 @@
 
     /// Nothing more goes out, and what is on its way comes back, the latest first.
     fn stop(&mut self, word: Word, by_itself: bool, changes: &mut Vec<FleetChange>) {
-        if self.halt.is_some() {
+        if let Some(halt) = &mut self.halt {
+            // Staff's word outlasts the fleet's own: no calm ends it.
+            if halt.by_itself && !by_itself {
+                (halt.word, halt.by_itself) = (word.clone(), false);
+                self.happened(None, "halted by staff as well", Some(word));
+            }
             return;
         }
         let number = self.number();
--- a/crates/mothpier-coordination/tests/fleet.rs
+++ b/crates/mothpier-coordination/tests/fleet.rs
@@ -306,8 +306,18 @@
     assert_eq!(ask(&mut fleet, "staff", resume.clone()), Err(FleetRefusal::NotHalted));
     ask(&mut fleet, "staff", FleetAsk::Halt { word: word("storm") }).unwrap();
     assert!(!calm(&fleet), "staff's halt ends by staff's word alone");
-    ask(&mut fleet, "staff", resume).unwrap();
+    ask(&mut fleet, "staff", resume.clone()).unwrap();
     assert_eq!(fleet.halt, None);
+    // Staff halt a fleet that has halted itself: no calm ends that.
+    out(&mut fleet, of("b3"), true, false).unwrap();
+    reports(&mut fleet, "n1", true, Some(&["a1"]));
+    reports(&mut fleet, "n2", true, Some(&["a1"]));
+    assert!(fleet.halt.as_ref().is_some_and(|h| h.by_itself));
+    ask(&mut fleet, "staff", FleetAsk::Halt { word: word("look first") }).unwrap();
+    reports(&mut fleet, "n1", true, Some(&SERVERS));
+    reports(&mut fleet, "n2", true, Some(&SERVERS));
+    assert!(!calm(&fleet) && fleet.halt.as_ref().is_some_and(|h| h.word.reason == "look first"));
+    ask(&mut fleet, "staff", resume).unwrap();
 }
 
 #[test]
@@ -372,6 +382,15 @@
         let refused = ask(&mut fleet, session, what).unwrap_err().to_string();
         assert!(refused.contains(says), "{refused}");
     }
+    let endless = FleetAsk::Drain {
+        subject: Subject::server("a1"),
+        word: word("w"),
+        for_ms: Some(u64::MAX),
+        then: Then::Back,
+        wait: false,
+        force: true,
+    };
+    assert!(ask(&mut fleet, "staff", endless).unwrap_err().to_string().contains("thirty days"));
     assert_eq!(fleet, before);
     let many: Vec<Listed> =
         (0..3000).map(|i| Listed { id: format!("s{i}"), zone: String::new(), up_since_ms: 0 }).collect();
