Node: a fleet that refuses it is asked again after a pause, not at once

Cause, found on reading: a node that could not join (a fleet that is full) opened one session after another without a pause.

--- a/crates/mothpier/src/drains.rs
+++ b/crates/mothpier/src/drains.rs
@@ -179,14 +179,13 @@
                 continue;
             }
             let name = format!("node:{}:{}", self.node, self.client.draw_name());
-            match Session::open(self.client.clone(), name, ttl, ttl).await {
-                Ok(session) => {
-                    if let Err(why) = self.report(&session).await {
-                        self.net().log(format_args!("out of the fleet's sight: {why}"));
-                    }
-                }
-                Err(_) => self.net().sleep(AGAIN).await,
+            // That there are no coordinators is said by those who wait for what the fleet says.
+            if let Ok(session) = Session::open(self.client.clone(), name, ttl, ttl).await
+                && let Err(why) = self.report(&session).await
+            {
+                self.net().log(format_args!("out of the fleet's sight: {why}"));
             }
+            self.net().sleep(AGAIN).await;
         }
     }
 
