--- a/crates/mothpier/tests/operations.rs
+++ b/crates/mothpier/tests/operations.rs
@@ -119,30 +119,36 @@
     let discovery = Discovery::start(&members("ready"));
     let node = start("hand", &discovery);
     let mut client = node.client();
-    assert!((0..50).map(|i| read(&mut client, i)).any(|a| a == "$one"), "no key belongs to the first");
+    let mut reads = 0;
+    let mut read = |i| {
+        reads += 1;
+        read(&mut client, i)
+    };
+    assert!((0..50).any(|i| read(i) == "$one"), "no key belongs to the first");
     assert_eq!(node.figure("edge_router_members_unavailable"), 0);
     for _ in 0..2 {
         assert_eq!(node.call("POST", "/api/exclude", "s-1\n").0, 200);
     }
     to_one.try_iter().count();
-    assert!((50..100).all(|i| read(&mut client, i) == "$two"));
+    assert!((50..100).all(|i| read(i) == "$two"));
     // Listed anew, gone and back: the hand has the last word.
     let lists = [members("ready"), member("s-2", two, "m", "ready"), members("draining"), members("ready")];
     for (i, list) in lists.iter().enumerate() {
         discovery.change(2 + i as u64, list);
         discovery.watched_after(2 + i as u64);
-        assert!((0..20).all(|k| read(&mut client, 1000 * (i + 1) + k) == "$two"), "list {i}");
+        assert!((0..20).all(|k| read(1000 * (i + 1) + k) == "$two"), "list {i}");
     }
     assert_eq!(to_one.try_iter().count(), 0, "something went to a server that is out");
     assert_eq!(node.figure("edge_router_members"), 2);
     assert_eq!(node.figure("edge_router_members_unavailable"), 1);
     assert_eq!(node.call("POST", "/api/include", "s-1").0, 200);
     assert_eq!(node.figure("edge_router_members_unavailable"), 0);
-    let served = (0..2000).any(|i| read(&mut client, 10_000 + i) == "$one");
+    let served = (0..2000).any(|i| read(10_000 + i) == "$one");
     assert!(served, "it came back cold and gets a part of its keys");
     let ended: u64 = node.figure("edge_router_downstream_requests_total{lane=\"read\",result=\"completed\"}");
     let attempts = node.figure("edge_router_upstream_requests_total");
-    assert!(ended >= 180 && attempts >= ended, "{ended} {attempts}");
+    // How many it took until the first one served is chance.
+    assert!(ended == reads && attempts >= ended, "{reads} {ended} {attempts}");
     assert_eq!(node.figure("edge_router_pending"), 0);
 }
 
