--- a/crates/mothpier-coordination/src/fleet/mod.rs
+++ b/crates/mothpier-coordination/src/fleet/mod.rs
@@ -395,15 +395,14 @@
         };
         let how = if wanted.force { "asked, past the limits" } else { "asked" };
         if let Some((number, drain)) = self.drain_of(subject) {
-            let (stage, asked_back) = (drain.stage, drain.back.is_some());
+            let (stage, turn, asked_back) = (drain.stage, drain.turn, drain.back.is_some());
             let again = matches!(stage, Stage::Returning | Stage::Cold) || asked_back;
             if !(again || wanted.force && stage == Stage::Asked) {
                 return Err(FleetRefusal::Already { number, stage });
             }
             self.happened(Some(subject.clone()), how, Some(word.clone()));
             // It counts as out already, so that no limit is passed.
-            let (turn, touched) = (drain_turn(&self.drains, number), true);
-            self.drains.insert(number, Drain { stage, turn, touched, ..fresh });
+            self.drains.insert(number, Drain { stage, turn, touched: true, ..fresh });
             if stage != Stage::Asked && stage != Stage::Out {
                 self.to(number, Stage::Leaving, changes);
             }
@@ -509,16 +508,16 @@
             self.drains.iter().filter(|(_, d)| d.stage == stage && !d.force).map(|(n, _)| *n).collect()
         };
         let (asked, leaving) = (of(Stage::Asked), of(Stage::Leaving));
-        for number in asked.into_iter().filter(|_| self.holds(Condition::HaltTakesBack)).collect::<Vec<_>>() {
-            let subject = self.drains.get(&number).map(|d| d.subject.clone());
-            self.happened(subject, "taken back by the halt", None);
-            self.ended(number, changes);
-        }
-        for number in leaving.into_iter().rev() {
-            if self.holds(Condition::HaltBringsBack) {
-                self.wants_back(number);
+        if self.holds(Condition::HaltTakesBack) {
+            for number in asked {
+                let subject = self.drains.get(&number).map(|d| d.subject.clone());
+                self.happened(subject, "taken back by the halt", None);
+                self.ended(number, changes);
             }
         }
+        if self.holds(Condition::HaltBringsBack) {
+            leaving.into_iter().rev().for_each(|number| self.wants_back(number));
+        }
     }
 
     /// What is due after a time, as a leader saw it.
@@ -902,7 +901,3 @@
     wait: bool,
     force: bool,
 }
-
-fn drain_turn(drains: &BTreeMap<u64, Drain>, number: u64) -> u64 {
-    drains.get(&number).map_or(0, |d| d.turn)
-}
