--- a/crates/mothpier-coordinator/src/door.rs
+++ b/crates/mothpier-coordinator/src/door.rs
@@ -25,7 +25,7 @@
 use serde_json::json;
 
 use crate::Member;
-use crate::core::Ended;
+use crate::core::{Core, Ended};
 
 /// Connections that are let in at once.
 const CALLERS: usize = 1024;
@@ -41,8 +41,6 @@
 const WATCH: Duration = Duration::from_secs(60);
 /// Changes in one answer to a watch.
 const CHANGES: usize = 512;
-/// Why what is held can't be told.
-const NOT_CONFIRMED: &str = "a majority did not confirm that this member leads";
 type Reply = Response<Full<Bytes>>;
 
 /// Those who are in, the first one first.
@@ -106,10 +104,10 @@
         (&Method::POST, "/v1/command") => command(member, request).await,
         (&Method::POST, "/v1/members") => members(member, request).await,
         (&Method::POST, "/raft") => messages(member, request).await,
-        (&Method::GET, "/v1/leases") => leases(member).await,
-        (&Method::GET, "/v1/values") => values(member).await,
-        (&Method::GET, "/v1/fleet") => fleet(member).await,
-        (&Method::GET, "/v1/drains") => drains(member).await,
+        (&Method::GET, "/v1/leases") => shown(member, |core| leases(core, member.now())).await,
+        (&Method::GET, "/v1/values") => shown(member, values).await,
+        (&Method::GET, "/v1/fleet") => shown(member, fleet).await,
+        (&Method::GET, "/v1/drains") => shown(member, drains).await,
         (&Method::GET, "/v1/watch") => watch(member, &query).await,
         (&Method::GET, "/v1/status") => said(StatusCode::OK, &member.status()),
         (&Method::GET, "/metrics") => text(StatusCode::OK, member.figures()),
@@ -198,12 +196,16 @@
     said(StatusCode::OK, &json!({}))
 }
 
-async fn leases<N: Net>(member: &Rc<Member<N>>) -> Reply {
+/// Shows something of what is agreed, once a majority has confirmed that this member leads.
+async fn shown<N: Net, T: Serialize>(member: &Member<N>, show: impl FnOnce(&Core) -> T) -> Reply {
     if !member.confirmed(COMMIT).await {
-        return failed(member, Error::NotLeader, NOT_CONFIRMED.into());
+        let why = "a majority did not confirm that this member leads";
+        return failed(member, Error::NotLeader, why.into());
     }
-    let now = member.now();
-    let core = member.core.borrow();
+    said(StatusCode::OK, &show(&member.core.borrow()))
+}
+
+fn leases(core: &Core, now: u64) -> Leases {
     let agreed = core.agreed();
     let leases = agreed.leases().iter().map(|(name, lease)| {
         let session = agreed.session(&lease.holder);
@@ -217,34 +219,19 @@
             waiting: lease.waiting.iter().cloned().collect(),
         }
     });
-    let all = Leases { revision: agreed.revision(), floors: agreed.floors(), leases: leases.collect() };
-    said(StatusCode::OK, &all)
+    Leases { revision: agreed.revision(), floors: agreed.floors(), leases: leases.collect() }
 }
 
-async fn values<N: Net>(member: &Rc<Member<N>>) -> Reply {
-    if !member.confirmed(COMMIT).await {
-        return failed(member, Error::NotLeader, NOT_CONFIRMED.into());
-    }
-    let core = member.core.borrow();
-    said(StatusCode::OK, &json!({"revision": core.agreed().revision(), "values": core.agreed().values()}))
+fn values(core: &Core) -> serde_json::Value {
+    json!({"revision": core.agreed().revision(), "values": core.agreed().values()})
 }
 
-async fn fleet<N: Net>(member: &Rc<Member<N>>) -> Reply {
-    if !member.confirmed(COMMIT).await {
-        return failed(member, Error::NotLeader, NOT_CONFIRMED.into());
-    }
-    let core = member.core.borrow();
-    let agreed = core.agreed();
-    said(StatusCode::OK, &FleetShown { revision: agreed.revision(), fleet: agreed.fleet().clone() })
+fn fleet(core: &Core) -> FleetShown {
+    FleetShown { revision: core.agreed().revision(), fleet: core.agreed().fleet().clone() }
 }
 
-async fn drains<N: Net>(member: &Rc<Member<N>>) -> Reply {
-    if !member.confirmed(COMMIT).await {
-        return failed(member, Error::NotLeader, NOT_CONFIRMED.into());
-    }
-    let core = member.core.borrow();
-    let agreed = core.agreed();
-    said(StatusCode::OK, &Drains { revision: agreed.revision(), drains: agreed.fleet().told() })
+fn drains(core: &Core) -> Drains {
+    Drains { revision: core.agreed().revision(), drains: core.agreed().fleet().told() }
 }
 
 async fn watch<N: Net>(member: &Rc<Member<N>>, query: &str) -> Reply {
