Simulation: a roll over 300 nodes and 200 cache servers comes to its end

Cause: each of 500 people looked through all drains every 20 ms: 100 s brought no row. Change: staff look every 100 ms, all at one screen; the options of two commands stand once.

--- a/crates/mothpier-sim/src/drains.rs
+++ b/crates/mothpier-sim/src/drains.rs
@@ -120,6 +120,9 @@
     state: Doing,
 }
 
+/// What staff see of drains: how far each subject's is, and whether it is to come back.
+type Screen = BTreeMap<Subject, (Stage, bool)>;
+
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum Doing {
     Waits,
@@ -249,8 +252,14 @@
             for i in 0..self.machines.len() {
                 self.machine(i);
             }
-            for i in 0..self.people.len() {
-                self.person(i);
+            // They look as often as nodes do, all of them at the same screen: hundreds wait at once.
+            if self.now.is_multiple_of(LOOK) && self.away_until <= self.now {
+                let drains = self.fleet.drains.values();
+                let screen: Screen =
+                    drains.map(|d| (d.subject.clone(), (d.stage, d.back.is_some()))).collect();
+                for i in 0..self.people.len() {
+                    self.person(i, &screen);
+                }
             }
             self.judge();
             if self.is_done() {
@@ -507,16 +516,16 @@
     }
 
     /// A person's share of a step.
-    fn person(&mut self, i: usize) {
+    fn person(&mut self, i: usize, screen: &Screen) {
         let (subject, state, hasty) =
             (self.people[i].subject.clone(), self.people[i].state, self.people[i].hasty);
-        if self.people[i].at > self.now || self.away_until > self.now {
+        if self.people[i].at > self.now {
             return;
         }
         if state == Doing::Done {
             return;
         }
-        let drain = self.fleet.drain_of(&subject).map(|(_, d)| (d.stage, d.back.is_some()));
+        let drain = screen.get(&subject).copied();
         self.people[i].state = match (state, drain) {
             (Doing::Waits, _) => {
                 let ask = FleetAsk::Drain {
@@ -540,10 +549,7 @@
                 self.people[i].at = self.now + 500;
                 Doing::Waits
             }
-            (Doing::Asked(since), Some((Stage::Asked, _))) if !hasty => {
-                let _ = since;
-                Doing::Asked(self.now)
-            }
+            (Doing::Asked(_), Some((Stage::Asked, _))) if !hasty => Doing::Asked(self.now),
             (Doing::Asked(since), Some((Stage::Out, false))) => {
                 self.played.outs += 1;
                 self.played.to_out.push(self.now - since);
--- a/crates/mothpier-sim/src/main.rs
+++ b/crates/mothpier-sim/src/main.rs
@@ -28,7 +28,7 @@
 use std::process::ExitCode;
 use std::thread;
 
-use clap::{Parser, Subcommand};
+use clap::{Args, Parser, Subcommand};
 use mothpier::Plant;
 
 use many::Job;
@@ -45,6 +45,20 @@
     command: Command,
 }
 
+/// Seeds of a world of its own, and its planted mistakes.
+#[derive(Args)]
+struct Many {
+    /// The first seed and the one behind the last.
+    #[arg(long, value_name = "FROM..TO", value_parser = seeds)]
+    seeds: Range<u64>,
+    /// Threads; as many as cores when not told.
+    #[arg(long)]
+    jobs: Option<usize>,
+    /// Leaves one condition out after the other, each until that is found.
+    #[arg(long)]
+    twins: bool,
+}
+
 #[derive(Subcommand)]
 enum Command {
     /// Plays many seeds on all cores. The last line is "N seeds, N broken".
@@ -67,30 +81,10 @@
     },
     /// Plays coordinators, holders of a lease and those who obey, against faults of links, machines, clocks and disks. The
     /// last line is "N seeds, N broken".
-    Coordinators {
-        /// The first seed and the one behind the last.
-        #[arg(long, value_name = "FROM..TO", value_parser = seeds)]
-        seeds: Range<u64>,
-        /// Threads; as many as cores when not told.
-        #[arg(long)]
-        jobs: Option<usize>,
-        /// Leaves one condition out after the other, each until that is found.
-        #[arg(long)]
-        twins: bool,
-    },
+    Coordinators(Many),
     /// Plays the fleet's agreement on drains: nodes that are cut off and crash, leaders that change, staff who take cache
     /// servers and nodes out and back. The last line is "N seeds, N broken".
-    Drains {
-        /// The first seed and the one behind the last.
-        #[arg(long, value_name = "FROM..TO", value_parser = seeds)]
-        seeds: Range<u64>,
-        /// Threads; as many as cores when not told.
-        #[arg(long)]
-        jobs: Option<usize>,
-        /// Leaves one condition out after the other, each until that is found.
-        #[arg(long)]
-        twins: bool,
-    },
+    Drains(Many),
     /// Measures how long it takes to take every cache server and node of a fleet out and back, by limit, under faults.
     Roll {
         /// Nodes.
@@ -238,8 +232,8 @@
     std::panic::set_hook(Box::new(|_| {}));
     let result = match Cli::parse().command {
         Command::Run { seeds, jobs, plant, state, quiet } => run(seeds, jobs, plant, state, quiet),
-        Command::Coordinators { seeds, jobs, twins } => coordinators(seeds, jobs, twins),
-        Command::Drains { seeds, jobs, twins } => drains(seeds, jobs, twins),
+        Command::Coordinators(Many { seeds, jobs, twins }) => coordinators(seeds, jobs, twins),
+        Command::Drains(Many { seeds, jobs, twins }) => drains(seeds, jobs, twins),
         Command::Roll { nodes, servers, seed } => {
             drains::roll(usize::from(nodes), usize::from(servers), seed, &say).map(|()| true)
         }
