--- a/crates/mothpier-trials/src/drains.rs
+++ b/crates/mothpier-trials/src/drains.rs
@@ -62,6 +62,8 @@
     pub servers: usize,
     /// Drains that staff ask for.
     pub people: usize,
+    /// Planted: staff say of every node that is out of sight that it does not run any more.
+    pub guesses: bool,
 }
 
 /// What came of a trial.
@@ -73,6 +75,8 @@
     pub most: (usize, usize),
     /// Times in which a cache server was out, and drains of nodes that got there.
     pub outs: (usize, usize),
+    /// Staff asked for something.
+    pub asked: bool,
     /// All back, and everybody serves.
     pub healed: bool,
     /// Requests, those answered with their value in time, and answers that were not for their request.
@@ -100,6 +104,9 @@
         if self.answers.2 > 0 {
             wrong.push(format!("{} answers that were not for their request", self.answers.2));
         }
+        if self.asked && self.outs == (0, 0) {
+            wrong.push("nothing was ever out: this shows nothing".into());
+        }
         if !self.ended.is_empty() {
             wrong.push(format!("ended by themselves: {:?}", self.ended));
         }
@@ -315,17 +322,33 @@
         }
     }
 
-    /// The last shift: a drain whose asker was killed while its word was on its way belongs to nobody. Whether there is none
-    /// left.
-    async fn last_shift(&self) -> bool {
+    /// What the coordinators tell of the fleet.
+    async fn fleet_told(&self) -> Option<Fleet> {
         let at: Vec<String> = self.desk.iter().map(SocketAddr::to_string).collect();
         let asked = tokio::process::Command::new(&self.tool)
             .args(["--format", "json", "fleet", "status", "--cluster", "trial", "--coordinators"])
             .arg(at.join(","))
             .kill_on_drop(true)
             .output();
-        let Ok(Ok(output)) = tokio::time::timeout(PATIENCE, asked).await else { return false };
-        let Ok(fleet) = serde_json::from_slice::<Fleet>(&output.stdout) else { return false };
+        let output = tokio::time::timeout(PATIENCE, asked).await.ok()?.ok()?;
+        serde_json::from_slice(&output.stdout).ok()
+    }
+
+    /// Planted: whoever is out of sight is said to be gone.
+    async fn guess(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(LOOK).await;
+            let Some(fleet) = self.fleet_told().await else { continue };
+            for (name, _) in fleet.nodes.iter().filter(|(_, n)| n.session.is_none()) {
+                self.tool(&["forget", "node", name, "--reason", "a guess"], PATIENCE).await;
+            }
+        }
+    }
+
+    /// The last shift: a drain whose asker was killed while its word was on its way belongs to nobody. Whether there is none
+    /// left.
+    async fn last_shift(&self) -> bool {
+        let Some(fleet) = self.fleet_told().await else { return false };
         for drain in fleet.drains.values().filter(|d| d.stage <= Stage::Out && d.back.is_none()) {
             let number = drain.subject.id.rsplit('-').next().and_then(|n| n.parse().ok());
             if let Some(number) = number {
@@ -474,6 +497,9 @@
         running.push(spawn_local(world.clone().client(number, Dice::part(plan.seed, 1000 + number as u64))));
     }
     settled(&world, crowd, how).await?;
+    if crowd.guesses {
+        running.push(spawn_local(world.clone().guess()));
+    }
     world.answers.set((0, 0, 0));
     let mut people = Vec::new();
     for person in 0..crowd.people {
@@ -539,6 +565,7 @@
         sent_to_out: drains_judge::sent_to_out(&outs, &sent, GRACE_US),
         most: (drains_judge::most_drained(&world.asked.borrow()), kept_out.max().unwrap_or(0)),
         outs: (outs.len(), world.nodes_out.get()),
+        asked: crowd.people > 0,
         healed,
         answers,
         ended,
--- a/crates/mothpier-trials/src/main.rs
+++ b/crates/mothpier-trials/src/main.rs
@@ -18,7 +18,7 @@
 use std::process::ExitCode;
 
 use clap::{Args, Parser, Subcommand};
-use plan::{Plan, Size};
+use plan::{Plan, Size, Who};
 use trial::{How, Played};
 
 /// Trials of several real processes: started, cut off, delayed, stopped, killed and started again by a plan that a seed
@@ -103,6 +103,9 @@
     /// For how long things go wrong.
     #[arg(long, default_value_t = 8000)]
     ms: u64,
+    /// Planted: staff say of every node that is out of sight that it is gone. Trials must find what that node sends.
+    #[arg(long)]
+    plant_guesses: bool,
     /// Keeps every process's log, in a folder for each seed.
     #[arg(long)]
     keep: Option<PathBuf>,
@@ -220,9 +223,13 @@
         let kept = of.keep.as_ref().map(|keep| keep.join(seed.to_string()));
         let at = kept.unwrap_or_else(|| folder.path().to_owned());
         let how = how(of.programs.as_ref(), at, lane, &["mothpier", "mothpier-coordinator", "mothpierctl"])?;
-        let crowd = drains::Crowd { servers: of.servers, people: of.people };
-        let played = block(drains::play(&Plan::draw(seed, size), crowd, &how));
-        if played.as_ref().is_ok_and(|p| !p.wrong().is_empty()) {
+        let crowd = drains::Crowd { servers: of.servers, people: of.people, guesses: of.plant_guesses };
+        let mut plan = Plan::draw(seed, size);
+        if of.plant_guesses {
+            plan.cut_off(Who::Node(0));
+        }
+        let played = block(drains::play(&plan, crowd, &how));
+        if !of.plant_guesses && played.as_ref().is_ok_and(|p| !p.wrong().is_empty()) {
             // What went wrong once may not do so again.
             println!("seed {seed}: kept in {}", folder.keep().display());
         }
@@ -246,7 +253,9 @@
             }
             Err(why) => println!("seed {seed}: not played: {why}"),
         }
-        (played, false)
+        // One that shows the planted mistake is enough.
+        let enough = of.plant_guesses && played.as_ref().is_ok_and(|p| !p.sent_to_out.is_empty());
+        (played, enough)
     })?;
     let good = played.iter().filter(|(_, p)| p.as_ref().is_ok_and(|p| p.wrong().is_empty())).count();
     let sum = |of: fn(&drains::Played) -> u64| -> u64 {
@@ -260,6 +269,12 @@
         100.0 * sum(|p| p.answers.1) as f64 / sum(|p| p.answers.0).max(1) as f64,
         sum(|p| p.answers.0),
     );
+    if of.plant_guesses {
+        let found = |p: &Result<drains::Played, String>| p.as_ref().is_ok_and(|p| !p.sent_to_out.is_empty());
+        let first = played.iter().filter(|(_, p)| found(p)).map(|(seed, _)| *seed).min();
+        println!("planted: {}", first.map_or("NOT found".into(), |seed| format!("found, by seed {seed}")));
+        return Ok(first.is_some());
+    }
     Ok(good == played.len())
 }
 
--- a/crates/mothpier-trials/src/opening.rs
+++ b/crates/mothpier-trials/src/opening.rs
@@ -34,7 +34,7 @@
 pub async fn measure(how: &How, nodes: usize, servers: usize, coordinators: usize) -> Result<(), String> {
     let size = Size { coordinators, nodes, contenders: 1, ms: 0, ttl_ms: 1500 };
     let plan = Plan { seed: 0, size, faults: Vec::new() };
-    let crowd = Crowd { servers, people: 0 };
+    let crowd = Crowd { servers, people: 0, guesses: false };
     std::fs::create_dir_all(&how.folder).map_err(|e| e.to_string())?;
     let world = started(&plan, crowd, how).await?;
     let mut running = Vec::new();
--- a/crates/mothpier-trials/src/plan.rs
+++ b/crates/mothpier-trials/src/plan.rs
@@ -134,6 +134,17 @@
         faults.sort_by_key(|(at, _)| *at);
         Plan { seed, size, faults }
     }
+
+    /// One is cut off for nearly all of the time, and nothing else befalls it.
+    pub fn cut_off(&mut self, who: Who) {
+        let befalls = |fault: &Fault| {
+            matches!(fault, Fault::Links(w, _) | Fault::Kill(w, _) | Fault::Stop(w, _) if *w == who)
+                || matches!(fault, Fault::Link(one, other, _) if *one == who || *other == who)
+        };
+        self.faults.retain(|(_, fault)| !befalls(fault));
+        self.faults.insert(0, (0, Fault::Links(who, Way::Cut)));
+        self.faults.push((self.size.ms, Fault::Links(who, Way::Open)));
+    }
 }
 
 #[cfg(test)]
