Servers: an attempt leaves the record only as its last word is said; half-written ones end

Need: what a node concludes from a missing record must be true. Seen by reading, then forced on real sockets with an event queue of one place: (1) drive()'s reader took an answer off `sent` and then waited for the queue; give_up() found nothing in that moment and called the attempt never sent, which lets an unsafe one go again; Pool::open did the same with the whole line before Down. (2) In the same moment the connection counted as carrying nothing: close_idle, listed and tidy dropped it, and its task ended with the answer unsaid. (3) An attempt given up while half written kept its connection, so where one attempt at a time is allowed it could arrive whole beside the next.

Change: a place in the queue is had first, then the record goes and the word is said at once; give_up says 'never sent' only of what it finds unsent; a half-written attempt that is given up or taken back ends its connection where nobody else waits on it, and is flagged where somebody does.

--- a/crates/mothpier/src/servers.rs
+++ b/crates/mothpier/src/servers.rs
@@ -115,8 +115,8 @@
     /// What came last makes it useless: it is about to end.
     ending: bool,
     unsent: VecDeque<Command>,
-    /// Begun to be written.
-    writing: Option<AttemptId>,
+    /// Begun to be written, and whether the node waits for it no longer.
+    writing: Option<(AttemptId, bool)>,
     /// In order.
     sent: VecDeque<Sent>,
     /// A large value is on its way: what is written behind it waits for its reader.
@@ -130,7 +130,16 @@
 
     /// Whether something given up is ahead: what is written behind it may wait for ever.
     fn stalled(&self) -> bool {
-        self.passing || self.sent.iter().any(|s| s.given_up)
+        self.passing
+            || self.writing.is_some_and(|(_, given_up)| given_up)
+            || self.sent.iter().any(|s| s.given_up)
+    }
+
+    /// Whether nothing on it is waited for any more.
+    fn deserted(&self) -> bool {
+        self.unsent.is_empty()
+            && self.writing.is_none_or(|(_, given_up)| given_up)
+            && self.sent.iter().all(|s| s.given_up || s.owed == Owed::Word)
     }
 }
 
@@ -398,50 +407,56 @@
         ended
     }
 
-    /// Takes back an attempt that has not begun to be written; whether it had not.
+    /// Takes back an attempt that has not been written whole; whether it had not, and never will be. What is half
+    /// written can be taken back only with its connection, and that only where nobody else waits on it.
     pub fn withdraw(&mut self, server: ServerId, attempt: AttemptId) -> bool {
         let server = self.present(server);
         let Some(pool) = self.pools.get_mut(&server) else { return false };
-        let waiting = pool.waiting.len();
-        pool.waiting.retain(|c| c.attempt != attempt);
-        let mut taken = pool.waiting.len() < waiting;
-        for c in &pool.connections {
-            let unsent = &mut c.shared.line.borrow_mut().unsent;
-            let before = unsent.len();
-            unsent.retain(|c| c.attempt != attempt);
-            taken |= unsent.len() < before;
-        }
+        let mut taken = pool.unsent(attempt);
+        pool.connections.retain(|c| {
+            let mut line = c.shared.line.borrow_mut();
+            let Some((_, given_up)) = line.writing.as_mut().filter(|(id, _)| *id == attempt) else {
+                return true;
+            };
+            *given_up = true;
+            let ends = line.deserted();
+            taken |= ends;
+            !ends
+        });
         self.tidy(server);
         taken
     }
 
-    /// Stops waiting for an attempt; whether it may have run. Others on its connection go on: it is closed
-    /// only when nothing else is left on it.
+    /// Stops waiting for an attempt; whether it may have run. Only what is found unsent has not: that nothing is on
+    /// record proves nothing, for a connection's last word of it may be on its way here. Others on its connection go
+    /// on: it is closed only when nothing else is left on it.
     pub fn give_up(&mut self, server: ServerId, attempt: AttemptId) -> bool {
         let server = self.present(server);
-        let Some(pool) = self.pools.get_mut(&server) else { return false };
-        pool.waiting.retain(|c| c.attempt != attempt);
-        let mut written = false;
+        let Some(pool) = self.pools.get_mut(&server) else { return true };
+        let mut unsent = pool.unsent(attempt);
         pool.connections.retain(|c| {
             let mut line = c.shared.line.borrow_mut();
-            line.unsent.retain(|c| c.attempt != attempt);
             if planted(Plant::ShiftedAnswers) {
-                let before = line.sent.len();
                 line.sent.retain(|s| s.attempt != attempt);
-                written |= line.sent.len() < before;
                 return true;
             }
-            let mut was_sent = false;
+            let mut here = false;
             for s in line.sent.iter_mut().filter(|s| s.attempt == attempt) {
                 s.given_up = true;
-                was_sent |= s.owed != Owed::Word;
+                here |= s.owed != Owed::Word;
             }
-            written |= was_sent || line.writing == Some(attempt);
-            let idle = line.unsent.is_empty() && line.writing.is_none();
-            !(was_sent && idle && line.sent.iter().all(|s| s.given_up || s.owed == Owed::Word))
+            let mut half_written = false;
+            if let Some((_, given_up)) = line.writing.as_mut().filter(|(id, _)| *id == attempt) {
+                *given_up = true;
+                half_written = true;
+            }
+            let ends = (here || half_written) && line.deserted();
+            // With its connection goes the rest of it.
+            unsent |= ends && half_written;
+            !ends
         });
         self.tidy(server);
-        written
+        !unsent
     }
 
     /// Closes the connections to a server that carry nothing.
@@ -467,17 +482,33 @@
         let machine = net.clone();
         let task = net.spawn(async move {
             let refused = drive(&machine, number, address, &limits, &line, &events).await;
+            // Nothing new goes there; what it carries stays on record until the node can be told of its end.
+            line.line.borrow_mut().ending = true;
+            let Ok(place) = events.reserve().await else { return };
             let mut state = std::mem::take(&mut *line.line.borrow_mut());
+            line.line.borrow_mut().ending = true;
             let written = state.sent.drain(..).filter(|s| s.owed != Owed::Word).map(|s| s.attempt).collect();
-            let unwritten =
-                state.writing.take().into_iter().chain(state.unsent.drain(..).map(|c| c.attempt)).collect();
+            let unwritten = state.writing.take().map(|(attempt, _)| attempt).into_iter();
+            let unwritten = unwritten.chain(state.unsent.drain(..).map(|c| c.attempt)).collect();
             let event = Event::Down { refused, written, unwritten };
-            let _ = events.send(Input::Server { server: line.server.get(), number, event }).await;
+            place.send(Input::Server { server: line.server.get(), number, event });
         });
         let used = net.now();
         self.connections.push(Connection { number, shared, task, used, retired: false, all });
     }
 
+    /// Takes out an attempt that has not begun to be written; whether there was one.
+    fn unsent(&mut self, attempt: AttemptId) -> bool {
+        let take = |from: &mut VecDeque<Command>| {
+            let before = from.len();
+            from.retain(|c| c.attempt != attempt);
+            from.len() < before
+        };
+        self.connections
+            .iter()
+            .fold(take(&mut self.waiting), |taken, c| take(&mut c.shared.line.borrow_mut().unsent) || taken)
+    }
+
     /// Puts an attempt behind others on the connection with the fewest that is not held up.
     fn append(&mut self, command: Command, multiplex: usize, now: Instant) -> bool {
         let line = |c: &Connection<N>| {
@@ -647,8 +678,8 @@
     };
     stream.set_nodelay();
     shared.line.borrow_mut().up = true;
-    let told = |event| events.send(Input::Server { server: shared.server.get(), number, event });
-    if told(Event::Up).await.is_err() {
+    let input = |event| Input::Server { server: shared.server.get(), number, event };
+    if events.send(input(Event::Up)).await.is_err() {
         return false;
     }
     let (reading, mut writing) = stream.split();
@@ -666,7 +697,7 @@
                 begun = None;
                 let attempt = shared.line.borrow().sent.front().map(|s| s.attempt).unwrap_or_default();
                 let (put, value) = Passing::of(large.length);
-                if told(Event::Began(attempt, value)).await.is_err() {
+                if events.send(input(Event::Began(attempt, value))).await.is_err() {
                     return;
                 }
                 let Some(frame) =
@@ -674,10 +705,9 @@
                 else {
                     return;
                 };
+                let Ok(place) = events.reserve().await else { return };
                 shared.line.borrow_mut().sent.pop_front();
-                if told(Event::Answer(attempt, frame)).await.is_err() {
-                    return;
-                }
+                place.send(input(Event::Answer(attempt, frame)));
                 continue;
             }
             let taken = resp::take_frame(&mut buffer);
@@ -705,6 +735,10 @@
                 }
             }
             begun = None;
+            // It leaves the record in the moment in which the word of it is on its way: between the two nobody would
+            // know of it, and what may have run would count as never sent.
+            let word = shared.line.borrow().sent.front().is_some_and(|s| s.owed == Owed::Word);
+            let place = if word { None } else { events.reserve().await.ok() };
             let Some(sent) = shared.line.borrow_mut().sent.pop_front() else { return };
             if sent.owed == Owed::Word {
                 // What it says of the command itself follows: an error here shows there.
@@ -722,7 +756,9 @@
             // Before the node hears of it, which may have something more to write.
             let waits = !shared.line.borrow().sent.is_empty();
             shared.line.borrow_mut().ending = !good || !(buffer.is_empty() || waits);
-            if told(event).await.is_err() || !good {
+            let Some(place) = place else { return };
+            place.send(input(event));
+            if !good {
                 return net.log(format_args!("{address}: an answer that can't be read"));
             }
         }
@@ -742,7 +778,7 @@
             net.yield_now().await;
             let next = shared.line.borrow_mut().unsent.pop_front();
             let Some(Command { attempt, mut bytes, probe, asking }) = next else { continue };
-            shared.line.borrow_mut().writing = Some(attempt);
+            shared.line.borrow_mut().writing = Some((attempt, false));
             if asking {
                 // In one write, so that nothing comes between; on record before, for it may be answered while the
                 // command behind it is still being written.
@@ -755,12 +791,12 @@
             }
             // No await since the last byte was written: it is on record before an answer can be read.
             let mut line = shared.line.borrow_mut();
-            line.writing = None;
+            let given_up = line.writing.take().is_some_and(|(_, given_up)| given_up);
             let owed = if probe { Owed::Report } else { Owed::Answer };
             if !probe {
                 limits.figures.attempt();
             }
-            line.sent.push_back(Sent { attempt, owed, given_up: false });
+            line.sent.push_back(Sent { attempt, owed, given_up });
         }
     };
     // The reader first: a close by the server is noticed before anything more is written to it.
@@ -813,6 +849,119 @@
         });
     }
 
+    /// Lets everything else on the runtime run, and it look at the sockets: what has been written on loopback has come.
+    async fn settle() {
+        for _ in 0..1000 {
+            tokio::task::yield_now().await;
+        }
+    }
+
+    fn local<T>(test: impl Future<Output = T>) -> T {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        tokio::task::LocalSet::new().block_on(&runtime, test)
+    }
+
+    fn get(attempt: AttemptId) -> Command {
+        Command { attempt, bytes: resp::command(["GET".into(), "k".into()]), probe: false, asking: false }
+    }
+
+    /// A server with one connection that carries an attempt, and a queue of one place that somebody else has taken.
+    async fn answered_before_a_full_queue(
+        ends: bool,
+    ) -> (Servers<Tokio>, mpsc::Receiver<Input>, tokio::net::TcpStream) {
+        use tokio::io::{AsyncReadExt, AsyncWriteExt};
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (events, mut inputs) = mpsc::channel(1);
+        let mut servers = Servers::new(Tokio, limits(1), events.clone());
+        servers.listed(1, listener.local_addr().ok(), true);
+        assert!(servers.send(1, get(7)));
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let Some(Input::Server { number, event, .. }) = inputs.recv().await else { panic!() };
+        servers.event(1, number, event);
+        assert!(stream.read(&mut [0; 64]).await.unwrap() > 0);
+        let (census, _) = tokio::sync::oneshot::channel();
+        assert!(events.try_send(Input::Census(census)).is_ok());
+        if ends {
+            stream.shutdown().await.unwrap();
+        } else {
+            stream.write_all(b"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n").await.unwrap();
+        }
+        settle().await;
+        (servers, inputs, stream)
+    }
+
+    /// The answer, or the end, has been read and its word waits for a place in the queue: nobody may conclude from its
+    /// record, or the want of one, that the attempt never ran.
+    #[test]
+    fn an_attempt_whose_last_word_waits_for_the_queue_may_have_run() {
+        for ends in [false, true] {
+            local(async {
+                let (mut servers, _inputs, _stream) = answered_before_a_full_queue(ends).await;
+                assert!(servers.give_up(1, 7), "taken for never sent, ends: {ends}");
+                assert!(servers.give_up(1, 7), "nothing on record proves nothing, ends: {ends}");
+                assert!(servers.give_up(9, 7), "nor does a server that nobody knows");
+            });
+        }
+    }
+
+    /// A connection with its last word still to say outlives the drain, the close of what is idle and the sweep.
+    #[test]
+    fn the_last_word_of_a_connection_outlives_its_drain_and_the_close_of_what_is_idle() {
+        for ends in [false, true] {
+            for drains in [false, true] {
+                local(async {
+                    let (mut servers, mut inputs, _stream) = answered_before_a_full_queue(ends).await;
+                    servers.close_idle(1);
+                    if drains {
+                        servers.listed(1, None, false);
+                    }
+                    settle().await;
+                    assert!(matches!(inputs.recv().await, Some(Input::Census(_))));
+                    settle().await;
+                    let Ok(Input::Server { server, number, event }) = inputs.try_recv() else {
+                        panic!("the last word is lost, ends: {ends}, drains: {drains}")
+                    };
+                    match &servers.event(server, number, event)[..] {
+                        [(7, Ended::Answered(_))] if !ends => {}
+                        [(7, Ended::Reset)] if ends => {}
+                        other => panic!("{} ends", other.len()),
+                    }
+                });
+            }
+        }
+    }
+
+    /// A server that does not read: a command given up half written must not arrive whole beside the next attempt, and
+    /// without its last byte it has not run.
+    #[test]
+    fn what_is_given_up_half_written_never_arrives_whole() {
+        use tokio::io::AsyncReadExt;
+        const LARGE: usize = 16 << 20;
+        for give_up in [true, false] {
+            local(async {
+                let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+                let (events, mut inputs) = mpsc::channel(8);
+                let mut servers = Servers::new(Tokio, limits(1), events);
+                servers.listed(1, listener.local_addr().ok(), true);
+                let bytes = resp::command(["SET".into(), vec![b'v'; LARGE].into()]);
+                assert!(servers.send(1, Command { attempt: 7, bytes, probe: false, asking: false }));
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let Some(Input::Server { number, event, .. }) = inputs.recv().await else { panic!() };
+                servers.event(1, number, event);
+                settle().await;
+                if give_up {
+                    assert!(!servers.give_up(1, 7), "half a command has not run");
+                } else {
+                    assert!(servers.withdraw(1, 7), "half a command can be taken back");
+                }
+                let mut whole = Vec::new();
+                let end = tokio::time::timeout(Duration::from_secs(20), stream.read_to_end(&mut whole)).await;
+                assert!(end.is_ok(), "its connection stays open");
+                assert!(whole.len() < LARGE, "it came whole");
+            });
+        }
+    }
+
     fn limits(multiplex: usize) -> Limits {
         Limits {
             balancers: 1,
