Discovery: a call made in an agent's silence no longer stands in the way of the next

The agent was silent from the start to 7.89 s and came back with three servers draining. The logs show one call given up at 3.516 s and nothing after: a call made in the silence is never answered, and ask()'s single call waits 1.5 s for it before the next begins, against a grace of 250 ms. What an agent has at its return counts at once.

Change: an agent that owes an answer is asked again every quarter of the grace (20 to 100 ms) on a new connection, for the whole list; the first call keeps its place for as long as its answer may take, of the others five are kept. A service for all is asked once in turn, as before. The grace is read from the settings; descriptors for it come out of the node's own.

--- a/crates/mothpier/src/discovery.rs
+++ b/crates/mothpier/src/discovery.rs
@@ -1,7 +1,10 @@
 //! The list of servers: its form, the numbers behind its names, and the watch on its changes.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::future::poll_fn;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::Poll;
 use std::time::Duration;
 
 use brassrouter::settings::{Site, server_number};
@@ -22,6 +25,12 @@
 const LATE: Duration = Duration::from_millis(1500);
 /// Between calls after a failure; a watch goes on if the next call comes within 200 ms.
 const PAUSE: Duration = Duration::from_millis(100);
+/// Calls that are out at an agent that owes an answer: a call made in its silence may never be answered, and must not
+/// stand in the way of one that would be.
+pub const CALLS: usize = 6;
+/// An agent that owes an answer is asked again after this part of the time in which a drain must be done, and within
+/// these bounds.
+const AGAIN: (u32, Duration, Duration) = (4, Duration::from_millis(20), PAUSE);
 const MAX_LIST: usize = 4 << 20;
 
 /// The numbers by which the module knows servers. They are made from the ids alone, so that every node has
@@ -107,15 +116,29 @@
     names.iter().position(|n| n == name).map_or_else(hashed, |at| at as u64)
 }
 
+/// How discovery is asked.
+#[derive(Clone, Copy)]
+pub enum Way {
+    /// An agent on this machine has what is pushed to it, at no cost; a drain that it has must be done within so long.
+    Agent { grace: Duration },
+    /// One service for all works through its calls in turn.
+    Service,
+}
+
 /// Watches the list for as long as the node wants it, at the address that holds at the time.
 pub async fn run<N: Net>(
     net: N,
     mut addresses: watch::Receiver<SocketAddr>,
-    pushed: bool,
+    way: Way,
     known: Option<u64>,
     mut wanted: watch::Receiver<Wanted>,
     events: mpsc::Sender<Input>,
 ) {
+    let pushed = matches!(way, Way::Agent { .. });
+    let pause = match way {
+        Way::Agent { grace } => (grace / AGAIN.0).clamp(AGAIN.1, AGAIN.2),
+        Way::Service => PAUSE,
+    };
     let (mut connection, mut revision, mut calls, mut failing) = (None, known, 0, false);
     // What was held at the start may be old. An agent gives the whole list at no cost; where discovery is one
     // service for all, only what changed since is asked for. Which of the two it is the settings say: whether a watch
@@ -149,18 +172,17 @@
                 moved = true;
                 continue;
             }
-            answer = call(&net, &mut connection, address, revision.filter(|_| !whole), pushed) => answer,
+            answer = ask(&net, connection.take(), address, revision.filter(|_| !whole), way, pause) => answer,
         };
         moved = false;
         let heard = match answer {
-            Ok(list) => {
+            Ok((list, answered)) => {
                 (first, failing) = (false, false);
-                revision = Some(list.revision);
+                (revision, connection) = (Some(list.revision), Some(answered));
                 Heard::List(list)
             }
             Err(e) => {
                 // A silent or broken agent must not hang the watch: begin again on a new connection.
-                connection = None;
                 // What answers next may have begun anew, without memory of servers that went: its revisions may look
                 // like those held here, and changes since one of them would leave out what nobody remembers.
                 first = pushed;
@@ -175,32 +197,78 @@
             return;
         }
         if failing {
-            net.sleep(PAUSE).await;
+            net.sleep(pause).await;
+        }
+    }
+}
+
+/// A list and the connection that it came on.
+type Answer<N> = Result<(List, Connection<N>), String>;
+
+/// Asks once, or an agent that owes an answer again and again, each time on a new connection and for the whole list,
+/// until one of the calls is answered or the first has had its time.
+async fn ask<N: Net>(
+    net: &N,
+    open: Option<Connection<N>>,
+    address: SocketAddr,
+    after: Option<u64>,
+    way: Way,
+    pause: Duration,
+) -> Answer<N> {
+    let first = call(net, open, address, after, way);
+    if matches!(way, Way::Service) {
+        return first.await;
+    }
+    let mut calls: VecDeque<Pin<Box<dyn Future<Output = Answer<N>> + '_>>> = VecDeque::new();
+    calls.push_back(Box::pin(first));
+    let mut owed = if after.is_some() { WAIT + pause } else { pause };
+    loop {
+        let answered = poll_fn(|cx| {
+            let mut at = 0;
+            while let Some(one) = calls.get_mut(at) {
+                match one.as_mut().poll(cx) {
+                    Poll::Ready(Ok(answer)) => return Poll::Ready(Ok(answer)),
+                    // The first has had its time, or none is left that could be answered.
+                    Poll::Ready(Err(e)) if at == 0 => return Poll::Ready(Err(e)),
+                    Poll::Ready(Err(_)) => drop(calls.remove(at)),
+                    Poll::Pending => at += 1,
+                }
+            }
+            Poll::Pending
+        });
+        if let Some(answer) = net.timeout(owed, answered).await {
+            return answer;
         }
+        owed = pause;
+        // The first keeps its place for as long as an answer may take; of the others the oldest gives way.
+        if calls.len() >= CALLS {
+            drop(calls.remove(1));
+        }
+        calls.push_back(Box::pin(call(net, None, address, None, way)));
     }
 }
 
 async fn call<N: Net>(
     net: &N,
-    open: &mut Option<Connection<N>>,
+    open: Option<Connection<N>>,
     address: SocketAddr,
     after: Option<u64>,
-    pushed: bool,
-) -> Result<List, String> {
+    way: Way,
+) -> Answer<N> {
     let path = match after {
         Some(revision) => format!("/api/targets?after={revision}&wait_ms={}", WAIT.as_millis()),
         None => "/api/targets".into(),
     };
-    if open.as_ref().is_none_or(|c| !c.sender.is_ready()) {
-        *open = Some(http::connect(net, address, LATE).await.map_err(|e| format!("no connection: {e}"))?);
-    }
-    let Some(connection) = open else { return Err("no connection".into()) };
+    let mut connection = match open.filter(|c| c.sender.is_ready()) {
+        Some(open) => open,
+        None => http::connect(net, address, LATE).await.map_err(|e| format!("no connection: {e}"))?,
+    };
     let request =
         hyper::Request::get(path).header("Host", address.to_string()).body(Full::<Bytes>::default());
     let request = request.map_err(|e| e.to_string())?;
     // An agent owes a whole list at once: to wait longer for it would take up the time in which a move must be done.
     // A service for all works through its calls in turn; what is given up before its turn is work for nobody.
-    let within = if after.is_some() || !pushed { WAIT + LATE } else { LATE };
+    let within = if after.is_some() || matches!(way, Way::Service) { WAIT + LATE } else { LATE };
     let answer = net.timeout(within, async {
         let response = connection.sender.send_request(request).await.map_err(|e| e.to_string())?;
         if response.status() != 200 {
@@ -210,7 +278,8 @@
     });
     let body = answer.await.ok_or("no answer")??;
     let _ = net.timeout(PAUSE, connection.sender.ready()).await;
-    serde_json::from_slice(&body).map_err(|e| format!("unreadable list: {e}"))
+    let list = serde_json::from_slice(&body).map_err(|e| format!("unreadable list: {e}"))?;
+    Ok((list, connection))
 }
 
 #[cfg(test)]
@@ -226,12 +295,15 @@
     fn a_service_for_all_is_asked_for_changes_alone_also_after_a_break() {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
         tokio::task::LocalSet::new().block_on(&runtime, async {
-            for (pushed, first) in [(false, "GET /api/targets?after=41&"), (true, "GET /api/targets HTTP")] {
+            let agent = Way::Agent { grace: Duration::from_millis(500) };
+            for (way, first) in
+                [(Way::Service, "GET /api/targets?after=41&"), (agent, "GET /api/targets HTTP")]
+            {
                 let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
                 let (_moved, addresses) = watch::channel(listener.local_addr().unwrap());
                 let (_wanted, wishes) = watch::channel(Wanted { watch: true, calls: 1 });
                 let (events, _inputs) = mpsc::channel(8);
-                let task = tokio::task::spawn_local(run(Tokio, addresses, pushed, Some(41), wishes, events));
+                let task = tokio::task::spawn_local(run(Tokio, addresses, way, Some(41), wishes, events));
                 for _ in 0..2 {
                     let (mut stream, _) = listener.accept().await.unwrap();
                     let mut head = vec![0; 4096];
@@ -245,4 +317,51 @@
             }
         });
     }
+
+    /// An agent that is silent from the start, or falls silent under a watch, may never answer what it was asked in its
+    /// silence: what it has when it is back counts at once, and that call must not stand in the way of another one.
+    #[test]
+    fn a_call_made_in_the_silence_does_not_stand_in_the_way() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            for watched in [false, true] {
+                let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+                let (_moved, addresses) = watch::channel(listener.local_addr().unwrap());
+                let (_wanted, wishes) = watch::channel(Wanted { watch: true, calls: 1 });
+                let (events, mut inputs) = mpsc::channel(8);
+                let way = Way::Agent { grace: Duration::from_millis(250) };
+                let task = tokio::task::spawn_local(run(Tokio, addresses, way, Some(41), wishes, events));
+                let list = "{\"revision\":42,\"complete\":true,\"members\":[]}";
+                let list = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len());
+                let mut head = [0; 4096];
+                let (mut silent, _) = listener.accept().await.unwrap();
+                assert!(silent.read(&mut head).await.unwrap() > 0);
+                if watched {
+                    silent.write_all(list.as_bytes()).await.unwrap();
+                    assert!(matches!(inputs.recv().await, Some(Input::Discovery(Heard::List(_)))));
+                    assert!(silent.read(&mut head).await.unwrap() > 0, "no watch");
+                }
+                // More than are out at once: the first stays, in case it is answered all the same.
+                let mut others = Vec::new();
+                for _ in 0..CALLS + 2 {
+                    let (mut other, _) = listener.accept().await.unwrap();
+                    let length = other.read(&mut head).await.unwrap();
+                    assert!(head[..length].starts_with(b"GET /api/targets HTTP"), "not the whole list");
+                    let open = silent.try_read(&mut [0]).map_err(|e| e.kind());
+                    assert_eq!(
+                        open,
+                        Err(std::io::ErrorKind::WouldBlock),
+                        "the first is given up, watched: {watched}"
+                    );
+                    others.push(other);
+                }
+                let closed = others.iter().filter(|o| o.try_read(&mut [0]).is_ok()).count();
+                assert!(others.len() - closed < CALLS, "{closed} of {} closed", others.len());
+                let last = others.last_mut().unwrap();
+                last.write_all(list.as_bytes()).await.unwrap();
+                assert!(matches!(inputs.recv().await, Some(Input::Discovery(Heard::List(_)))));
+                task.abort();
+            }
+        });
+    }
 }
--- a/crates/mothpier/src/lib.rs
+++ b/crates/mothpier/src/lib.rs
@@ -72,8 +72,8 @@
 const HELD: usize = 8;
 /// Orders of staff that wait for the node.
 const ORDERS: usize = 16;
-/// Descriptors for the listener, the peers, discovery, the runtime and the standard streams.
-const OWN_DESCRIPTORS: usize = 16;
+/// Descriptors for the listener, the peers, the runtime and the standard streams, and for discovery.
+const OWN_DESCRIPTORS: usize = 14 + discovery::CALLS;
 
 /// What a running node is told from outside.
 pub enum Control {
@@ -96,7 +96,10 @@
     let clock = Clock::start(net.clone());
     let (events, inputs) = mpsc::channel(QUEUE);
     let site = config.site;
-    let pushed = !site.decisions.ask_discovery;
+    let way = match site.decisions.ask_discovery {
+        true => discovery::Way::Service,
+        false => discovery::Way::Agent { grace: Duration::from_micros(site.drain_grace) },
+    };
     let idle_close = Duration::from_micros(site.idle_close);
     let connect_timeout = Duration::from_micros(site.decisions.connect_timeout);
     // Half for clients, half for servers: neither can leave the other without.
@@ -250,7 +253,7 @@
     // Without a list the servers that the file names are all that there are.
     let discovery = config.discovery.map(|at| {
         let (discovery, addresses) = watch::channel(at);
-        net.spawn(discovery::run(net.clone(), addresses, pushed, revision, wishes, events.clone()));
+        net.spawn(discovery::run(net.clone(), addresses, way, revision, wishes, events.clone()));
         discovery
     });
     if discovery.is_none() {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -28,10 +28,12 @@
     pub max_open: usize,
     /// The longest wait that a client honours.
     pub max_retry_after: Micros,
+    /// Within this time of the word that a server drains or is gone the last thing is sent there.
+    pub drain_grace: Micros,
 }
 
 /// What is read of the settings. Passed over on purpose: this balancer's zone, whether probes and retry-after are
-/// allowed, prices, the goal, the drain grace (nothing is sent after a notice), the fall of the origin, ordered
+/// allowed, prices, the goal, the fall of the origin, ordered
 /// answers, and the grace to answer (answers come before the deadline).
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase", default)]
@@ -101,6 +103,7 @@
     ask_within_us: f64,
     cold_share: f64,
     cold_us: f64,
+    drain_grace_us: f64,
     drain_release_us: Option<f64>,
     fall_multiple: f64,
     tip_after_us: f64,
@@ -181,6 +184,7 @@
             ask_within_us: base.ask_within as f64,
             cold_share: base.cold_share,
             cold_us: base.warm_up as f64,
+            drain_grace_us: 1e6,
             drain_release_us: None,
             fall_multiple: base.fall_multiple,
             tip_after_us: base.fall_after as f64,
@@ -231,6 +235,7 @@
         idle_close: micros(limits.idle_close_us),
         max_open: limits.max_open.max(1.0) as usize,
         max_retry_after: micros(limits.max_retry_after_us),
+        drain_grace: micros(wire.guarantees.drain_grace_us),
     })
 }
 
