Servers: one attempt a connection has its connections; one just answered rests if another is free

Need: where second copies are not allowed a connection carries one attempt, and of many nodes each aimed at one connection to a server (32 of the tier, shared): a second request for the same server at once ended as 'could not connect' without a try, and its key was fetched elsewhere. Of free connections the first was taken, also one answered a moment ago, on which a server's second answer, some milliseconds late, would be taken for the next command's.

Change: there a node has up to four connections to a server, as few nodes always had; of free connections one that has rested 10 ms is taken first.

--- a/crates/mothpier/src/servers.rs
+++ b/crates/mothpier/src/servers.rs
@@ -28,6 +28,8 @@
 const MOST_CONNECTIONS: usize = 4;
 /// A connection idle for this part of the time after which servers close it is not used again.
 const FRESH: f64 = 0.7;
+/// A second answer to the same command comes within this time of the first, or not.
+const SETTLED: Duration = Duration::from_millis(10);
 /// After a refused connection none beside those that work is opened for this long.
 const REFUSED_PAUSE: Duration = Duration::from_secs(2);
 
@@ -335,11 +337,19 @@
         let now = self.net.now();
         let fresh = self.limits.idle_close.mul_f64(FRESH);
         pool.connections.retain(|c| c.load() > 0 || !c.up() || now.saturating_duration_since(c.used) < fresh);
-        if let Some(idle) = pool.connections.iter_mut().find(|c| c.free()) {
+        // One that has only just been answered comes last: a server's second answer to the same command would be taken
+        // for the answer to what is written before it comes.
+        let free = pool.connections.iter_mut().filter(|c| c.free());
+        if let Some(idle) = free.min_by_key(|c| now.saturating_duration_since(c.used) < SETTLED) {
             idle.push(command, now);
             return true;
         }
-        let part = (TIER_CONNECTIONS / self.limits.balancers.max(1)).clamp(1, MOST_CONNECTIONS);
+        // Where a connection carries one attempt at a time its number is that of the attempts, which the decisions
+        // bound: a node that is one of many would have a single one at each server, and shut itself out.
+        let part = match self.limits.multiplex {
+            1 => MOST_CONNECTIONS,
+            _ => (TIER_CONNECTIONS / self.limits.balancers.max(1)).clamp(1, MOST_CONNECTIONS),
+        };
         let descriptors = Share::of(&self.limits.share.descriptors, self.limits.descriptors).max(1);
         let part = part.min((descriptors / self.ready.max(1)).max(1));
         // One that passes a large value on is its client's for as long as that one reads: others take its place, as many
@@ -931,6 +941,47 @@
         }
     }
 
+    /// One of hundreds of nodes, where a connection carries one attempt at a time: two requests for one server at once
+    /// are two connections, not one and a failure that never was.
+    #[test]
+    fn of_many_nodes_one_still_has_a_connection_for_each_attempt() {
+        local(async {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let (events, _inputs) = mpsc::channel(8);
+            let mut servers =
+                Servers::new(Tokio, Limits { balancers: 300, descriptors: 64, ..limits(1) }, events);
+            servers.listed(1, listener.local_addr().ok(), true);
+            assert!((1..=3).all(|attempt| servers.send(1, get(attempt))), "shut out by itself");
+        });
+    }
+
+    /// Of two connections the one that was answered a moment ago is not written to: a second answer may be on its way.
+    #[test]
+    fn what_was_answered_a_moment_ago_rests_while_another_connection_is_free() {
+        local(async {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let (events, mut inputs) = mpsc::channel(8);
+            let mut servers = Servers::new(Tokio, limits(1), events);
+            servers.listed(1, listener.local_addr().ok(), true);
+            assert!(servers.send(1, get(7)) && servers.send(1, get(8)));
+            for _ in 0..2 {
+                let Some(Input::Server { number, event, .. }) = inputs.recv().await else { panic!() };
+                servers.event(1, number, event);
+            }
+            let pool = servers.pools.get_mut(&1).unwrap();
+            let (just, long) = (pool.connections[0].number, pool.connections[1].number);
+            for c in &mut pool.connections {
+                *c.shared.line.borrow_mut() = Line { up: true, ..Line::default() };
+            }
+            pool.connections[1].used -= SETTLED;
+            servers.event(1, just, Event::Answer(7, BytesFrame::Null));
+            assert!(servers.send(1, get(9)));
+            let carries =
+                |number| servers.pools[&1].connections.iter().any(|c| c.number == number && c.load() > 0);
+            assert!(carries(long) && !carries(just));
+        });
+    }
+
     /// A server that does not read: a command given up half written must not arrive whole beside the next attempt, and
     /// without its last byte it has not run.
     #[test]
