Discovery: a silent watch at a service for all is opened anew before it counts as a failure

Need: one clock for silence, pushed or asked for: what a silent watch misses counts as told 6 s after it fell silent. Where lists are asked for it was given up after 3.5 s and told to the decisions as a failure, which wait up to 1.5 sixteenths of askWithinUs, and longer after each failure, before they ask again: past 6 s where askWithinUs is 27 s or more.

Change: a watch that had its time is asked for once more at once, on a new connection, for what it misses; only if that fails, too, is it a failure.

Result: a test on real sockets withholds the answer of the watch; with the condition taken out it fails (told as a failure, for which there is a pause).

--- a/crates/mothpier/src/discovery.rs
+++ b/crates/mothpier/src/discovery.rs
@@ -202,6 +202,9 @@
     }
 }
 
+/// What is said of a call that has had its time.
+const SILENT: &str = "no answer";
+
 /// A list and the connection that it came on.
 type Answer<N> = Result<(List, Connection<N>), String>;
 
@@ -217,7 +220,12 @@
 ) -> Answer<N> {
     let first = call(net, open, address, after, way);
     if matches!(way, Way::Service) {
-        return first.await;
+        return match first.await {
+            // A watch that has fallen silent is broken, which is no failure of the service: it is opened anew at once, for
+            // what it misses counts as told soon.
+            Err(why) if why == SILENT && after.is_some() => call(net, None, address, after, way).await,
+            answer => answer,
+        };
     }
     let mut calls: VecDeque<Pin<Box<dyn Future<Output = Answer<N>> + '_>>> = VecDeque::new();
     calls.push_back(Box::pin(first));
@@ -276,7 +284,7 @@
         }
         http::body(response.into_body(), MAX_LIST).await
     });
-    let body = answer.await.ok_or("no answer")??;
+    let body = answer.await.ok_or(SILENT)??;
     let _ = net.timeout(PAUSE, connection.sender.ready()).await;
     let list = serde_json::from_slice(&body).map_err(|e| format!("unreadable list: {e}"))?;
     Ok((list, connection))
@@ -318,6 +326,33 @@
         });
     }
 
+    /// What a silent watch misses counts as told 6 s after it fell silent, also where lists are asked for: it is opened
+    /// anew before anybody waits for anything.
+    #[test]
+    fn a_silent_watch_at_a_service_is_opened_anew_before_it_counts_as_a_failure() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let (_moved, addresses) = watch::channel(listener.local_addr().unwrap());
+            let (_wanted, wishes) = watch::channel(Wanted { watch: true, calls: 1 });
+            let (events, mut inputs) = mpsc::channel(8);
+            let task =
+                tokio::task::spawn_local(run(Tokio, addresses, Way::Service, Some(41), wishes, events));
+            let mut head = [0; 4096];
+            let (mut silent, _) = listener.accept().await.unwrap();
+            assert!(silent.read(&mut head).await.unwrap() > 0);
+            let (mut anew, _) = listener.accept().await.unwrap();
+            let length = anew.read(&mut head).await.unwrap();
+            assert!(head[..length].starts_with(b"GET /api/targets?after=41&"), "not opened anew");
+            assert!(inputs.try_recv().is_err(), "told as a failure, for which there is a pause");
+            let list = "{\"revision\":42,\"complete\":false,\"members\":[]}";
+            let list = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len());
+            anew.write_all(list.as_bytes()).await.unwrap();
+            assert!(matches!(inputs.recv().await, Some(Input::Discovery(Heard::List(_)))));
+            task.abort();
+        });
+    }
+
     /// An agent that is silent from the start, or falls silent under a watch, may never answer what it was asked in its
     /// silence: what it has when it is back counts at once, and that call must not stand in the way of another one.
     #[test]
