--- a/crates/mothpier-sim/src/oracle.rs
+++ b/crates/mothpier-sim/src/oracle.rs
@@ -14,6 +14,8 @@
 use crate::exec::{Exec, Host};
 use crate::net::{Close, Line, Tap};
 
+/// What waits for a client that has left is sent on for it no later than this.
+const LEFT_MS: u64 = 300;
 /// Every time limit is so much longer on sockets.
 const SLACK_MS: u64 = 50;
 
@@ -146,6 +148,8 @@
     effects: u32,
     /// When a box's value for it had come whole to its node, while it had no final answer.
     value_came: Option<u64>,
+    /// When its client left without it.
+    left: Option<u64>,
 }
 
 #[derive(Default)]
@@ -520,13 +524,20 @@
     fn attempt(&self, id: &str, node: usize, begun: u64) -> usize {
         let now = self.exec.nanos();
         self.served.borrow_mut().entry(node).or_default().attempts += 1;
-        let (place, care, open, answered) = {
+        let (place, care, open, answered, left) = {
             let mut requests = self.requests.borrow_mut();
             let r = requests.entry(id.to_owned()).or_default();
             let open = r.attempts.iter().find(|a| !a.0).copied();
             r.attempts.push((false, now));
-            (r.attempts.len() - 1, r.care.unwrap_or(Care::Safe), open, r.answered)
+            (r.attempts.len() - 1, r.care.unwrap_or(Care::Safe), open, r.answered, r.left)
         };
+        if let Some(left) = left.filter(|left| now > left + (LEFT_MS + SLACK_MS) * 1_000_000) {
+            let late = (now - left) / 1_000_000;
+            self.breaks(
+                Rule::Answer,
+                format!("node {node} sends request {id} on {late} ms after its client left"),
+            );
+        }
         if answered.is_some_and(|a| begun > a) {
             self.breaks(Rule::Answer, format!("node {node} sends request {id} after its final answer"));
         }
@@ -796,7 +807,13 @@
             }
             ((Some(Role::Node(_)), _), _) => {
                 // What it sent may still be on its way.
-                self.clients.borrow_mut().entry(line.number).or_default().gone = true;
+                let mut clients = self.clients.borrow_mut();
+                let client = clients.entry(line.number).or_default();
+                client.gone = true;
+                let mut requests = self.requests.borrow_mut();
+                for asked in client.owed.iter().flatten() {
+                    requests.entry(asked.id.clone()).or_default().left.get_or_insert(self.exec.nanos());
+                }
             }
             (_, 0) => {
                 self.servers.borrow_mut().remove(&line.number);
--- a/crates/mothpier-sim/src/scenarios.rs
+++ b/crates/mothpier-sim/src/scenarios.rs
@@ -310,6 +310,28 @@
         },
         met: served,
     },
+    Scenario {
+        name: "colder-return",
+        about: "boxes come back colder, warm up more slowly and meet a fleet that is at its capacity",
+        runs: || {
+            let lines = [
+                "crash target=0 at=3000 len=4500",
+                "crash target=1 at=3000 len=4500",
+                "burst at=6000 len=7500",
+            ];
+            let busy = || Options {
+                size: Some((12, 4)),
+                rate: None,
+                load: Some(0.8),
+                work_ms: Some(40),
+                cold: Some((0.06, 40_000)),
+                writes: Some(0.05),
+                ..faults(&lines)
+            };
+            (0..8).map(|seed| (seed, busy())).collect()
+        },
+        met: served,
+    },
     Scenario {
         name: "list-down-hung-box-lost-message",
         about: "a box hangs while the list is out of reach and messages between nodes are lost",
--- a/crates/mothpier-world/src/client.rs
+++ b/crates/mothpier-world/src/client.rs
@@ -47,7 +47,8 @@
     pub wait: Duration,
     /// Tries after the first.
     pub retries: u32,
-    /// Closes its connection after this time, answered or not.
+    /// Closes its connection after this time, answered or not; after an odd number of microseconds it has said that
+    /// this was its last command, and the node reads no further one.
     pub leaves_after: Option<Duration>,
 }
 
@@ -135,7 +136,11 @@
                 },
             };
             let left = until.saturating_duration_since(self.net.now());
-            let command = ask.command(id, left);
+            let mut command = ask.command(id, left);
+            let quits = ask.leaves_after.is_some_and(|after| after.as_micros() % 2 == 1);
+            if quits {
+                command.extend(wire::encode(&["QUIT"]));
+            }
             let leave = ask.leaves_after.map(|after| self.net.now() + after);
             let last = until + self.grace.get();
             let limit = leave.map_or(last, |l| l.min(last));
@@ -147,6 +152,9 @@
                 Some(None) => {}
                 Some(Some(answer)) => {
                     let (end, wait) = self.read(id, ask, answer);
+                    if quits {
+                        return (end, wait);
+                    }
                     let mut idle = self.idle.borrow_mut();
                     idle.push((node, halves));
                     if idle.len() > 16 {
--- a/crates/mothpier/src/plants.rs
+++ b/crates/mothpier/src/plants.rs
@@ -62,7 +62,7 @@
 
 impl Plant {
     /// All of them.
-    pub const ALL: [Plant; 26] = [
+    pub const ALL: [Plant; 27] = [
         Plant::ResetNeverRan,
         Plant::DoubleAnswer,
         Plant::DrainingIsReady,
@@ -89,6 +89,7 @@
         Plant::HandForgotten,
         Plant::KeptIdle,
         Plant::CutIsWhole,
+        Plant::SentAfterLeft,
     ];
 }
 
