Servers: an answer that stops short does not swallow the one behind it

The plant has no part in it, and no order was broken by the stand-in.

Change: the load report is a word or null, as the protocol says; an array there is spoilt, and ends the connection.

Result: a test on real sockets with the answer cut behind its value, at three places; it fails with the condition taken out ([7, 8] answered from ...).

--- a/crates/mothpier/src/servers.rs
+++ b/crates/mothpier/src/servers.rs
@@ -554,8 +554,8 @@
     }
 }
 
-/// Whether a frame can be the answer to a command: an array of the value or null, how it went and the load report,
-/// whose form matters to nobody but the module; or an error line. A probe is answered with the report alone.
+/// Whether a frame can be the answer to a command: an array of the value or null, how it went and the load report, a
+/// word of which only the module reads more; or an error line. A probe is answered with the report alone.
 fn fits(frame: &BytesFrame, owed: Owed, tier: bool) -> bool {
     match frame {
         BytesFrame::Error(_) => true,
@@ -564,9 +564,13 @@
         BytesFrame::BulkString(_) => owed == Owed::Report || (tier && owed == Owed::Answer),
         BytesFrame::Array(_) if tier => false,
         BytesFrame::Array(parts) if owed == Owed::Answer => {
-            let [value, how, _report] = parts.as_slice() else { return false };
-            matches!(value, BytesFrame::BulkString(_) | BytesFrame::Null)
-                && matches!(how, BytesFrame::BulkString(_) | BytesFrame::SimpleString(_) | BytesFrame::Null)
+            let [value, how, report] = parts.as_slice() else { return false };
+            // Of an answer that stops short behind its value the rest is made up of the answers behind it: an array where
+            // a word stands is the next command's answer, which would then be given that of the one after.
+            let word = |f: &BytesFrame| {
+                matches!(f, BytesFrame::BulkString(_) | BytesFrame::SimpleString(_) | BytesFrame::Null)
+            };
+            matches!(value, BytesFrame::BulkString(_) | BytesFrame::Null) && word(how) && word(report)
         }
         _ => false,
     }
@@ -941,6 +945,44 @@
         }
     }
 
+    /// An answer stops short right behind its value, and the next command's follows: that one must not pass for the rest
+    /// of the first, or the command behind it would be given another's value.
+    #[test]
+    fn an_answer_that_stops_short_does_not_swallow_the_next_one() {
+        use tokio::io::{AsyncReadExt, AsyncWriteExt};
+        let next = "*3\r\n$1\r\nb\r\n$3\r\nhit\r\n$-1\r\n";
+        for short in ["*3\r\n$1\r\na\r\n", "*3\r\n$1\r\na\r\n+OK\r\n", "*3\r\n$1\r\na\r\n$3\r\nhit\r\n"] {
+            local(async {
+                let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+                let (events, mut inputs) = mpsc::channel(8);
+                let mut servers = Servers::new(Tokio, limits(32), events);
+                servers.listed(1, listener.local_addr().ok(), true);
+                assert!(servers.send(1, get(7)));
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let Some(Input::Server { number, event, .. }) = inputs.recv().await else { panic!() };
+                servers.event(1, number, event);
+                // Behind the first on its connection, as if no other could be had.
+                let pool = servers.pools.get_mut(&1).unwrap();
+                assert!(pool.append(get(8), 32, Instant::now()) && pool.append(get(9), 32, Instant::now()));
+                settle().await;
+                assert!(stream.read(&mut [0; 256]).await.unwrap() > 0);
+                stream.write_all(format!("{short}{next}{next}").as_bytes()).await.unwrap();
+                let mut answered = Vec::new();
+                for _ in 0..2 {
+                    let Some(Input::Server { event, .. }) = inputs.recv().await else { panic!() };
+                    let down = matches!(event, Event::Down { .. });
+                    for (attempt, ended) in servers.event(1, number, event) {
+                        answered.extend(matches!(ended, Ended::Answered(_)).then_some(attempt));
+                    }
+                    if down {
+                        break;
+                    }
+                }
+                assert!(answered.is_empty(), "{answered:?} answered from {short:?}");
+            });
+        }
+    }
+
     /// One of hundreds of nodes, where a connection carries one attempt at a time: two requests for one server at once
     /// are two connections, not one and a failure that never was.
     #[test]
