Servers: a load report that can't be read takes nothing from the value again

Its key "report" has a number in the place of the load report.

Cause: let nothing but a word or null stand there, so that the answer of the command behind could not pass for the rest of one that stops short.

Change: what may not stand there is what an answer can begin with or be, an array or an error line. The test of answers that stop short has three kinds of next answers in place of one: a value, -ERR failed, -BUSY. They were not covered by the word before: an error line was.

--- a/crates/mothpier/src/servers.rs
+++ b/crates/mothpier/src/servers.rs
@@ -554,8 +554,8 @@
     }
 }
 
-/// Whether a frame can be the answer to a command: an array of the value or null, how it went and the load report, a
-/// word of which only the module reads more; or an error line. A probe is answered with the report alone.
+/// Whether a frame can be the answer to a command: an array of the value or null, how it went and the load report, of
+/// which only the module reads more; or an error line. A probe is answered with the report alone.
 fn fits(frame: &BytesFrame, owed: Owed, tier: bool) -> bool {
     match frame {
         BytesFrame::Error(_) => true,
@@ -565,12 +565,14 @@
         BytesFrame::Array(_) if tier => false,
         BytesFrame::Array(parts) if owed == Owed::Answer => {
             let [value, how, report] = parts.as_slice() else { return false };
-            // Of an answer that stops short behind its value the rest is made up of the answers behind it: an array where
-            // a word stands is the next command's answer, which would then be given that of the one after.
             let word = |f: &BytesFrame| {
                 matches!(f, BytesFrame::BulkString(_) | BytesFrame::SimpleString(_) | BytesFrame::Null)
             };
-            matches!(value, BytesFrame::BulkString(_) | BytesFrame::Null) && word(how) && word(report)
+            // Of an answer that stops short behind its value the rest is made up of the answers behind it: an array or an
+            // error line is the next command's answer, which would then be given that of the one after. A report that
+            // only can't be read takes nothing from the value.
+            let next = matches!(report, BytesFrame::Array(_) | BytesFrame::Error(_));
+            matches!(value, BytesFrame::BulkString(_) | BytesFrame::Null) && word(how) && !next
         }
         _ => false,
     }
@@ -950,8 +952,11 @@
     #[test]
     fn an_answer_that_stops_short_does_not_swallow_the_next_one() {
         use tokio::io::{AsyncReadExt, AsyncWriteExt};
-        let next = "*3\r\n$1\r\nb\r\n$3\r\nhit\r\n$-1\r\n";
-        for short in ["*3\r\n$1\r\na\r\n", "*3\r\n$1\r\na\r\n+OK\r\n", "*3\r\n$1\r\na\r\n$3\r\nhit\r\n"] {
+        let whole = "*3\r\n$1\r\nb\r\n$3\r\nhit\r\n$-1\r\n";
+        let cuts = ["*3\r\n$1\r\na\r\n", "*3\r\n$1\r\na\r\n+OK\r\n", "*3\r\n$1\r\na\r\n$3\r\nhit\r\n"];
+        // The next one may be a value, or a word of failure or of being turned away.
+        let nexts = [whole, "-ERR failed\r\n", "-BUSY\r\n"];
+        for (short, next) in cuts.iter().flat_map(|cut| nexts.map(|next| (cut, next))) {
             local(async {
                 let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
                 let (events, mut inputs) = mpsc::channel(8);
@@ -978,7 +983,7 @@
                         break;
                     }
                 }
-                assert!(answered.is_empty(), "{answered:?} answered from {short:?}");
+                assert!(answered.is_empty(), "{answered:?} answered from {short:?} and {next:?}");
             });
         }
     }
