Servers: a command counts as begun only once the socket has taken a byte of it

The writer took a command off the unsent ones before it wrote. Where the server read nothing and the socket was full, a command of which no byte had gone out counted as begun for as long as that lasted: a drain, the end of its request and the leaving of its client could not take it back, and its first byte went out later, whatever the grace.

Change: it stays among the unsent ones until the socket takes its first byte, and is on record as begun in that moment; there is no state between.

Result: a test on a real socket, filled to its last byte: taken back, and nothing comes once the server reads. With the old order in its place it fails (begun, though not a byte has gone out).

--- a/crates/mothpier/src/servers.rs
+++ b/crates/mothpier/src/servers.rs
@@ -2,17 +2,20 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
+use std::future::poll_fn;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 use brassrouter::ServerId;
 use bytes::{Buf, Bytes, BytesMut};
 use mothpier_net::{Net, Reading, Stream, Task};
 use redis_protocol::resp2::types::BytesFrame;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncWrite, AsyncWriteExt};
 use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{Notify, Semaphore, mpsc};
 
@@ -116,8 +119,9 @@
     up: bool,
     /// What came last makes it useless: it is about to end.
     ending: bool,
+    /// Of these not one byte has gone out: a server that reads nothing may keep the first of them here for long.
     unsent: VecDeque<Command>,
-    /// Begun to be written, and whether the node waits for it no longer.
+    /// Of this a part has gone out; and whether the node waits for it no longer.
     writing: Option<(AttemptId, bool)>,
     /// In order.
     sent: VecDeque<Sent>,
@@ -330,7 +334,11 @@
 
     /// Sends an attempt on an idle connection, or a new one within this node's part, or behind others on the
     /// one with the fewest. `false` where there is none: it was not written.
-    pub fn send(&mut self, server: ServerId, command: Command) -> bool {
+    pub fn send(&mut self, server: ServerId, mut command: Command) -> bool {
+        if command.asking {
+            // In one write, so that nothing comes between.
+            command.bytes = [resp::command(["ASKING".into()]), command.bytes].concat().into();
+        }
         let Some(pool) = self.pools.get_mut(&server).filter(|p| p.ready) else {
             return false;
         };
@@ -588,6 +596,31 @@
     fn carries_more(&self) -> bool {
         self.line.borrow().load() > 1
     }
+
+    /// Writes the first bytes of the first command that is still unsent, and puts it on record as begun in the same
+    /// moment: until the socket takes a byte it can be taken back. Gives it with how much was taken; `None` where there
+    /// is none any more.
+    fn begin<W: AsyncWrite + Unpin>(
+        &self,
+        cx: &mut Context<'_>,
+        writing: &mut W,
+    ) -> Poll<Option<std::io::Result<(Command, usize)>>> {
+        let mut line = self.line.borrow_mut();
+        let Some(first) = line.unsent.front() else { return Poll::Ready(None) };
+        let written = match Pin::new(writing).poll_write(cx, &first.bytes) {
+            Poll::Pending => return Poll::Pending,
+            Poll::Ready(Ok(written)) if written > 0 => written,
+            Poll::Ready(Ok(_)) => return Poll::Ready(Some(Err(ErrorKind::WriteZero.into()))),
+            Poll::Ready(Err(e)) => return Poll::Ready(Some(Err(e))),
+        };
+        let Some(command) = line.unsent.pop_front() else { return Poll::Ready(None) };
+        line.writing = Some((command.attempt, false));
+        if command.asking {
+            // On record already: it may be answered while the command behind it is still being written.
+            line.sent.push_back(Sent { attempt: command.attempt, owed: Owed::Word, given_up: false });
+        }
+        Poll::Ready(Some(Ok((command, written))))
+    }
 }
 
 /// Passes a value on as it comes, and gives the frame that it would have been with nothing for the value; `None` where
@@ -792,17 +825,9 @@
             }
             // Once round the runtime: a close that has come in is read before anything more is written.
             net.yield_now().await;
-            let next = shared.line.borrow_mut().unsent.pop_front();
-            let Some(Command { attempt, mut bytes, probe, asking }) = next else { continue };
-            shared.line.borrow_mut().writing = Some((attempt, false));
-            if asking {
-                // In one write, so that nothing comes between; on record before, for it may be answered while the
-                // command behind it is still being written.
-                let word = Sent { attempt, owed: Owed::Word, given_up: false };
-                shared.line.borrow_mut().sent.push_back(word);
-                bytes = [resp::command(["ASKING".into()]), bytes].concat().into();
-            }
-            if writing.write_all(&bytes).await.is_err() {
+            let Some(begun) = poll_fn(|cx| shared.begin(cx, &mut writing)).await else { continue };
+            let Ok((Command { attempt, bytes, probe, .. }, written)) = begun else { return };
+            if writing.write_all(&bytes[written..]).await.is_err() {
                 return;
             }
             // No await since the last byte was written: it is on record before an answer can be read.
@@ -1029,6 +1054,41 @@
         });
     }
 
+    /// A socket that takes not one byte more: the command that is next counts as unsent, so that a drain takes it back like
+    /// all behind it, and nothing of it comes once the server reads again.
+    #[test]
+    fn what_a_full_socket_took_no_byte_of_can_be_taken_back() {
+        use tokio::io::AsyncReadExt;
+        local(async {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let mut socket = tokio::net::TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+            let (mut server, _) = listener.accept().await.unwrap();
+            // To its last byte: the room that is left grows while what was written is taken in.
+            let (mut filled, mut quiet) = (0, 0);
+            while quiet < 20 {
+                match socket.try_write(if quiet == 0 { &[b'.'; 4096] } else { b"." }) {
+                    Ok(n) => (filled, quiet) = (filled + n, 0),
+                    Err(_) => quiet += 1,
+                }
+                tokio::task::yield_now().await;
+            }
+            let shared = Shared::default();
+            shared.line.borrow_mut().unsent.push_back(get(7));
+            let begun = poll_fn(|cx| Poll::Ready(shared.begin(cx, &mut socket))).await;
+            assert!(begun.is_pending(), "the socket is not full");
+            let line = shared.line.take();
+            assert!(line.writing.is_none() && line.sent.is_empty(), "begun, though not a byte has gone out");
+            assert_eq!(line.unsent.len(), 1);
+            // Taken back; the server reads all, and more of the socket's room than the command needs is free.
+            let mut all = vec![0; filled];
+            server.read_exact(&mut all).await.unwrap();
+            let begun = poll_fn(|cx| shared.begin(cx, &mut socket)).await;
+            assert!(begun.is_none());
+            drop(socket);
+            assert_eq!(server.read(&mut [0]).await.unwrap(), 0, "it came all the same");
+        });
+    }
+
     /// A server that does not read: a command given up half written must not arrive whole beside the next attempt, and
     /// without its last byte it has not run.
     #[test]
