Servers: a connection ends with the last that was waited for behind something half written

Whether a connection that carries something half written ends is asked as that is given up. Where others waited behind it, it went on; and was not asked again as these were taken back in turn (clients that leave one after the other, a drain, times that end together). So the half went out whole once the server read again, for a request that was over.

Change: the same is asked as anything is taken back; deserted means now that all it carries was given up, so that a connection that carries nothing is no case of it.

Result: a test on a real socket whose server does not read, for give_up and for withdraw; without the mend it fails (its connection stays open).

--- a/crates/mothpier/src/servers.rs
+++ b/crates/mothpier/src/servers.rs
@@ -136,14 +136,30 @@
 
     /// Whether something given up is ahead: what is written behind it may wait for ever.
     fn stalled(&self) -> bool {
-        self.passing
-            || self.writing.is_some_and(|(_, given_up)| given_up)
-            || self.sent.iter().any(|s| s.given_up)
+        self.passing || self.given_up()
     }
 
-    /// Whether nothing on it is waited for any more.
+    /// Marks an attempt as given up if a part of it has gone out; whether that is so.
+    fn give_up_writing(&mut self, attempt: AttemptId) -> bool {
+        match &mut self.writing {
+            Some((id, given_up)) if *id == attempt => {
+                *given_up = true;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Whether it carries something that was given up.
+    fn given_up(&self) -> bool {
+        self.writing.is_some_and(|(_, given_up)| given_up) || self.sent.iter().any(|s| s.given_up)
+    }
+
+    /// Whether all that it carries was given up, so that its end takes nothing from anybody and keeps what is half written
+    /// from arriving whole.
     fn deserted(&self) -> bool {
-        self.unsent.is_empty()
+        self.given_up()
+            && self.unsent.is_empty()
             && self.writing.is_none_or(|(_, given_up)| given_up)
             && self.sent.iter().all(|s| s.given_up || s.owed == Owed::Word)
     }
@@ -433,12 +449,10 @@
         let mut taken = pool.unsent(attempt);
         pool.connections.retain(|c| {
             let mut line = c.shared.line.borrow_mut();
-            let Some((_, given_up)) = line.writing.as_mut().filter(|(id, _)| *id == attempt) else {
-                return true;
-            };
-            *given_up = true;
-            let ends = line.deserted();
-            taken |= ends;
+            let half_written = line.give_up_writing(attempt);
+            // What was taken back may have been the last that anybody waited for behind something given up.
+            let ends = (half_written || taken) && line.deserted();
+            taken |= ends && half_written;
             !ends
         });
         self.tidy(server);
@@ -463,12 +477,8 @@
                 s.given_up = true;
                 here |= s.owed != Owed::Word;
             }
-            let mut half_written = false;
-            if let Some((_, given_up)) = line.writing.as_mut().filter(|(id, _)| *id == attempt) {
-                *given_up = true;
-                half_written = true;
-            }
-            let ends = (here || half_written) && line.deserted();
+            let half_written = line.give_up_writing(attempt);
+            let ends = (here || half_written || unsent) && line.deserted();
             // With its connection goes the rest of it.
             unsent |= ends && half_written;
             !ends
@@ -1120,6 +1130,43 @@
         }
     }
 
+    /// A server that does not read, and commands behind one that is half written: the half written one is given up first,
+    /// the others after it. With the last of them nobody waits on the connection any more: it ends, or the half would
+    /// arrive whole once the server reads.
+    #[test]
+    fn a_connection_ends_with_the_last_that_was_waited_for_behind_something_half_written() {
+        use tokio::io::AsyncReadExt;
+        const LARGE: usize = 16 << 20;
+        for give_up in [true, false] {
+            local(async {
+                let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+                let (events, mut inputs) = mpsc::channel(8);
+                let mut servers = Servers::new(Tokio, limits(32), events);
+                servers.listed(1, listener.local_addr().ok(), true);
+                let large = resp::command(["SET".into(), vec![b'v'; LARGE].into()]);
+                assert!(servers.send(1, Command { bytes: large, ..get(7) }));
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let Some(Input::Server { number, event, .. }) = inputs.recv().await else { panic!() };
+                servers.event(1, number, event);
+                let pool = servers.pools.get_mut(&1).unwrap();
+                assert!(pool.append(get(8), 32, Instant::now()));
+                settle().await;
+                assert!(servers.pools[&1].connections[0].shared.line.borrow().writing.is_some());
+                if give_up {
+                    assert!(servers.give_up(1, 7), "half a command that another one waits behind may run");
+                    assert!(!servers.give_up(1, 8), "it was never sent");
+                } else {
+                    assert!(!servers.withdraw(1, 7), "another one waits behind it");
+                    assert!(servers.withdraw(1, 8), "it was never sent");
+                }
+                let mut whole = Vec::new();
+                let end = tokio::time::timeout(Duration::from_secs(20), stream.read_to_end(&mut whole)).await;
+                assert!(end.is_ok(), "its connection stays open, give_up: {give_up}");
+                assert!(whole.len() < LARGE, "it came whole, give_up: {give_up}");
+            });
+        }
+    }
+
     fn limits(multiplex: usize) -> Limits {
         Limits {
             balancers: 1,
