Clients: who waits in the accept queue at the limit is let in before the node ends

At the limit of connections letting in ended with the word to shut, and what the machine had accepted by then was reset: clients that had asked had no answer. Elsewhere the queue was looked at once, without a turn of the runtime before. And a process that was told to end beside another one, before it had a list, waited for that list until it was killed.

Change: behind the word to shut letting in goes on as others close, until the queue is empty or the process ends; each look has its turn. Nobody is let in who was not before the word.

--- a/crates/mothpier/src/clients.rs
+++ b/crates/mothpier/src/clients.rs
@@ -205,7 +205,7 @@
                     biased;
                     () = self.closed.notified() => {}
                     () = self.net.sleep(ACCEPT_PAUSE) => {}
-                    () = self.phase.until_shut() => return,
+                    () = self.phase.until_shut() => break,
                 }
                 continue;
             }
@@ -237,12 +237,18 @@
         if self.phase.is_left() {
             return;
         }
-        while let Some((stream, _)) = poll_fn(|cx| match listener.poll_accept(cx) {
-            Poll::Ready(accepted) => Poll::Ready(accepted.ok()),
-            Poll::Pending => Poll::Ready(None),
-        })
-        .await
-        {
+        loop {
+            // Whoever waits at the limit was let in by the machine, and may have asked: there is room as others close.
+            while self.count() >= self.most() {
+                self.closed.notified().await;
+            }
+            // Once round the runtime, which looks at the listener then.
+            self.net.yield_now().await;
+            let accepted = poll_fn(|cx| match listener.poll_accept(cx) {
+                Poll::Ready(accepted) => Poll::Ready(accepted.ok()),
+                Poll::Pending => Poll::Ready(None),
+            });
+            let Some((stream, _)) = accepted.await else { return };
             number += 1;
             self.clone().start(stream, number);
         }
--- a/crates/mothpier/src/lib.rs
+++ b/crates/mothpier/src/lib.rs
@@ -267,12 +267,14 @@
     let (accept, listed) = (clients.clone().accept(listener), phase.clone());
     net.spawn(async move {
         let _accepts = accepts;
-        // Beside another process nobody is let in before this one could serve as well.
-        if inherits {
-            listed.until_listed().await;
-        } else {
+        tokio::select! {
+            biased;
+            // Beside another process nobody is let in before this one could serve as well.
+            () = listed.until_listed(), if inherits => {}
             // What it does not know to be out it would send to: whoever does not ask first whether it is ready waits.
-            listed.until_told().await;
+            () = listed.until_told(), if !inherits => {}
+            // It ends before anybody was let in: nothing is owed.
+            () = listed.until_shut() => return,
         }
         accept.await;
     });
@@ -348,8 +350,9 @@
         net.sleep(KEEP_ACCEPTING).await;
     }
     phase.shut(net.now(), left);
-    let _ = accepting.await;
     let all_closed = async {
+        // Who waits at the limit is let in as others close.
+        let _ = accepting.await;
         while clients.count() > 0 && !planted(Plant::HastyStop) {
             clients.one_closed().await;
         }
