Clients: one that always has half a command out is cut off at the end, too

After SIGTERM a connection that is never between two requests is read no further from the cut on, but for a command that has begun. Where the end of one command and the beginning of the next came together, one had always begun: it was read until the process was killed, and lost what it had asked then.

Change: only a command that had begun by the cut is read to its end; half of one that began later is no reason to go on. The gate of the tests of departures has moved to the stand-ins, for both use it.

--- a/crates/mothpier-world/src/loopback.rs
+++ b/crates/mothpier-world/src/loopback.rs
@@ -121,6 +121,25 @@
     address
 }
 
+/// A gate that the test opens.
+#[derive(Default)]
+pub struct Gate(Mutex<bool>, Condvar);
+
+impl Gate {
+    /// Waits until it is open.
+    pub fn pass(&self) {
+        let mut open = self.0.lock().unwrap();
+        while !*open {
+            open = self.1.wait(open).unwrap();
+        }
+    }
+
+    pub fn open(&self) {
+        *self.0.lock().unwrap() = true;
+        self.1.notify_all();
+    }
+}
+
 /// A list of servers that can be changed, and word of the calls that the node makes for it.
 pub struct Discovery {
     pub address: SocketAddr,
--- a/crates/mothpier/src/clients.rs
+++ b/crates/mothpier/src/clients.rs
@@ -508,8 +508,15 @@
             }
             let word = clients.phase.word();
             let closing = clients.phase.closing() && !planted(Plant::KeptIdle);
-            // One that is never between two requests is read no further once those who close have had their time.
-            let cut = clients.phase.cut().filter(|_| begun.is_none() && !idle && !self.ended);
+            // One that is never between two requests is read no further once those who close have had their time, but for
+            // the rest of a command that had begun by then: behind every whole one may stand a part of the next.
+            let cut = clients.phase.cut().filter(|cut| match begun {
+                None => !idle && !self.ended,
+                Some(begun) => self.known && begun >= *cut && !self.ended,
+            });
+            if idle && cut.is_some() {
+                return part(&net, &reading, &mut writing, Unread::Left).await;
+            }
             let reads = !self.ended && cut.is_none_or(|cut| now < cut);
             let first = (!self.known && idle).then_some(connected + HALF);
             // A large value may take as long as it goes on coming.
@@ -560,10 +567,9 @@
                         return;
                     }
                     ended.for_each(|taken| clients.figures.ended(taken.class, taken.ended));
-                    if clients.phase.cut().is_some_and(|cut| cut <= net.now())
+                    let cut = clients.phase.cut().filter(|cut| *cut <= net.now());
+                    if cut.is_some_and(|cut| begun.map_or(buffer.is_empty(), |begun| begun >= cut))
                         && self.pending.is_empty()
-                        && begun.is_none()
-                        && buffer.is_empty()
                     {
                         return part(&net, &reading, &mut writing, Unread::Left).await;
                     }
--- a/crates/mothpier/tests/departures.rs
+++ b/crates/mothpier/tests/departures.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -38,24 +38,6 @@
     Reset,
 }
 
-/// A gate that the test opens.
-#[derive(Default)]
-struct Gate(Mutex<bool>, Condvar);
-
-impl Gate {
-    fn pass(&self) {
-        let mut open = self.0.lock().unwrap();
-        while !*open {
-            open = self.1.wait(open).unwrap();
-        }
-    }
-
-    fn open(&self) {
-        *self.0.lock().unwrap() = true;
-        self.1.notify_all();
-    }
-}
-
 /// A cache server that holds nothing but large values, and an origin that answers when the gate is open.
 fn world() -> (Seen, Arc<Gate>, SocketAddr, SocketAddr) {
     let (seen, gate) = (Seen::default(), Arc::new(Gate::default()));
