Discovery: a line that can't be read does not take the list with it

A list with one line that does not fit (a word for a number, a line without a phase) was refused whole: the drains that its other lines told were missed, though they count as told, and the watch counted as failed.

Change: lines are read one by one. Nothing new goes to a server whose line can't be read, which is logged by its id; a line without an id means nothing. The list that the platform wrote down is read the same way, so that a node starts with it.

Result: a test with real processes: six odd lines beside a drain; the drain and the odd server are kept, the third serves all.

--- a/crates/mothpier/src/messages.rs
+++ b/crates/mothpier/src/messages.rs
@@ -11,7 +11,7 @@
 use mothpier_membership::Line;
 use mothpier_membership::hand::Refused;
 use redis_protocol::resp2::types::BytesFrame;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::resp;
@@ -148,9 +148,24 @@
 pub struct List {
     pub revision: u64,
     pub complete: bool,
+    #[serde(deserialize_with = "members")]
     pub members: Vec<Member>,
 }
 
+/// The phase of a line that can't be read.
+pub const UNREADABLE: &str = "unreadable";
+
+/// Reads lines one by one: what the others say counts all the same, or a drain would be missed for the sake of one of them.
+/// Nothing new goes to a server whose line can't be read; one that names no server has no id.
+fn members<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<Member>, D::Error> {
+    let lines = Vec::<serde_json::Value>::deserialize(from)?;
+    let read = |line: serde_json::Value| {
+        let id = line.get("id").and_then(|id| id.as_str()).unwrap_or_default().to_owned();
+        serde_json::from_value(line).unwrap_or_else(|_| Member::unreadable(id))
+    };
+    Ok(lines.into_iter().map(read).collect())
+}
+
 /// One server in a list.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct Member {
@@ -169,6 +184,21 @@
     pub up_since_ms: u64,
 }
 
+impl Member {
+    fn unreadable(id: String) -> Self {
+        Member {
+            id,
+            host_port: String::new(),
+            locality: String::new(),
+            flavor: String::new(),
+            cell: 0,
+            phase: UNREADABLE.into(),
+            size: None,
+            up_since_ms: 0,
+        }
+    }
+}
+
 /// What the module asks for where discovery must be asked.
 #[derive(Clone, Copy, Default, PartialEq)]
 pub struct Wanted {
--- a/crates/mothpier/src/node.rs
+++ b/crates/mothpier/src/node.rs
@@ -24,7 +24,7 @@
 use crate::discovery::Numbers;
 use crate::membership::{self, Membership};
 use crate::messages::{
-    Answer, AttemptId, Census, ClientEvent, Command, Heard, Input, List, Order, Passing, Wanted,
+    Answer, AttemptId, Census, ClientEvent, Command, Heard, Input, List, Order, Passing, UNREADABLE, Wanted,
 };
 use crate::origin::{self, Origins};
 use crate::peers::Peers;
@@ -276,7 +276,14 @@
     }
 
     /// Takes the list: as it is, or as one source of boxes among others.
-    fn heard_list(&mut self, list: List, kind: ListKind) {
+    fn heard_list(&mut self, mut list: List, kind: ListKind) {
+        list.members.retain(|m| {
+            if m.phase == UNREADABLE {
+                let net = &self.net;
+                net.log(format_args!("the list's line of {:?} can't be read: nothing new goes there", m.id));
+            }
+            !m.id.is_empty()
+        });
         match &self.parts.membership {
             None => self.list(list, kind),
             Some(membership) => {
--- a/crates/mothpier/tests/node.rs
+++ b/crates/mothpier/tests/node.rs
@@ -10,8 +10,8 @@
 use mothpier_world::loopback::*;
 
 /// Something asked of a server, given on to the test.
-fn report(to: std::sync::mpsc::Sender<Vec<String>>) -> impl Fn(&[String]) + Send + Sync {
-    let to = Mutex::new(to);
+fn report(to: std::sync::mpsc::Sender<Vec<String>>) -> impl Fn(&[String]) + Send + Sync + Clone {
+    let to = std::sync::Arc::new(Mutex::new(to));
     move |asked| to.lock().unwrap().send(asked.to_vec()).unwrap_or_default()
 }
 
@@ -118,6 +118,37 @@
     assert!((1..=600).contains(&wait.parse::<u32>().unwrap()), "{wait}");
 }
 
+/// One line of a list that can't be read must not take the others with it: what they say counts as told.
+#[test]
+fn a_list_with_lines_that_cannot_be_read_is_taken_for_what_the_others_say() {
+    let (seen, commands) = channel();
+    let seen = report(seen);
+    let [one, two, three] = ["one", "two", "three"].map(|name| {
+        let seen = seen.clone();
+        serve(command, move |asked| {
+            seen(&[name.to_owned(), asked[2].clone()]);
+            array(name)
+        })
+    });
+    let ready = |id, at| member(id, at, "m", "ready");
+    let discovery = Discovery::start(&[ready("s-1", one), ready("s-2", two), ready("s-3", three)].join(","));
+    let node = Node::start("lines", &discovery);
+    let mut client = node.client();
+    let mut ask =
+        |i: u32| client.ask(&["CACHE.GET", &format!("k{i}"), &format!("i{i}"), "c=read,t=acme,d=9000"]);
+    (0..60).for_each(|i| assert!(ask(i).starts_with('$')));
+    let of =
+        |name: &str, commands: &Receiver<Vec<String>>| commands.try_iter().filter(|c| c[0] == name).count();
+    assert!(of("one", &commands) > 0, "no key belongs to the first server");
+    let odd = ready("s-2", two).replace("\"cell\":0", "\"cell\":\"none\"");
+    let lines = ["7", "null", "{}", r#"{"id":4,"phase":"ready"}"#, r#"{"phase":"ready"}"#].join(",");
+    discovery.change(2, &[lines, member("s-1", one, "m", "draining"), odd, ready("s-3", three)].join(","));
+    discovery.watched_after(2);
+    node.logged("the list's line of \"s-2\" can't be read");
+    (60..120).for_each(|i| assert_eq!(ask(i), "$three"));
+    assert!(commands.try_iter().all(|c| c[0] == "three"));
+}
+
 #[test]
 fn a_server_told_to_drain_gets_nothing_new() {
     let (drained, commands) = channel();
