Test: departures while a connection is made, to a cache server and to the origin

Need: of the states in which a request waits two were not forced: the connection that it waits for has not come up, at a cache server and at the origin.

Change: a stand-in that holds accepting back, with the machine's queue full, so that a connection stays on its way; 100 clients leave at drawn instants, ten stay, at each of the two ends.

Nothing had to be mended.

--- a/crates/mothpier-world/src/loopback.rs
+++ b/crates/mothpier-world/src/loopback.rs
@@ -126,6 +126,11 @@
 pub struct Gate(Mutex<bool>, Condvar);
 
 impl Gate {
+    /// From here on whoever comes waits.
+    pub fn shut(&self) {
+        *self.0.lock().unwrap() = false;
+    }
+
     /// Waits until it is open.
     pub fn pass(&self) {
         let mut open = self.0.lock().unwrap();
@@ -332,6 +337,11 @@
         Client(BufReader::new(stream))
     }
 
+    /// Its connection alone.
+    pub fn into_stream(self) -> TcpStream {
+        self.0.into_inner()
+    }
+
     pub fn write(&mut self, bytes: impl AsRef<[u8]>) {
         self.0.get_mut().write_all(bytes.as_ref()).unwrap();
     }
--- a/crates/mothpier/tests/departures.rs
+++ b/crates/mothpier/tests/departures.rs
@@ -3,7 +3,7 @@
 #![allow(missing_docs)]
 
 use std::collections::HashMap;
-use std::io::Write;
+use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -211,3 +211,151 @@
     assert_eq!(late, 0, "of {} sent on", left.len());
     assert!(!seen.keys().any(|id| id.starts_with("unread")), "read behind the cut");
 }
+
+/// A server that lets connections in only while its gate is open. While it is shut, and the machine's queue full, none
+/// comes up: who connects waits, as with a machine that does not answer yet.
+struct Late {
+    address: SocketAddr,
+    gate: Arc<Gate>,
+    open: Arc<Mutex<Vec<TcpStream>>>,
+    fillers: Vec<TcpStream>,
+}
+
+impl Late {
+    fn start(
+        read: fn(&mut BufReader<TcpStream>) -> Option<Vec<String>>,
+        react: impl Fn(&[String]) -> Reaction + Send + Sync + 'static,
+    ) -> Self {
+        use socket2::{Domain, Socket, Type};
+        let listener = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        listener.listen(0).unwrap();
+        let listener: std::net::TcpListener = listener.into();
+        let address = listener.local_addr().unwrap();
+        let (gate, open, react) =
+            (Arc::new(Gate::default()), Arc::<Mutex<Vec<_>>>::default(), Arc::new(react));
+        gate.open();
+        let (pass, accepted) = (gate.clone(), open.clone());
+        thread::spawn(move || {
+            loop {
+                pass.pass();
+                let (mut stream, _) = listener.accept().unwrap();
+                accepted.lock().unwrap().push(stream.try_clone().unwrap());
+                let react = react.clone();
+                thread::spawn(move || {
+                    let mut reader = BufReader::new(stream.try_clone().unwrap());
+                    while let Some(asked) = read(&mut reader) {
+                        let Reaction::Answer(bytes) = react(&asked) else { return };
+                        if stream.write_all(&bytes).is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        Late { address, gate, open, fillers: Vec::new() }
+    }
+
+    /// Lets nobody in any more, and closes what it has let in.
+    fn hold_back(&mut self) {
+        self.gate.shut();
+        // One goes to the look that is out already, and then none is.
+        let taken = self.open.lock().unwrap().len();
+        self.fillers.push(TcpStream::connect(self.address).unwrap());
+        while self.open.lock().unwrap().len() == taken {
+            thread::sleep(Duration::from_millis(1));
+        }
+        // Then the machine's queue is filled, until a connection waits.
+        while let Ok(filler) = TcpStream::connect_timeout(&self.address, Duration::from_millis(200)) {
+            self.fillers.push(filler);
+        }
+        self.open.lock().unwrap().drain(..).for_each(|stream| drop(stream.shutdown(Shutdown::Both)));
+    }
+
+    fn let_in(&mut self) {
+        self.fillers.clear();
+        self.gate.open();
+    }
+}
+
+/// Requests wait for a connection that is being made, to a cache server or to the origin, or behind those that do; most of
+/// their clients leave at drawn instants. When the connection comes up those who stayed are served, and of those who left
+/// nothing comes in.
+#[test]
+fn nothing_is_sent_on_over_a_connection_that_comes_up_after_its_clients_left() {
+    for at_origin in [false, true] {
+        let seen = Seen::default();
+        let note = |seen: &Seen, id: &str| drop(seen.lock().unwrap().insert(id.to_owned(), Instant::now()));
+        let (there, here) = (seen.clone(), seen.clone());
+        let mut server = Late::start(command, move |asked| {
+            note(&here, &asked[2]);
+            if at_origin && !asked[2].starts_with("warm") { miss() } else { array("v") }
+        });
+        let mut origin = Late::start(call, move |asked| {
+            let id = asked.iter().find_map(|line| line.strip_prefix("x-request-id: ")).unwrap();
+            note(&there, &format!("origin {id}"));
+            http("200 OK", "v")
+        });
+        let members =
+            [member("s-1", server.address, "m", "ready"), member("o-1", origin.address, "origin", "ready")];
+        let node = Node::start(&format!("late-{at_origin}"), &Discovery::start(&members.join(",")));
+        // One that has answered much is sent much.
+        let mut client = node.client();
+        for i in 0..100 {
+            assert_eq!(
+                client.ask(&["CACHE.GET", &format!("w{i}"), &format!("warm{i}"), "c=read,t=acme,d=9000"]),
+                "$v"
+            );
+        }
+        let held_back = if at_origin { &mut origin } else { &mut server };
+        held_back.hold_back();
+        let before = seen.lock().unwrap().len();
+        let mut draw = Draw(11);
+        let (mut stay, mut leaving) = (Vec::new(), Vec::new());
+        for i in 0..110 {
+            let stays = i % 11 == 5;
+            let id = if stays { format!("stays{i}") } else { format!("gone{i}") };
+            let mut client = node.client();
+            client.write(get(&format!("own{i}"), &id));
+            if at_origin {
+                until(&seen, 1, |seen| seen == id);
+            }
+            match stays {
+                true => stay.push(client),
+                false => leaving.push((
+                    draw.below(400),
+                    id,
+                    if i % 2 == 0 { How::Fin } else { How::Reset },
+                    client,
+                )),
+            }
+        }
+        leaving.sort_by_key(|(at, ..)| *at);
+        let (began, mut open, mut left) = (Instant::now(), Vec::new(), Vec::new());
+        for (at, id, how, client) in leaving {
+            thread::sleep(Duration::from_millis(at).saturating_sub(began.elapsed()));
+            open.extend(leave(client.into_stream(), how));
+            left.push((id, Instant::now()));
+        }
+        let after = seen.lock().unwrap().len();
+        assert_eq!(
+            after - before,
+            if at_origin { 110 } else { 0 },
+            "a connection came up while it was held back"
+        );
+        thread::sleep(LATE);
+        held_back.let_in();
+        for client in &mut stay {
+            let answer = client.answer();
+            assert!(answer == "$v" || answer.starts_with("-BUSY"), "{answer}");
+        }
+        let served = count(&seen, |id| id.contains("stays") && id.starts_with("origin") == at_origin);
+        assert!(served > 0, "nobody waited for the connection");
+        let seen = seen.lock().unwrap();
+        let late = left.iter().filter(|(id, at)| {
+            let id = if at_origin { format!("origin {id}") } else { id.clone() };
+            seen.get(&id).is_some_and(|came| *came > *at + LATE)
+        });
+        assert_eq!(late.count(), 0, "of {} sent on, at the origin: {at_origin}", left.len());
+    }
+}
