Test: a reset under a command at each of its bytes; departures pass clippy

Need: that a connection which breaks as a command has come in part proves nothing was forced at its end alone.

Change: a cache server resets behind each byte of a command in turn.

--- a/crates/mothpier/tests/departures.rs
+++ b/crates/mothpier/tests/departures.rs
@@ -285,7 +285,9 @@
 fn nothing_is_sent_on_over_a_connection_that_comes_up_after_its_clients_left() {
     for at_origin in [false, true] {
         let seen = Seen::default();
-        let note = |seen: &Seen, id: &str| drop(seen.lock().unwrap().insert(id.to_owned(), Instant::now()));
+        let note = |seen: &Seen, id: &str| {
+            seen.lock().unwrap().insert(id.to_owned(), Instant::now());
+        };
         let (there, here) = (seen.clone(), seen.clone());
         let mut server = Late::start(command, move |asked| {
             note(&here, &asked[2]);
--- a/crates/mothpier/tests/endings.rs
+++ b/crates/mothpier/tests/endings.rs
@@ -2,7 +2,8 @@
 #![allow(missing_docs)]
 
 use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, channel};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -171,7 +172,7 @@
     assert_eq!(calls.try_iter().count(), 0, "what came behind the cut was read");
 }
 
-/// Where nothing listens any more.
+/// A signal that comes again, and one that has nothing to do with the end.
 #[test]
 fn told_to_end_twice_and_to_read_its_file_meanwhile_it_ends_as_if_told_once() {
     let (members, gate, calls) = held_origin();
@@ -189,3 +190,45 @@
     let gone: SocketAddr = node.address;
     assert!(TcpStream::connect(gone).is_err());
 }
+
+/// A cache server that resets under a command as each of its bytes has come: what may not run twice is sent once and
+/// failed, what is safe goes to the other server.
+#[test]
+fn a_reset_under_a_command_at_each_of_its_bytes_is_no_proof_that_it_did_not_run() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let resets = listener.local_addr().unwrap();
+    let (after, begun) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+    let (taken, count) = (after.clone(), begun.clone());
+    thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let mut bytes = vec![0; taken.load(Ordering::SeqCst)];
+            // A connection that brings nothing is only closed.
+            if stream.read_exact(&mut bytes).is_ok() {
+                count.fetch_add(1, Ordering::SeqCst);
+            }
+            socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+        }
+    });
+    let node = Node::start("resets", &Discovery::start(&member("s-1", resets, "m", "ready")));
+    let mut client = node.client();
+    let length = get("k", "00").len() - "CACHE.GET".len();
+    for bytes in 1..=length {
+        after.store(bytes, Ordering::SeqCst);
+        let (before, id) = (begun.load(Ordering::SeqCst), format!("{bytes:02}"));
+        let answer = client.ask(&["CACHE.GET", "k", &id, "c=once,t=acme,d=19000"]);
+        assert_eq!(answer, "-ERR failed", "reset behind {bytes} of its bytes");
+        assert_eq!(begun.load(Ordering::SeqCst) - before, 1, "reset behind {bytes} of its bytes");
+    }
+    let safe = serve(command, |_| array("v"));
+    let both = [member("s-1", resets, "m", "ready"), member("s-2", safe, "m", "ready")].join(",");
+    let node = Node::start("resets-safe", &Discovery::start(&both));
+    let mut client = node.client();
+    for bytes in 1..=length {
+        after.store(bytes, Ordering::SeqCst);
+        let answer = client.ask(&["CACHE.GET", &format!("k{bytes}"), &format!("{bytes:02}"), READ]);
+        assert!(
+            answer == "$v" || answer.starts_with("-BUSY "),
+            "reset behind {bytes} of its bytes: {answer}"
+        );
+    }
+}
