Simulation: agents that never answer what they were asked in their silence, and a plant

Change: the fault list-lost, and a rule with it: what such an agent has counts as told 0.25 s after it speaks again, whoever took it. The planted mistake silent-call-waits, and the directed case list-lost-then-drained.

--- a/crates/mothpier-sim/src/plan.rs
+++ b/crates/mothpier-sim/src/plan.rs
@@ -91,6 +91,8 @@
     ListDown = "list-down", 3;
     /// All agents answer nothing.
     ListsDown = "lists-down", 3;
+    /// A node's agent answers nothing, and never what it was asked meanwhile.
+    ListLost = "list-lost", 3;
     /// An agent's revisions begin anew.
     Renumber = "renumber", 2;
     /// A box is told to drain; it ends, and comes back.
--- a/crates/mothpier-sim/src/play.rs
+++ b/crates/mothpier-sim/src/play.rs
@@ -31,6 +31,8 @@
 use crate::reshuffle::Reshuffle;
 
 /// Clients begin when all nodes have their list.
+/// A node finds an agent that speaks again within this time: it asks ten times a second, and each way takes its time.
+const FOUND_AGAIN_MS: u64 = 250;
 const TRAFFIC_FROM_MS: u64 = 1_500;
 /// Once healed the world has so long to come to rest; some traffic goes on meanwhile.
 const HEAL_MS: u64 = 16_000;
@@ -998,6 +1000,7 @@
             }
             Kind::ListDown => self.agents.borrow()[i].iter().for_each(|a| a.silent.set(true)),
             Kind::ListsDown => self.agents.borrow().iter().flatten().for_each(|a| a.silent.set(true)),
+            Kind::ListLost => self.agents.borrow()[i].iter().for_each(|a| a.lose()),
             Kind::Renumber => {
                 // A process that starts without memory: what it knew of servers that went is gone.
                 for which in 0..2 {
@@ -1154,7 +1157,7 @@
             Kind::CutTo | Kind::CutFrom | Kind::CutBoth => self.cut(fault, false),
             Kind::Delay => self.network.delay(self.nodes.borrow()[i].host, 0),
             Kind::Post => self.network.post.set(Post::default()),
-            Kind::ListDown => self.agents_speak(i),
+            Kind::ListDown | Kind::ListLost => self.agents_speak(i),
             Kind::ListsDown => (0..nodes).for_each(|i| self.agents_speak(i)),
             Kind::NodeKill | Kind::NodeStop => {
                 let (held, still) = {
@@ -1287,7 +1290,15 @@
         // One that a reload has left stays silent for good.
         let now = self.nodes.borrow()[i].agent;
         let pair = self.agents.borrow()[i].clone();
-        pair[now].speak();
+        if pair[now].speak() {
+            // What it has counts as told from here on, whoever asks; the way to it takes its time.
+            let agent = pair[now].clone();
+            self.at(self.exec.millis() + FOUND_AGAIN_MS, move |world| {
+                if world.nodes.borrow()[i].agent == now {
+                    agent.counts_as_told();
+                }
+            });
+        }
         if self.exec.millis() < LAST_MS {
             pair[1 - now].speak();
         }
@@ -1527,7 +1538,13 @@
 
     /// A node's agent answers nothing, or does again.
     pub fn list_out(&self, node: usize, out: bool) {
-        self.agents.borrow()[node].iter().for_each(|a| if out { a.silent.set(true) } else { a.speak() });
+        for agent in &self.agents.borrow()[node] {
+            if out {
+                agent.silent.set(true);
+            } else {
+                agent.speak();
+            }
+        }
     }
 
     /// How many nodes there are.
--- a/crates/mothpier-sim/src/scenarios.rs
+++ b/crates/mothpier-sim/src/scenarios.rs
@@ -346,6 +346,21 @@
         },
         met: served,
     },
+    Scenario {
+        name: "list-lost-then-drained",
+        about: "an agent never answers what it was asked in its silence, and a box drains in it",
+        runs: || {
+            let offset = |n: u64| {
+                let lines = [
+                    format!("list-lost target=0 at={} len=3500", 3_000 + n * 150),
+                    format!("drain target=1 at={} len=6000", 3_400 + n * 150),
+                ];
+                faults(&lines.each_ref().map(String::as_str))
+            };
+            (0..8).map(|n| (n, offset(n))).collect()
+        },
+        met: served,
+    },
     Scenario {
         name: "sigterm-in-the-middle",
         about: "a node gets SIGTERM while a box hangs, the origin fails and the list is out of reach",
--- a/crates/mothpier-world/src/agent.rs
+++ b/crates/mothpier-world/src/agent.rs
@@ -53,6 +53,8 @@
     changed: Notify,
     /// It takes calls and answers none, open watches included.
     pub silent: Cell<bool>,
+    /// What it is asked in its silence it never answers, and open watches neither.
+    loses: Cell<bool>,
     /// The last revision behind which the node asked for news, and how often it asked at all.
     pub asked: Cell<(u64, u64)>,
 }
@@ -68,6 +70,7 @@
             revision: Cell::new(1),
             changed: Notify::new(),
             silent: Cell::new(false),
+            loses: Cell::new(false),
             asked: Cell::default(),
         };
         agent.members.borrow_mut().extend(members.iter().map(|m| (m.id.clone(), (1, m.clone()))));
@@ -89,10 +92,24 @@
         self.changed.notify_waiters();
     }
 
-    /// Speaks again after a silence.
-    pub fn speak(&self) {
+    /// Falls silent, for good to all that ask before it speaks again.
+    pub fn lose(&self) {
+        self.silent.set(true);
+        self.loses.set(true);
+        self.changed.notify_waiters();
+    }
+
+    /// Speaks again after a silence; whether calls were lost in it.
+    pub fn speak(&self) -> bool {
         self.silent.set(false);
         self.changed.notify_waiters();
+        self.loses.replace(false)
+    }
+
+    /// What it has counts as told, though nobody may have taken it.
+    pub fn counts_as_told(&self) {
+        let (_, members, complete) = self.list(None);
+        self.fleet.saw(Seen::Told { agent: self.number, members, complete });
     }
 
     /// Listens and serves until its machine ends it; gives the address.
@@ -122,6 +139,9 @@
             let until = self.net.now() + Duration::from_millis(wait);
             while self.silent.get() || after.is_some_and(|a| a == self.revision.get()) {
                 let news = self.changed.notified();
+                if self.silent.get() && self.loses.get() {
+                    std::future::pending::<()>().await;
+                }
                 if self.silent.get() {
                     news.await;
                 } else if self.net.timeout_at(until, news).await.is_none() && !self.silent.get() {
--- a/crates/mothpier/src/discovery.rs
+++ b/crates/mothpier/src/discovery.rs
@@ -219,7 +219,7 @@
     pause: Duration,
 ) -> Answer<N> {
     let first = call(net, open, address, after, way);
-    if matches!(way, Way::Service) {
+    if matches!(way, Way::Service) || planted(Plant::SilentCallWaits) {
         return match first.await {
             // A watch that has fallen silent is broken, which is no failure of the service: it is opened anew at once, for
             // what it misses counts as told soon.
--- a/crates/mothpier/src/plants.rs
+++ b/crates/mothpier/src/plants.rs
@@ -58,11 +58,13 @@
     CutIsWhole,
     /// A client that leaves is seen only where its commands are read; what waits is sent on for it all the same.
     SentAfterLeft,
+    /// An agent is not asked again before the call that it owes an answer to has had its time.
+    SilentCallWaits,
 }
 
 impl Plant {
     /// All of them.
-    pub const ALL: [Plant; 27] = [
+    pub const ALL: [Plant; 28] = [
         Plant::ResetNeverRan,
         Plant::DoubleAnswer,
         Plant::DrainingIsReady,
@@ -90,6 +92,7 @@
         Plant::KeptIdle,
         Plant::CutIsWhole,
         Plant::SentAfterLeft,
+        Plant::SilentCallWaits,
     ];
 }
 
