--- a/crates/mothpier/tests/upgrade.rs
+++ b/crates/mothpier/tests/upgrade.rs
@@ -50,6 +50,8 @@
 
 #[derive(Default)]
 struct Seen {
+    /// Clients that have been answered.
+    began: AtomicU64,
     answered: AtomicU64,
     /// Connections that ended under a request, which was asked again.
     closed_on: AtomicU64,
@@ -75,6 +77,7 @@
                     }
                     answer if *answer == format!("${id}") || answer.starts_with("-BUSY ") => {
                         seen.answered.fetch_add(1, SeqCst);
+                        seen.began.fetch_add(u64::from(number == 0), SeqCst);
                         number += 1;
                     }
                     other => seen.wrong.lock().unwrap().push(format!("{id}: {other}")),
@@ -114,6 +117,10 @@
         }
     };
     answered(200);
+    // What is held with all of them there: on a busy machine some come late.
+    while seen.began.load(SeqCst) < 8 {
+        thread::yield_now();
+    }
     let first = (descriptors(&old), memory_kb(&old));
     for _ in 0..upgrades {
         let new = platform.start(&discovery);
