--- a/src/policy.rs
+++ b/src/policy.rs
@@ -25,7 +25,7 @@
 const GATE_CUT: (f64, f64, f64) = (0.8, 0.1, 0.8);
 /// Postponement: the note's 1 to 3 s against its bound of 60 s, taken as parts of the request's aim.
 const DELAY: (f64, f64) = (1.0 / 60.0, 3.0 / 60.0);
-/// An attempt without answer for this part of its aim is slow, for twice this nearly late; but not before this
+/// An attempt without answer for this part of its aim is slow, for twice this nearly late; not before this
 /// multiple of the time in which a quarter of its class's answers come, up to the next part (nearly late: the
 /// last): where plain work takes much of the aim, every other answer would be slow, and a sign of overload.
 const PATIENCE: (f64, f64, f64, f64) = (0.4, 3.0, 0.8, 0.9);
--- a/src/state.rs
+++ b/src/state.rs
@@ -225,7 +225,7 @@
         Quantile { value, seen: 0.0 }
     }
 
-    /// Takes a value in: the quantile is where a part of all lies below. Steps are parts of a unit, at first and least.
+    /// Takes a value in: a part of all lies below the quantile. First and least step are parts of a unit.
     pub fn saw(&mut self, value: f64, part: f64, unit: f64, (first, least): (f64, f64)) {
         self.seen += 1.0;
         let step = unit * (first / self.seen).max(least);
