Test: one set-up for a server that does not read with a large command under way

Need: read as a stranger, the two tests of half-written commands share their set-up line by line.

Change: one function makes it.

Result: both pass, and both fail where a deserted connection is kept open.

--- a/crates/mothpier/src/servers.rs
+++ b/crates/mothpier/src/servers.rs
@@ -1099,23 +1099,33 @@
         });
     }
 
+    /// More than two sockets hold.
+    const LARGE: usize = 16 << 20;
+
+    /// A server that does not read, with a large command on its way to it as attempt 7.
+    async fn large_one_out(
+        multiplex: usize,
+    ) -> (Servers<Tokio>, tokio::net::TcpStream, mpsc::Receiver<Input>) {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (events, mut inputs) = mpsc::channel(8);
+        let mut servers = Servers::new(Tokio, limits(multiplex), events);
+        servers.listed(1, listener.local_addr().ok(), true);
+        let large = resp::command(["SET".into(), vec![b'v'; LARGE].into()]);
+        assert!(servers.send(1, Command { bytes: large, ..get(7) }));
+        let (stream, _) = listener.accept().await.unwrap();
+        let Some(Input::Server { number, event, .. }) = inputs.recv().await else { panic!() };
+        servers.event(1, number, event);
+        (servers, stream, inputs)
+    }
+
     /// A server that does not read: a command given up half written must not arrive whole beside the next attempt, and
     /// without its last byte it has not run.
     #[test]
     fn what_is_given_up_half_written_never_arrives_whole() {
         use tokio::io::AsyncReadExt;
-        const LARGE: usize = 16 << 20;
         for give_up in [true, false] {
             local(async {
-                let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-                let (events, mut inputs) = mpsc::channel(8);
-                let mut servers = Servers::new(Tokio, limits(1), events);
-                servers.listed(1, listener.local_addr().ok(), true);
-                let bytes = resp::command(["SET".into(), vec![b'v'; LARGE].into()]);
-                assert!(servers.send(1, Command { attempt: 7, bytes, probe: false, asking: false }));
-                let (mut stream, _) = listener.accept().await.unwrap();
-                let Some(Input::Server { number, event, .. }) = inputs.recv().await else { panic!() };
-                servers.event(1, number, event);
+                let (mut servers, mut stream, _inputs) = large_one_out(1).await;
                 settle().await;
                 if give_up {
                     assert!(!servers.give_up(1, 7), "half a command has not run");
@@ -1136,18 +1146,9 @@
     #[test]
     fn a_connection_ends_with_the_last_that_was_waited_for_behind_something_half_written() {
         use tokio::io::AsyncReadExt;
-        const LARGE: usize = 16 << 20;
         for give_up in [true, false] {
             local(async {
-                let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-                let (events, mut inputs) = mpsc::channel(8);
-                let mut servers = Servers::new(Tokio, limits(32), events);
-                servers.listed(1, listener.local_addr().ok(), true);
-                let large = resp::command(["SET".into(), vec![b'v'; LARGE].into()]);
-                assert!(servers.send(1, Command { bytes: large, ..get(7) }));
-                let (mut stream, _) = listener.accept().await.unwrap();
-                let Some(Input::Server { number, event, .. }) = inputs.recv().await else { panic!() };
-                servers.event(1, number, event);
+                let (mut servers, mut stream, _inputs) = large_one_out(32).await;
                 let pool = servers.pools.get_mut(&1).unwrap();
                 assert!(pool.append(get(8), 32, Instant::now()));
                 settle().await;
