Tests: the inline test modules of 53 sources stand in files beside them

Need: sources of several hundred lines were half tests, and a reader had to scroll past them; tests belong in test files.

Change: each `mod tests { ... }` is now `mod tests;` with its body, unindented, in `tests.rs` of the module's folder. Nothing else: white space within three test strings of JSON and of split words, and the relative path of two included files, changed with the place.

--- /dev/null
+++ b/crates/mothpier-config/src/place/tests.rs
@@ -0,0 +1,51 @@
+use super::*;
+
+fn plain(text: &str) -> String {
+    let hosts = Hosts::read("10.1.0.7 pb7.makati.example.org pb7 # the seventh\nnonsense here\n");
+    match Place::read(text, Some(6379), &hosts) {
+        Ok(place) => format!("{}{}", place.plain(), if place.odd { " odd" } else { "" }),
+        Err(e) => format!("{e}"),
+    }
+}
+
+#[test]
+fn one_place_has_one_plain_spelling() {
+    for same in [
+        "10.1.0.7:6379",
+        "10.1.0.7",
+        " 10.1.0.7 ",
+        "pb7.makati.example.org",
+        "PB7.Makati.Example.ORG.:6379",
+        "pb7:6379",
+        "[::ffff:10.1.0.7]:6379",
+        "::ffff:10.1.0.7",
+        "[::ffff:a01:7]",
+    ] {
+        assert_eq!(plain(same), "10.1.0.7:6379", "{same}");
+    }
+    for odd in ["10.1.7", "012.1.0.7", "10.01.0.007", "0x0a.1.0.7", "167837703", "10.65543"] {
+        assert_eq!(plain(odd), "10.1.0.7:6379 odd", "{odd}");
+    }
+    assert_eq!(plain("bücher.example:80"), "xn--bcher-kva.example:80");
+    assert_eq!(plain("[fd00:0::18]:7"), "[fd00::18]:7");
+    assert_eq!(plain("other.example"), "other.example:6379");
+}
+
+#[test]
+fn what_is_no_place_is_said_to_be_none() {
+    for (text, error) in [
+        ("", "there is nothing"),
+        ("10.1.0.7:0", "\"0\" is no port"),
+        ("10.1.0.7:+80", "\"+80\" is no port"),
+        ("10.1.0.7:70000", "\"70000\" is no port"),
+        ("10.1.0.256", "neither an address nor a name"),
+        ("-bad.example", "neither an address nor a name"),
+        ("[::1", "neither an address nor a name"),
+        ("[::1]6379", "\"6379\" is no port"),
+        ("a b", "neither an address nor a name"),
+        ("1.2.3.4.5", "neither an address nor a name"),
+    ] {
+        assert!(plain(text).contains(error), "{text}: {}", plain(text));
+    }
+    assert_eq!(Place::read("10.1.0.7", None, &Hosts::default()), Err(Wrong::NoPort));
+}
--- /dev/null
+++ b/crates/mothpier-slots/src/redirect/tests.rs
@@ -0,0 +1,74 @@
+use super::*;
+
+fn moved(line: &str) -> Result<Redirect, Nonsense> {
+    match read(line) {
+        Some(Ok(Said::Redirect(r))) => Ok(r),
+        Some(Err(e)) => Err(e),
+        other => panic!("{line}: {other:?}"),
+    }
+}
+
+#[test]
+fn hosts_in_every_form_lead_where_they_should() {
+    let from: SocketAddr = "10.1.0.9:7000".parse().unwrap();
+    let named = |name: &str| (name == "pb7.example.org").then(|| IpAddr::from([10, 1, 0, 7]));
+    for (line, address) in [
+        ("MOVED 3999 127.0.0.1:6381", Some("127.0.0.1:6381")),
+        ("MOVED 3999 :6381", Some("10.1.0.9:6381")),
+        ("MOVED 3999 ", Some("10.1.0.9:7000")),
+        ("MOVED 3999", Some("10.1.0.9:7000")),
+        ("ASK 0 ::1:6381", Some("[::1]:6381")),
+        ("ASK 16383 [2001:db8::1]:6381", Some("[2001:db8::1]:6381")),
+        ("MOVED 1 ::ffff:10.1.0.7:1", Some("10.1.0.7:1")),
+        ("MOVED 1 PB7.example.org.:65535", Some("10.1.0.7:65535")),
+        ("MOVED 1 pb8.example.org:1", None),
+    ] {
+        let r = moved(line).unwrap();
+        assert_eq!(r.to.address(from, &named), address.map(|a| a.parse().unwrap()), "{line}");
+        assert_eq!(r.ask, line.starts_with("ASK"), "{line}");
+    }
+    assert_eq!(moved("MOVED 3999 127.0.0.1:6381").unwrap().slot, 3_999);
+}
+
+#[test]
+fn nonsense_is_told_apart_by_its_cause() {
+    for (line, cause) in [
+        ("MOVED", Nonsense::Words),
+        ("MOVED 1 a:1 b:2", Nonsense::Words),
+        ("MOVED 16384 10.0.0.1:1", Nonsense::Slot),
+        ("MOVED 99999999999 10.0.0.1:1", Nonsense::Slot),
+        ("MOVED -1 10.0.0.1:1", Nonsense::Slot),
+        ("MOVED +1 10.0.0.1:1", Nonsense::Slot),
+        ("MOVED  10.0.0.1:1", Nonsense::Slot),
+        ("ASK 1 10.0.0.1:0", Nonsense::Port),
+        ("ASK 1 10.0.0.1:70000", Nonsense::Port),
+        ("ASK 1 10.0.0.1:", Nonsense::Port),
+        ("ASK 1 10.0.0.1", Nonsense::Port),
+        ("ASK 1 ?:6379", Nonsense::Host),
+        ("ASK 1 0.0.0.0:6379", Nonsense::Host),
+        ("ASK 1 10.0.0.300:6379", Nonsense::Host),
+        ("ASK 1 a..b:6379", Nonsense::Host),
+        ("ASK 1 \u{e9}:6379", Nonsense::Host),
+        ("ASK 1 [::1:6379", Nonsense::Host),
+    ] {
+        assert_eq!(moved(line), Err(cause), "{line}");
+    }
+    let long = format!("MOVED 1 {}:1", "a.".repeat(500_000));
+    assert_eq!(moved(&long), Err(Nonsense::Host));
+}
+
+#[test]
+fn other_errors_of_a_cluster_never_ran_and_the_rest_is_not_its_business() {
+    for (line, why) in [
+        ("TRYAGAIN Multiple keys request during rehashing of slot", NotNow::TryAgain),
+        ("CLUSTERDOWN Hash slot not served", NotNow::ClusterDown),
+        ("LOADING Redis is loading the dataset in memory", NotNow::Loading),
+        ("MASTERDOWN Link with MASTER is down", NotNow::MasterDown),
+        ("READONLY You can't write against a read only replica.", NotNow::ReadOnly),
+    ] {
+        assert_eq!(read(line), Some(Ok(Said::NotNow(why))));
+    }
+    for line in ["", "ERR failed", "BUSY", "moved 1 a:1", "MOVEDX 1 a:1", "ASKING"] {
+        assert_eq!(read(line), None, "{line:?}");
+    }
+}
--- a/crates/mothpier-slots/src/slot.rs
+++ b/crates/mothpier-slots/src/slot.rs
@@ -24,32 +24,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn the_specifications_vectors() {
-        // Appendix A: the checksum of "123456789" is 31C3.
-        assert_eq!(CRC.checksum(b"123456789"), 0x31c3);
-        assert_eq!(slot_of(b"123456789"), 0x31c3);
-        // The page of CLUSTER KEYSLOT.
-        assert_eq!(slot_of(b"somekey"), 11_058);
-        assert_eq!(slot_of(b"foo{hash_tag}"), 2_515);
-        assert_eq!(slot_of(b"bar{hash_tag}"), 2_515);
-        assert_eq!(slot_of(b""), 0);
-    }
-
-    #[test]
-    fn hash_tags_as_the_specification_tells_them() {
-        // Its examples, in its order, and what it says in words.
-        assert_eq!(hashed_part(b"{user1000}.following"), b"user1000");
-        assert_eq!(hashed_part(b"foo{}{bar}"), b"foo{}{bar}");
-        assert_eq!(hashed_part(b"foo{{bar}}zap"), b"{bar");
-        assert_eq!(hashed_part(b"foo{bar}{zap}"), b"bar");
-        assert_eq!(hashed_part(b"foo{bar"), b"foo{bar");
-        assert_eq!(hashed_part(b"}foo{bar}"), b"bar");
-        assert_eq!(hashed_part(b"{"), b"{");
-        assert_eq!(hashed_part(b"{}"), b"{}");
-        assert_eq!(hashed_part(b"\xff{\x00}"), b"\x00");
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/mothpier/src/figures/tests.rs
@@ -0,0 +1,29 @@
+use super::*;
+
+#[test]
+fn all_figures_stand_there_from_the_start_and_count_alone() {
+    let figures = Figures::new(&["browse".into(), "send-message".into()]).unwrap();
+    let text = figures.text(States::default()).unwrap();
+    for class in ["browse", "send-message"] {
+        for result in ["completed", "rejected", "failed"] {
+            let line =
+                format!("edge_router_downstream_requests_total{{lane=\"{class}\",result=\"{result}\"}} 0\n");
+            assert!(text.contains(&line), "{text}");
+        }
+    }
+    assert!(text.contains("# TYPE edge_router_downstream_requests_total counter\n"), "{text}");
+    figures.ended(1, Ended::Rejected);
+    figures.ended(7, Ended::Failed);
+    figures.attempt();
+    let text = figures.text(States { pending: 3, members: 9, unavailable: 2 }).unwrap();
+    for line in [
+        "edge_router_downstream_requests_total{lane=\"send-message\",result=\"rejected\"} 1\n",
+        "edge_router_upstream_requests_total 1\n",
+        "edge_router_pending 3\n",
+        "edge_router_members 9\n",
+        "edge_router_members_unavailable 2\n",
+    ] {
+        assert!(text.contains(line), "{text}");
+    }
+    assert_eq!(text.matches("} 0\n").count(), 5, "{text}");
+}
