Origin: the time told is what is left as the call is written, at cache servers too

Cause: a fetch or a write at the origin sent X-Extras as the client's list came, so that `d` was the client's whole time however much of it had passed. Cache servers were told what was left when the attempt was made, and not when a connection had come up for it.

Change: an attempt carries its command and its deadline (`TimeBudget`); the list is written with what is left at the moment before its first byte, after any wait for a connection or for the socket. The rest of the list goes on as it came, in its order. A call whose deadline has passed is not written.

--- a/crates/mothpier-sim/src/oracle.rs
+++ b/crates/mothpier-sim/src/oracle.rs
@@ -150,6 +150,8 @@
     value_came: Option<u64>,
     /// When its client left without it.
     left: Option<u64>,
+    /// The last moment for its answer, nanoseconds.
+    until: u64,
 }
 
 #[derive(Default)]
@@ -442,6 +444,7 @@
         self.tally.borrow_mut().asked += 1;
         let mut requests = self.requests.borrow_mut();
         let r = requests.entry(id.clone()).or_default();
+        r.until = r.until.max(until);
         r.care = self.cares.get(class).copied().filter(|c| write || *c == Care::Safe);
         r.answered = None;
     }
@@ -504,6 +507,18 @@
         }
     }
 
+    /// An attempt tells its server how long it is waited for: no longer than the client still waits.
+    fn told_time(&self, id: &str, node: usize, extras: &str) {
+        let Some(told) = wire::extra(extras, "d").and_then(|d| d.parse::<u64>().ok()) else { return };
+        let now = self.exec.nanos();
+        let until = self.requests.borrow().get(id).map_or(0, |r| r.until);
+        if now + told * 1_000_000 > until {
+            let over = (now + told * 1_000_000 - until) / 1_000_000;
+            let what = format!("node {node} tells {told} ms for request {id}, {over} ms more than is left");
+            self.breaks(Rule::Value, what);
+        }
+    }
+
     /// A command or call begins to be written to a server.
     fn begins(&self, line: &Line, node: usize) {
         let now = self.exec.nanos();
@@ -595,18 +610,18 @@
         }
         s.wrote.extend_from_slice(bytes);
         loop {
-            let id = match role {
+            let (id, extras) = match role {
                 Role::Origin => match wire::call(&mut s.wrote) {
                     Ok(Some(call)) => {
                         self.tally.borrow_mut().attempts.1 += 1;
-                        call.header("x-request-id").to_owned()
+                        (call.header("x-request-id").to_owned(), call.header("x-extras").to_owned())
                     }
                     Ok(None) => return,
                     Err(e) => return self.breaks(Rule::Value, format!("the origin can't read a call: {e}")),
                 },
                 _ => match wire::command(&mut s.wrote) {
                     Ok(Some(words)) => match words.get(2) {
-                        Some(id) => id.clone(),
+                        Some(id) => (id.clone(), words.get(3).cloned().unwrap_or_default()),
                         None => {
                             s.out.push_back(None);
                             continue;
@@ -616,6 +631,7 @@
                     Err(e) => return self.breaks(Rule::Value, format!("a box can't read a command: {e}")),
                 },
             };
+            self.told_time(&id, node, &extras);
             let place = self.attempt(&id, node, s.begun);
             s.out.push_back(Some((id, place)));
             if let Role::Box(number) = role {
--- a/crates/mothpier/src/lib.rs
+++ b/crates/mothpier/src/lib.rs
@@ -27,6 +27,7 @@
 mod servers;
 mod shelf;
 mod succession;
+mod time_budget;
 mod topology;
 
 use std::cell::RefCell;
--- a/crates/mothpier/src/messages.rs
+++ b/crates/mothpier/src/messages.rs
@@ -267,6 +267,14 @@
 impl Command {
     /// The command for a cache server: unchanged but for how long this attempt will be waited for.
     pub fn for_server(&self, wait: Duration) -> Bytes {
+        let words =
+            [self.name.clone(), self.key.clone(), self.id.clone(), self.extras_with_wait(wait).into()];
+        resp::command(words.into_iter().chain(self.value.clone()))
+    }
+
+    /// The names and values as they came, in their order, with `d` (milliseconds) set to how long this attempt will be
+    /// waited for. A list without `d` stays without one.
+    pub fn extras_with_wait(&self, wait: Duration) -> String {
         let mut extras = String::with_capacity(self.extras.len() + 8);
         for part in String::from_utf8_lossy(&self.extras).split(',') {
             let comma = if extras.is_empty() { "" } else { "," };
@@ -275,7 +283,6 @@
                 _ => extras += &format!("{comma}{part}"),
             }
         }
-        let words = [self.name.clone(), self.key.clone(), self.id.clone(), extras.into()];
-        resp::command(words.into_iter().chain(self.value.clone()))
+        extras
     }
 }
--- a/crates/mothpier/src/node.rs
+++ b/crates/mothpier/src/node.rs
@@ -29,7 +29,8 @@
 use crate::origin::{self, Origins};
 use crate::peers::Peers;
 use crate::phase::Phase;
-use crate::servers::{self, Ended, Servers};
+use crate::servers::{self, Ended, Payload, Servers};
+use crate::time_budget::TimeBudget;
 use crate::topology::Asker;
 use crate::{Plant, planted, resp};
 
@@ -536,14 +537,15 @@
         if gone || u32::from(number) >= self.site.decisions.max_attempts || wait.is_zero() {
             return self.end(id, Status::NotSent, Note::None, Load::default(), None);
         }
+        let budget = TimeBudget { command, deadline: sent + wait };
         let out = if self.origin_ids.contains(&server) {
-            let call = self.parts.origins.call(server, id, &command);
+            let call = self.parts.origins.call(server, id, budget);
             let out = call.is_some();
             self.flights.entry(id).and_modify(|f| f.call = call);
             out
         } else {
-            let bytes = command.for_server(wait);
-            self.parts.servers.send(server, servers::Command { attempt: id, bytes, probe: false, asking })
+            let payload = Payload::Request(budget);
+            self.parts.servers.send(server, servers::Command { attempt: id, payload, asking })
         };
         if out && planted(Plant::LostGiveUp) {
             return;
@@ -561,7 +563,7 @@
         let origin = self.origin_ids.contains(&server);
         let call = if origin { self.parts.origins.probe(server, id) } else { None };
         let bytes = resp::command(["INFO".into(), "load".into()]);
-        let command = servers::Command { attempt: id, bytes, probe: true, asking: false };
+        let command = servers::Command { attempt: id, payload: Payload::Probe(bytes), asking: false };
         let out = call.is_some() || (!origin && self.parts.servers.send(server, command));
         self.flights.insert(id, Flight { attempt: None, server, sent, call, asking: false, began: false });
         if out {
--- a/crates/mothpier/src/origin.rs
+++ b/crates/mothpier/src/origin.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
+use hyper::header::{HeaderName, HeaderValue};
 use hyper::{Method, Request};
 use mothpier_net::{Net, Task};
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, percent_encode};
@@ -18,8 +19,9 @@
 
 use crate::figures::Figures;
 use crate::http::{self, Connection};
-use crate::messages::{AttemptId, Command, Input, OriginEnded as Ended, Passing};
+use crate::messages::{AttemptId, Input, OriginEnded as Ended, Passing};
 use crate::resp::{MAX_PASSED, MAX_VALUE};
+use crate::time_budget::{DeadlinePassed, TimeBudget};
 use crate::{Plant, planted};
 
 /// A connection idle for this part of the time after which it is closed is not used again.
@@ -32,6 +34,8 @@
 const PART: usize = 16 * 1024;
 /// A call that has not ended by then is written: it goes to a socket of this machine.
 const WRITTEN: Duration = Duration::from_millis(20);
+/// The header that carries a command's names and values.
+const EXTRAS: HeaderName = HeaderName::from_static("x-extras");
 /// What of a key stands in a path as something else: all that a path segment can't hold as it is.
 const ENCODED: &AsciiSet = &NON_ALPHANUMERIC
     .remove(b'-')
@@ -87,6 +91,27 @@
     }
 }
 
+/// A call that has not been written.
+struct Outgoing {
+    request: Request<Full<Bytes>>,
+    /// How long it is waited for; a probe of the load has none.
+    budget: Option<TimeBudget>,
+}
+
+impl Outgoing {
+    /// Tells the origin how much time is left as of now. Done right before the first byte is written: a call may have been
+    /// postponed, or may have waited for its connection.
+    fn stamp(&mut self, now: Instant) -> Result<(), DeadlinePassed> {
+        let Some(budget) = &self.budget else { return Ok(()) };
+        let extras = budget.extras(now)?;
+        // Clients' lists are printable: what is no header value was refused as it was read.
+        if let Ok(extras) = HeaderValue::from_str(&extras) {
+            self.request.headers_mut().insert(EXTRAS, extras);
+        }
+        Ok(())
+    }
+}
+
 struct Pool<N: Net> {
     address: Option<SocketAddr>,
     ready: Cell<bool>,
@@ -152,19 +177,19 @@
     }
 
     /// Calls the origin for a command; its end comes as an event.
-    pub fn call(&self, server: ServerId, attempt: AttemptId, command: &Command) -> Option<Call<N>> {
+    pub fn call(&self, server: ServerId, attempt: AttemptId, budget: TimeBudget) -> Option<Call<N>> {
         let pool = self.pools.get(&server).filter(|p| p.ready.get())?.clone();
         let address = pool.address?;
+        let command = &budget.command;
         let method = if command.write { Method::PUT } else { Method::GET };
         let request = Request::builder()
             .method(method)
             .uri(format!("/{}", percent_encode(&command.key, ENCODED)))
             .header("Host", address.to_string())
             .header("X-Request-Id", command.id.as_ref())
-            .header("X-Extras", command.extras.as_ref())
             .body(Full::new(command.value.clone().unwrap_or_default()))
             .ok()?;
-        Some(self.spawn(pool, address, (attempt, true), request))
+        Some(self.spawn(pool, address, attempt, Outgoing { request, budget: Some(budget) }))
     }
 
     /// Asks an origin for its load.
@@ -173,19 +198,19 @@
         let address = pool.address?;
         let request =
             Request::get("/-/load").header("Host", address.to_string()).body(Full::default()).ok()?;
-        Some(self.spawn(pool, address, (attempt, false), request))
+        Some(self.spawn(pool, address, attempt, Outgoing { request, budget: None }))
     }
 
     fn spawn(
         &self,
         pool: Rc<Pool<N>>,
         address: SocketAddr,
-        (attempt, counts): (AttemptId, bool),
-        request: Request<Full<Bytes>>,
+        attempt: AttemptId,
+        outgoing: Outgoing,
     ) -> Call<N> {
         let progress = Rc::new(Progress {
             begun: Cell::new(false),
-            counts: counts.then(|| self.figures.clone()),
+            counts: outgoing.budget.is_some().then(|| self.figures.clone()),
             attempt,
             events: self.events.clone(),
         });
@@ -193,7 +218,8 @@
         let (fresh, within, descriptors) = (self.idle_close, self.connect_timeout, self.descriptors.clone());
         let net = self.net.clone();
         let task = self.net.spawn(async move {
-            let ended = exchange(&net, &pool, address, request, (fresh, within), descriptors, &written).await;
+            let ended =
+                exchange(&net, &pool, address, outgoing, (fresh, within), descriptors, &written).await;
             let _ = events.send(Input::Origin { attempt, ended }).await;
         });
         Call { progress, task }
@@ -233,7 +259,7 @@
     net: &N,
     pool: &Pool<N>,
     address: SocketAddr,
-    request: Request<Full<Bytes>>,
+    mut outgoing: Outgoing,
     (fresh, within): (Duration, Duration),
     descriptors: Arc<Semaphore>,
     progress: &Progress,
@@ -258,8 +284,11 @@
     if !pool.ready.get() {
         return Ended::with(Status::NotSent);
     }
+    if outgoing.stamp(net.now()).is_err() {
+        return Ended::with(Status::NotSent);
+    }
     progress.begun.set(true);
-    let mut sending = std::pin::pin!(connection.sender.try_send_request(request));
+    let mut sending = std::pin::pin!(connection.sender.try_send_request(outgoing.request));
     // It is written whole by then, or its connection has ended.
     let early = net.timeout(WRITTEN, sending.as_mut()).await;
     if !matches!(&early, Some(Err(e)) if e.message().is_some()) {
--- a/crates/mothpier/src/plants.rs
+++ b/crates/mothpier/src/plants.rs
@@ -60,11 +60,13 @@
     SentAfterLeft,
     /// An agent is not asked again before the call that it owes an answer to has had its time.
     SilentCallWaits,
+    /// The origin is told the time that the client stated, however much of it has passed.
+    StaleTimeLeft,
 }
 
 impl Plant {
     /// All of them.
-    pub const ALL: [Plant; 28] = [
+    pub const ALL: [Plant; 29] = [
         Plant::ResetNeverRan,
         Plant::DoubleAnswer,
         Plant::DrainingIsReady,
@@ -93,6 +95,7 @@
         Plant::CutIsWhole,
         Plant::SentAfterLeft,
         Plant::SilentCallWaits,
+        Plant::StaleTimeLeft,
     ];
 }
 
--- a/crates/mothpier/src/servers.rs
+++ b/crates/mothpier/src/servers.rs
@@ -22,6 +22,7 @@
 use crate::figures::Figures;
 use crate::messages::{AttemptId, Input, Passing, ServerEvent as Event};
 use crate::succession::Share;
+use crate::time_budget::TimeBudget;
 use crate::{Plant, planted, resp};
 
 /// Connections of the whole tier to one server that are aimed at: servers hold few, each takes some of its
@@ -85,16 +86,44 @@
     pub held: Arc<Semaphore>,
 }
 
+/// What is written for an attempt.
+pub enum Payload {
+    /// It asks for the load only, which has another answer.
+    Probe(Bytes),
+    /// A client's command, which tells how much time is left as its first byte is written.
+    Request(TimeBudget),
+}
+
 /// A command that is to be written.
 pub struct Command {
     pub attempt: AttemptId,
-    pub bytes: Bytes,
-    /// It asks for the load only, which has another answer.
-    pub probe: bool,
+    pub payload: Payload,
     /// `ASKING` goes right before it.
     pub asking: bool,
 }
 
+impl Command {
+    /// What goes out if its first byte is written now. `ASKING` is part of the same write, so that nothing comes between.
+    fn bytes(&self, now: Instant) -> Bytes {
+        let bytes = match &self.payload {
+            Payload::Probe(bytes) => bytes.clone(),
+            Payload::Request(budget) => budget.for_server(now),
+        };
+        if !self.asking {
+            return bytes;
+        }
+        [resp::command(["ASKING".into()]), bytes].concat().into()
+    }
+
+    /// What its server owes for it.
+    fn owed(&self) -> Owed {
+        match self.payload {
+            Payload::Probe(_) => Owed::Report,
+            Payload::Request(_) => Owed::Answer,
+        }
+    }
+}
+
 /// What is owed for something that was written.
 #[derive(Clone, Copy, PartialEq)]
 enum Owed {
@@ -350,11 +379,7 @@
 
     /// Sends an attempt on an idle connection, or a new one within this node's part, or behind others on the
     /// one with the fewest. `false` where there is none: it was not written.
-    pub fn send(&mut self, server: ServerId, mut command: Command) -> bool {
-        if command.asking {
-            // In one write, so that nothing comes between.
-            command.bytes = [resp::command(["ASKING".into()]), command.bytes].concat().into();
-        }
+    pub fn send(&mut self, server: ServerId, command: Command) -> bool {
         let Some(pool) = self.pools.get_mut(&server).filter(|p| p.ready) else {
             return false;
         };
@@ -596,6 +621,12 @@
     }
 }
 
+/// A command of which the socket has taken the first bytes, and the others.
+struct Begun {
+    command: Command,
+    rest: Bytes,
+}
+
 impl Shared {
     /// Whether what comes next is the answer to a request.
     fn expects_value(&self) -> bool {
@@ -608,16 +639,18 @@
     }
 
     /// Writes the first bytes of the first command that is still unsent, and puts it on record as begun in the same
-    /// moment: until the socket takes a byte it can be taken back. Gives it with how much was taken; `None` where there
-    /// is none any more.
+    /// moment: until the socket takes a byte it can be taken back. Gives it with what is left to be written; `None` where
+    /// there is none any more.
     fn begin<W: AsyncWrite + Unpin>(
         &self,
         cx: &mut Context<'_>,
         writing: &mut W,
-    ) -> Poll<Option<std::io::Result<(Command, usize)>>> {
+        now: Instant,
+    ) -> Poll<Option<std::io::Result<Begun>>> {
         let mut line = self.line.borrow_mut();
         let Some(first) = line.unsent.front() else { return Poll::Ready(None) };
-        let written = match Pin::new(writing).poll_write(cx, &first.bytes) {
+        let mut bytes = first.bytes(now);
+        let written = match Pin::new(writing).poll_write(cx, &bytes) {
             Poll::Pending => return Poll::Pending,
             Poll::Ready(Ok(written)) if written > 0 => written,
             Poll::Ready(Ok(_)) => return Poll::Ready(Some(Err(ErrorKind::WriteZero.into()))),
@@ -629,7 +662,8 @@
             // On record already: it may be answered while the command behind it is still being written.
             line.sent.push_back(Sent { attempt: command.attempt, owed: Owed::Word, given_up: false });
         }
-        Poll::Ready(Some(Ok((command, written))))
+        bytes.advance(written);
+        Poll::Ready(Some(Ok(Begun { command, rest: bytes })))
     }
 }
 
@@ -835,19 +869,19 @@
             }
             // Once round the runtime: a close that has come in is read before anything more is written.
             net.yield_now().await;
-            let Some(begun) = poll_fn(|cx| shared.begin(cx, &mut writing)).await else { continue };
-            let Ok((Command { attempt, bytes, probe, .. }, written)) = begun else { return };
-            if writing.write_all(&bytes[written..]).await.is_err() {
+            let Some(begun) = poll_fn(|cx| shared.begin(cx, &mut writing, net.now())).await else { continue };
+            let Ok(Begun { command, rest }) = begun else { return };
+            if writing.write_all(&rest).await.is_err() {
                 return;
             }
             // No await since the last byte was written: it is on record before an answer can be read.
             let mut line = shared.line.borrow_mut();
             let given_up = line.writing.take().is_some_and(|(_, given_up)| given_up);
-            let owed = if probe { Owed::Report } else { Owed::Answer };
-            if !probe {
+            let owed = command.owed();
+            if owed == Owed::Answer {
                 limits.figures.attempt();
             }
-            line.sent.push_back(Sent { attempt, owed, given_up });
+            line.sent.push_back(Sent { attempt: command.attempt, owed, given_up });
         }
     };
     // The reader first: a close by the server is noticed before anything more is written to it.
--- a/crates/mothpier/src/servers/tests.rs
+++ b/crates/mothpier/src/servers/tests.rs
@@ -3,6 +3,7 @@
 use mothpier_net::Tokio;
 
 use super::*;
+use crate::messages::{self, Claim, Ids};
 
 /// A rule of drains: what still waits for its connection when the notice comes is never written.
 /// A server leaves the list while its answer is on its way from the connection to the node: the answer counts.
@@ -16,8 +17,7 @@
             let (events, mut inputs) = mpsc::channel(8);
             let mut servers = Servers::new(Tokio, limits(1), events);
             servers.listed(1, listener.local_addr().ok(), true);
-            let bytes = resp::command(["GET".into(), "k".into()]);
-            assert!(servers.send(1, Command { attempt: 7, bytes, probe: false, asking: false }));
+            assert!(servers.send(1, get(7)));
             let (mut stream, _) = listener.accept().await.unwrap();
             let Some(Input::Server { number, event, .. }) = inputs.recv().await else { panic!() };
             servers.event(1, number, event);
@@ -54,7 +54,26 @@
 }
 
 fn get(attempt: AttemptId) -> Command {
-    Command { attempt, bytes: resp::command(["GET".into(), "k".into()]), probe: false, asking: false }
+    request(attempt, None)
+}
+
+/// A client's command whose last word, where it has no value, is `k`.
+fn request(attempt: AttemptId, value: Option<Bytes>) -> Command {
+    let id = Bytes::from_static(b"i");
+    let claim = Claim::of(&Ids::default(), &id).unwrap();
+    let write = value.is_some();
+    let command = messages::Command {
+        name: "GET".into(),
+        key: "k".into(),
+        id,
+        extras: "k".into(),
+        value,
+        write,
+        claim,
+    };
+    let deadline = Instant::now() + Duration::from_secs(60);
+    let payload = Payload::Request(TimeBudget { command: Rc::new(command), deadline });
+    Command { attempt, payload, asking: false }
 }
 
 /// A server with one connection that carries an attempt, and a queue of one place that somebody else has taken.
@@ -225,7 +244,7 @@
         }
         let shared = Shared::default();
         shared.line.borrow_mut().unsent.push_back(get(7));
-        let begun = poll_fn(|cx| Poll::Ready(shared.begin(cx, &mut socket))).await;
+        let begun = poll_fn(|cx| Poll::Ready(shared.begin(cx, &mut socket, Instant::now()))).await;
         assert!(begun.is_pending(), "the socket is not full");
         let line = shared.line.take();
         assert!(line.writing.is_none() && line.sent.is_empty(), "begun, though not a byte has gone out");
@@ -233,7 +252,7 @@
         // Taken back; the server reads all, and more of the socket's room than the command needs is free.
         let mut all = vec![0; filled];
         server.read_exact(&mut all).await.unwrap();
-        let begun = poll_fn(|cx| shared.begin(cx, &mut socket)).await;
+        let begun = poll_fn(|cx| shared.begin(cx, &mut socket, Instant::now())).await;
         assert!(begun.is_none());
         drop(socket);
         assert_eq!(server.read(&mut [0]).await.unwrap(), 0, "it came all the same");
@@ -249,8 +268,7 @@
     let (events, mut inputs) = mpsc::channel(8);
     let mut servers = Servers::new(Tokio, limits(multiplex), events);
     servers.listed(1, listener.local_addr().ok(), true);
-    let large = resp::command(["SET".into(), vec![b'v'; LARGE].into()]);
-    assert!(servers.send(1, Command { bytes: large, ..get(7) }));
+    assert!(servers.send(1, request(7, Some(vec![b'v'; LARGE].into()))));
     let (stream, _) = listener.accept().await.unwrap();
     let Some(Input::Server { number, event, .. }) = inputs.recv().await else { panic!() };
     servers.event(1, number, event);
@@ -333,11 +351,7 @@
         let (events, mut inputs) = mpsc::channel(8);
         let mut servers = Servers::new(Tokio, limits(1), events);
         servers.listed(1, Some(address), true);
-        let command = |attempt| {
-            let bytes = resp::command(["GET".into(), "k".into()]);
-            Command { attempt, bytes, probe: false, asking: false }
-        };
-        assert!(servers.send(1, command(7)));
+        assert!(servers.send(1, get(7)));
         let (mut stream, _) = listener.accept().await.unwrap();
         // The word that it is up is on its way under the old number.
         let Some(Input::Server { server, number, event }) = inputs.recv().await else { panic!() };
@@ -355,7 +369,7 @@
         let ended = servers.event(server, number, event);
         assert!(matches!(&ended[..], [(7, Ended::Answered(_))]));
         // An attempt that knows it by its old number can be given up, and is written on the same connection.
-        assert!(servers.send(2, command(8)));
+        assert!(servers.send(2, get(8)));
         assert!(stream.read(&mut read).await.unwrap() > 0);
         assert!(servers.give_up(1, 8), "it may have run");
         assert_eq!(servers.address(1), Some(address));
@@ -370,8 +384,11 @@
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let (events, mut inputs) = mpsc::channel(8);
         let mut servers = Servers::new(Tokio, limits(32), events);
-        let ping =
-            |attempt| Command { attempt, bytes: resp::command(["PING".into()]), probe: true, asking: false };
+        let ping = |attempt| Command {
+            attempt,
+            payload: Payload::Probe(resp::command(["PING".into()])),
+            asking: false,
+        };
         assert!(servers.listed(7, Some(address), true).is_empty());
         assert!(servers.send(7, ping(1)));
         assert!(matches!(inputs.recv().await, Some(Input::Server { event: Event::Up, .. })));
