Node: a watch of discovery that ends with no change is not a new list

Cause: every answer of a watch, also one without entries, counted as another list. Whoever asks by the number of the last list (reports to the coordinators, the hand-over of state) got the whole list again.

Change: the number goes on only where the list is whole or names a server.

--- a/crates/mothpier/src/node.rs
+++ b/crates/mothpier/src/node.rs
@@ -380,9 +380,12 @@
 
     /// Takes over what the sources say, but for what the hand says otherwise.
     fn list(&mut self, list: List, kind: ListKind) {
-        let lines = list.members.into_iter().map(membership::line).collect();
-        self.lists += 1;
         let whole = kind != ListKind::Delta;
+        // A watch that ends with no change is no new list: what follows the number would be told the old one again.
+        if whole || !list.members.is_empty() {
+            self.lists += 1;
+        }
+        let lines = list.members.into_iter().map(membership::line).collect();
         if whole && planted(Plant::HandForgotten) {
             let origin = std::mem::take(&mut self.hand);
             self.hand = origin.emptied();
--- a/crates/mothpier/src/node/tests.rs
+++ b/crates/mothpier/src/node/tests.rs
@@ -103,3 +103,27 @@
         }
     });
 }
+
+/// What is asked by the number of the last list is told the list again only where something may have changed in it.
+#[test]
+fn a_watch_that_ends_with_no_change_makes_no_new_list() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let mut node = node();
+        let list = |complete: bool, members: &str| -> List {
+            let text = format!(r#"{{"revision":1,"complete":{complete},"members":[{members}]}}"#);
+            serde_json::from_str(&text).unwrap()
+        };
+        let member = |phase: &str| {
+            format!(r#"{{"id":"s-1","host_port":"127.0.0.1:9","flavor":"m","phase":"{phase}"}}"#)
+        };
+        node.list(list(true, &member("ready")), ListKind::Full);
+        let first = node.lists;
+        node.list(list(false, ""), ListKind::Delta);
+        assert_eq!(node.lists, first, "nothing has changed");
+        node.list(list(false, &member("draining")), ListKind::Delta);
+        assert_eq!(node.lists, first + 1);
+        node.list(list(true, ""), ListKind::Full);
+        assert_eq!(node.lists, first + 2, "a whole list without members is a change");
+    });
+}
