Fleet: numbered reports that carry what changed, and a Reporter that makes them

A report carried the whole list of cache servers (72 KB at 1,500) where one line changed. Reports now have a number within the session; a delta names the report that it builds on, and is refused with UnknownBase where that is not the last one taken: the whole list follows. fleet::reporter::Reporter makes a node's reports, without I/O. The report without a number is read as before. Cache servers are numbered as they become known, so that a delta makes exactly the list that a whole report would.

--- a/crates/mothpier-coordination/src/fleet/ask.rs
+++ b/crates/mothpier-coordination/src/fleet/ask.rs
@@ -98,6 +98,45 @@
     pub servers: Option<Vec<Listed>>,
 }
 
+/// A report with a number, which may carry only what changed since the one before it.
+///
+/// A node numbers its reports from 1 within a session. One report is under way at a time: the next is made once the one
+/// before it was answered.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NumberedReport {
+    /// The number of this report.
+    pub number: u64,
+    /// The node serves: it has said that it is ready.
+    pub ready: bool,
+    /// Part of its requests that it lately refused or failed, in percent.
+    pub refused_percent: u8,
+    /// The cache servers that it lists as ready.
+    pub servers: ReportedServers,
+}
+
+/// How a numbered report tells the cache servers that the node lists as ready.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(tag = "list", rename_all = "snake_case", deny_unknown_fields)]
+pub enum ReportedServers {
+    /// The node has no list yet.
+    Unknown,
+    /// All of them.
+    Whole {
+        /// The whole list.
+        listed: Vec<Listed>,
+    },
+    /// What changed since an earlier report.
+    Delta {
+        /// The number of that report: it has to be the last one that the coordinators took.
+        base: u64,
+        /// Lines that are new or changed.
+        listed: Vec<Listed>,
+        /// Ids that are not in the list any more.
+        unlisted: Vec<String>,
+    },
+}
+
 /// What happens at a drain's latest end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -124,6 +163,11 @@
         /// What.
         report: Report,
     },
+    /// A node reports by number. Coordinators before format 3 can't read this one.
+    NumberedReport {
+        /// What.
+        report: NumberedReport,
+    },
     /// A node has done what the drain's stage asks for.
     Confirm {
         /// The drain's number.
@@ -257,6 +301,11 @@
     NotHalted,
     /// It lives: what lives is not forgotten.
     Lives,
+    /// The report builds on another one than the last that was taken: the whole list is wanted.
+    UnknownBase {
+        /// The number of the last report that was taken; 0 for none.
+        last: u64,
+    },
     /// What was asked can't be.
     Bad {
         /// What is wrong with it.
@@ -301,6 +350,9 @@
             FleetRefusal::Halted { word } => write!(f, "halted by {}: {}", word.by, word.reason),
             FleetRefusal::NotHalted => write!(f, "it has not halted"),
             FleetRefusal::Lives => write!(f, "it lives, or nodes list it: only what is gone is forgotten"),
+            FleetRefusal::UnknownBase { last } => {
+                write!(f, "the last report of this node is number {last}: its whole list is wanted")
+            }
             FleetRefusal::Bad { what } => write!(f, "{what}"),
         }
     }
--- a/crates/mothpier-coordination/src/fleet/mod.rs
+++ b/crates/mothpier-coordination/src/fleet/mod.rs
@@ -4,6 +4,8 @@
 pub mod ask;
 pub mod follow;
 pub mod limits;
+pub mod reporter;
+mod reports;
 pub mod timers;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -11,8 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use self::ask::{
-    Blocked, FleetAnswer, FleetAsk, FleetChange, FleetRefusal, Kind, Listed, Report, Stage, Subject, Then,
-    Told, Word,
+    Blocked, FleetAnswer, FleetAsk, FleetChange, FleetRefusal, Kind, Stage, Subject, Then, Told, Word,
 };
 use self::limits::Limits;
 use self::timers::Timer;
@@ -49,6 +50,10 @@
     HaltTakesBack,
     /// A halt brings back what is leaving.
     HaltBringsBack,
+    /// A delta builds on the last report that was taken, and on no other.
+    BaseMatches,
+    /// A report that comes again changes nothing.
+    ReportOnce,
 }
 
 /// A node of the fleet.
@@ -67,6 +72,13 @@
     pub lists: bool,
     /// Cache servers that are not in it as ready.
     pub unlisted: BTreeSet<String>,
+    /// The number of its last report that was taken; 0 where it has none. Formats 1 and 2 had none.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub report: u64,
+    /// The number of the last cache server that was registered when it last told its list: those registered later were
+    /// not in that list. Formats 1 and 2 had none.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub registered: u64,
 }
 
 /// A cache server of the fleet.
@@ -79,6 +91,9 @@
     pub up_since_ms: u64,
     /// It has started lately, and nobody took it out for that: the number of that start.
     pub cold: Option<u64>,
+    /// Cache servers are numbered as they become known. Formats 1 and 2 had no numbers.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub registered: u64,
 }
 
 /// A drain that has not ended.
@@ -151,11 +166,19 @@
     pub events: VecDeque<Event>,
     /// The last number of a drain, a stage, a halt or a start.
     numbers: u64,
+    /// The number of the cache server that became known last. Formats 1 and 2 had none.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    registered: u64,
     /// The condition that a model leaves out.
     #[serde(skip)]
     without: Option<Condition>,
 }
 
+/// Whether a number that an older format did not have can be left out.
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
 type Answered = Result<FleetAnswer, FleetRefusal>;
 
 fn bad(what: &str) -> FleetRefusal {
@@ -190,6 +213,7 @@
         let answer = match ask {
             FleetAsk::Join { node, zone } => self.join(session, node, zone),
             FleetAsk::Report { report } => self.report(session, report),
+            FleetAsk::NumberedReport { report } => self.numbered_report(session, report),
             FleetAsk::Confirm { drain, turn } => self.confirm(session, *drain, *turn),
             FleetAsk::Drain { subject, word, for_ms, then, wait, force } => {
                 self.said(word)?;
@@ -274,6 +298,8 @@
             refused_percent: 0,
             lists: false,
             unlisted: BTreeSet::new(),
+            report: 0,
+            registered: 0,
         };
         self.nodes.insert(name.into(), node);
         // What the process before did, this one may not have done.
@@ -289,57 +315,6 @@
         own.map(|(name, _)| name.clone()).ok_or(FleetRefusal::NoNode)
     }
 
-    fn report(&mut self, session: &str, report: &Report) -> Answered {
-        let name = self.node_of(session)?;
-        if let Some(listed) = &report.servers {
-            self.listed(&name, listed)?;
-        }
-        if let Some(node) = self.nodes.get_mut(&name) {
-            node.ready = report.ready;
-            node.refused_percent = report.refused_percent.min(100);
-        }
-        Ok(FleetAnswer::Done)
-    }
-
-    fn listed(&mut self, name: &str, listed: &[Listed]) -> Result<(), FleetRefusal> {
-        let new = listed.iter().filter(|l| !self.servers.contains_key(&l.id)).count();
-        if self.servers.len() + new > SERVERS {
-            return Err(bad("the fleet has as many cache servers as it may have"));
-        }
-        if listed.iter().any(|l| l.id.is_empty() || l.id.len() > NAME || l.zone.len() > NAME) {
-            return Err(bad("a cache server's id has 1 to 128 bytes, its zone at most 128"));
-        }
-        // A fleet that begins is warm; whoever comes later is not.
-        let founded = !self.servers.is_empty();
-        for one in listed {
-            let start = self.numbers + 1;
-            let known = self.servers.get_mut(&one.id);
-            let starts = known.as_ref().map_or(founded, |s| one.up_since_ms > s.up_since_ms);
-            match known {
-                Some(known) => {
-                    known.zone.clone_from(&one.zone);
-                    known.up_since_ms = known.up_since_ms.max(one.up_since_ms);
-                    known.cold = if starts { Some(start) } else { known.cold };
-                }
-                None => {
-                    let cold = starts.then_some(start);
-                    let fresh = Server { zone: one.zone.clone(), up_since_ms: one.up_since_ms, cold };
-                    self.servers.insert(one.id.clone(), fresh);
-                }
-            }
-            if starts {
-                self.numbers = start;
-                self.happened(Some(Subject::server(&one.id)), "started, cold", None);
-            }
-        }
-        let ready: BTreeSet<&str> = listed.iter().map(|l| l.id.as_str()).collect();
-        let unlisted = self.servers.keys().filter(|id| !ready.contains(id.as_str())).cloned().collect();
-        if let Some(node) = self.nodes.get_mut(name) {
-            (node.lists, node.unlisted) = (true, unlisted);
-        }
-        Ok(())
-    }
-
     fn confirm(&mut self, session: &str, number: u64, turn: u64) -> Answered {
         let name = self.node_of(session)?;
         let this_turn = self.holds(Condition::OfThisTurn);
