Fleet: indexes in place of scans, kept up by each command; one module for each job

A report or a confirmation scanned all nodes and built maps over nodes and cache servers after every command. The fleet now holds derived indexes: the node of a session, how many living nodes do not list a cache server, who is out by kind and zone, drains by subject, confirmations awaited.

tests/fleet_index.rs compares indexes and answers with a plain rule over drawn commands (120 runs of 100 to 300), and a fleet that gets deltas with one that gets whole lists. tests/report_model.rs checks deltas over every order of events and refutes three twins: a stale base taken, a delta applied twice, a session's end that is not counted. fleet.rs and fleet_model.rs pass unchanged.

--- a/crates/mothpier-coordination/src/fleet/ask.rs
+++ b/crates/mothpier-coordination/src/fleet/ask.rs
@@ -126,6 +126,11 @@
         /// The whole list.
         listed: Vec<Listed>,
     },
+    /// As an earlier report told them.
+    Unchanged {
+        /// The number of that report: it has to be the last one that the coordinators took.
+        base: u64,
+    },
     /// What changed since an earlier report.
     Delta {
         /// The number of that report: it has to be the last one that the coordinators took.
--- /dev/null
+++ b/crates/mothpier-coordination/src/fleet/drains.rs
@@ -0,0 +1,181 @@
+//! Drains that are asked for, confirmed and taken back.
+
+use std::collections::BTreeSet;
+
+use super::ask::{FleetAnswer, FleetChange, FleetRefusal, Stage, Subject, Then, Told, Word};
+use super::{Answered, Condition, DRAINS, Drain, Fleet, LONGEST_MS, bad};
+
+impl Fleet {
+    /// The drain that something has.
+    pub fn drain_of(&self, subject: &Subject) -> Option<(u64, &Drain)> {
+        let number = self.index().drains.get(subject)?;
+        Some((*number, self.drains.get(number)?))
+    }
+
+    /// Something is to go out.
+    pub(super) fn drain(
+        &mut self,
+        subject: &Subject,
+        word: &Word,
+        wanted: Wanted,
+        changes: &mut Vec<FleetChange>,
+    ) -> Answered {
+        if !self.knows(subject) {
+            return Err(FleetRefusal::Unknown { subject: subject.clone() });
+        }
+        if let Some(halt) = self.halt.as_ref().filter(|_| !wanted.force) {
+            return Err(FleetRefusal::Halted { word: halt.word.clone() });
+        }
+        if wanted.for_ms.is_some_and(|ms| ms > LONGEST_MS) {
+            return Err(bad("a drain's latest end is at most thirty days away"));
+        }
+        let fresh = Drain {
+            subject: subject.clone(),
+            word: word.clone(),
+            for_ms: wanted.for_ms,
+            then: wanted.then,
+            force: wanted.force,
+            stage: Stage::Asked,
+            turn: 0,
+            back: None,
+            overdue: false,
+            touched: false,
+            confirmed: BTreeSet::new(),
+        };
+        let how = if wanted.force { "asked, past the limits" } else { "asked" };
+        if let Some((number, drain)) = self.drain_of(subject) {
+            let (stage, turn, asked_back) = (drain.stage, drain.turn, drain.back.is_some());
+            let again = matches!(stage, Stage::Returning | Stage::Cold) || asked_back;
+            if !(again || wanted.force && stage == Stage::Asked) {
+                return Err(FleetRefusal::Already { number, stage });
+            }
+            self.happened(Some(subject.clone()), how, Some(word.clone()));
+            // It counts as out already, so that no limit is passed.
+            self.put_drain(number, Drain { stage, turn, touched: true, ..fresh });
+            if stage != Stage::Asked && stage != Stage::Out {
+                self.to(number, Stage::Leaving, changes);
+            }
+            return Ok(FleetAnswer::Drain { number, stage });
+        }
+        if self.drains.len() >= DRAINS {
+            return Err(bad("more drains than are kept are under way"));
+        }
+        if let Some(blocked) = self.why_not(subject).filter(|_| !wanted.wait && !wanted.force) {
+            return Err(FleetRefusal::Limit { blocked });
+        }
+        self.happened(Some(subject.clone()), how, Some(word.clone()));
+        let number = self.number();
+        self.put_drain(number, fresh);
+        Ok(FleetAnswer::Drain { number, stage: Stage::Asked })
+    }
+
+    /// It is to come back.
+    pub(super) fn back(
+        &mut self,
+        subject: &Subject,
+        word: &Word,
+        changes: &mut Vec<FleetChange>,
+    ) -> Answered {
+        let Some((number, drain)) = self.drain_of(subject) else {
+            let known = self.knows(subject);
+            return Err(if known {
+                FleetRefusal::NotOut
+            } else {
+                FleetRefusal::Unknown { subject: subject.clone() }
+            });
+        };
+        let stage = drain.stage;
+        match stage {
+            Stage::Asked => {
+                self.happened(Some(subject.clone()), "taken back", Some(word.clone()));
+                self.ended(number, changes);
+            }
+            Stage::Leaving | Stage::Out => {
+                self.happened(Some(subject.clone()), "back asked", Some(word.clone()));
+                self.wants_back(number);
+            }
+            Stage::Returning | Stage::Cold => {}
+        }
+        Ok(FleetAnswer::Drain { number, stage })
+    }
+
+    /// It takes its place among those that are to come back.
+    pub(super) fn wants_back(&mut self, number: u64) {
+        let place = self.number();
+        if let Some(drain) = self.drains.get_mut(&number) {
+            drain.back.get_or_insert(place);
+        }
+    }
+
+    /// A node has done what a drain's stage asks for.
+    pub(super) fn confirm(&mut self, session: &str, number: u64, turn: u64) -> Answered {
+        let name = self.node_of(session)?;
+        let this_turn = self.holds(Condition::OfThisTurn);
+        let drain = self.drains.get_mut(&number).filter(|drain| drain.turn == turn || !this_turn);
+        if let Some(drain) = drain {
+            drain.touched |= drain.stage == Stage::Leaving;
+            if drain.confirmed.insert(name) {
+                self.confirmed_in_index(number, true);
+            }
+        }
+        Ok(FleetAnswer::Done)
+    }
+
+    /// A drain is this one from now on.
+    fn put_drain(&mut self, number: u64, drain: Drain) {
+        if let Some(before) = self.drains.insert(number, drain) {
+            self.drain_out_of_index(number, &before);
+        }
+        self.drain_into_index(number);
+    }
+
+    /// A drain begins a stage.
+    pub(super) fn to(&mut self, number: u64, stage: Stage, changes: &mut Vec<FleetChange>) {
+        let turn = self.number();
+        let Some(mut drain) = self.drains.get(&number).cloned() else { return };
+        (drain.stage, drain.turn) = (stage, turn);
+        drain.confirmed.clear();
+        let subject = drain.subject.clone();
+        let what = match stage {
+            Stage::Leaving if drain.force => "granted past the limits",
+            Stage::Leaving => "granted",
+            other => other.name(),
+        };
+        self.put_drain(number, drain);
+        let told = Told { drain: number, subject: subject.clone(), stage, turn };
+        changes.push(FleetChange::Drain { told });
+        self.happened(Some(subject), what, None);
+    }
+
+    /// A drain is no more.
+    pub(super) fn ended(&mut self, number: u64, changes: &mut Vec<FleetChange>) {
+        if let Some(drain) = self.drains.remove(&number) {
+            self.drain_out_of_index(number, &drain);
+            changes.push(FleetChange::Ended { drain: number });
+        }
+    }
+
+    /// The drains as nodes need to know them: what only waits is nothing to them.
+    pub fn told(&self) -> Vec<Told> {
+        let told = |(number, d): (&u64, &Drain)| Told {
+            drain: *number,
+            subject: d.subject.clone(),
+            stage: d.stage,
+            turn: d.turn,
+        };
+        self.drains.iter().filter(|(_, d)| d.stage != Stage::Asked).map(told).collect()
+    }
+}
+
+/// What is asked of a drain beside its subject.
+#[derive(Clone, Copy)]
+pub(super) struct Wanted {
+    /// Its latest end, ms after it was granted.
+    pub(super) for_ms: Option<u64>,
+    /// What happens then.
+    pub(super) then: Then,
+    /// It waits for a place.
+    pub(super) wait: bool,
+    /// It goes past the limits, and past a halt.
+    pub(super) force: bool,
+}
--- /dev/null
+++ b/crates/mothpier-coordination/src/fleet/halts.rs
@@ -0,0 +1,70 @@
+//! Halts: of staff, and of the fleet itself.
+
+use super::ask::{FleetAnswer, FleetChange, FleetRefusal, Kind, Stage, Word};
+use super::{Answered, Condition, Fleet, Halt, NAMED};
+
+impl Fleet {
+    /// Nothing more goes out, and what is on its way comes back, the latest first.
+    pub(super) fn stop(&mut self, word: Word, by_itself: bool, changes: &mut Vec<FleetChange>) {
+        if let Some(halt) = &mut self.halt {
+            // Staff's word outlasts the fleet's own: no calm ends it.
+            if halt.by_itself && !by_itself {
+                (halt.word, halt.by_itself) = (word.clone(), false);
+                self.happened(None, "halted by staff as well", Some(word));
+            }
+            return;
+        }
+        let number = self.number();
+        self.happened(None, "halted", Some(word.clone()));
+        self.halt = Some(Halt { word, by_itself, number });
+        changes.push(FleetChange::Halted { halted: true });
+        let of = |stage: Stage| -> Vec<u64> {
+            self.drains.iter().filter(|(_, d)| d.stage == stage && !d.force).map(|(n, _)| *n).collect()
+        };
+        let (asked, leaving) = (of(Stage::Asked), of(Stage::Leaving));
+        if self.holds(Condition::HaltTakesBack) {
+            for number in asked {
+                let subject = self.drains.get(&number).map(|d| d.subject.clone());
+                self.happened(subject, "taken back by the halt", None);
+                self.ended(number, changes);
+            }
+        }
+        if self.holds(Condition::HaltBringsBack) {
+            leaving.into_iter().rev().for_each(|number| self.wants_back(number));
+        }
+    }
+
+    /// Staff end a halt.
+    pub(super) fn resume(&mut self, word: &Word, changes: &mut Vec<FleetChange>) -> Answered {
+        if self.halt.take().is_none() {
+            return Err(FleetRefusal::NotHalted);
+        }
+        self.happened(None, "resumed", Some(word.clone()));
+        changes.push(FleetChange::Halted { halted: false });
+        Ok(FleetAnswer::Done)
+    }
+
+    /// Why the fleet should go on with nothing: more are missing that nobody asked out than the limits allow, or too much is
+    /// refused.
+    pub fn unwell(&self) -> Option<String> {
+        let missing = [Kind::Node, Kind::Server].into_iter().find_map(|kind| self.too_many_missing(kind));
+        missing.or_else(|| self.too_much_refused())
+    }
+
+    fn too_many_missing(&self, kind: Kind) -> Option<String> {
+        let missing = self.index().of(kind).unasked();
+        let most = self.bound(kind).out_most;
+        if missing.len() <= most as usize {
+            return None;
+        }
+        let named = missing.iter().take(NAMED).map(String::as_str).collect::<Vec<_>>().join(", ");
+        let (count, names) = (missing.len(), kind.names());
+        Some(format!("{count} {names} are missing where {most} may be out: {named}"))
+    }
+
+    fn too_much_refused(&self) -> Option<String> {
+        let most = self.limits.refused_percent?;
+        let mean = self.index().serving.mean()?;
+        (mean >= u64::from(most)).then(|| format!("nodes refuse or fail {mean} percent of their requests"))
+    }
+}
--- /dev/null
+++ b/crates/mothpier-coordination/src/fleet/index.rs
@@ -0,0 +1,493 @@
+//! What the rule looks up with every command, kept up as the fleet changes: the node of a session, how many nodes do not
+//! list a cache server, who is out by zone, which confirmations a drain awaits. A command costs what it changes, not nodes
+//! times cache servers.
+//!
+//! An index is derived from the fleet and never stored. [`Index::recompute`] derives it plainly; the index that was kept up
+//! equals it after each command (checked in debug builds on small fleets, and by `tests/fleet_index.rs`).
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{Hash, Hasher};
+
+use super::ask::{Kind, Stage, Subject};
+use super::{Condition, Drain, Fleet, Node};
+use crate::command::SessionId;
+
+/// A value derived from the rest of its owner: it takes no part in comparisons and hashes.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Derived<T>(pub(super) T);
+
+impl<T> PartialEq for Derived<T> {
+    fn eq(&self, _: &Self) -> bool {
+        true
+    }
+}
+
+impl<T> Eq for Derived<T> {}
+
+impl<T> Hash for Derived<T> {
+    fn hash<H: Hasher>(&self, _: &mut H) {}
+}
+
+/// How many living nodes with a list do not list each cache server.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct Listings {
+    /// Living nodes that have told a list.
+    telling: usize,
+    /// Cache servers that at least one of them does not list, and how many do not.
+    unlisted: BTreeMap<String, usize>,
+    /// The same cache servers by that number.
+    by_count: BTreeMap<usize, BTreeSet<String>>,
+}
+
+impl Listings {
+    /// So many nodes not listing a cache server make it missing: half of those with a list.
+    fn threshold(telling: usize) -> usize {
+        telling.div_ceil(2).max(1)
+    }
+
+    /// Whether at least half of the living nodes with a list do not list it.
+    pub(super) fn is_missing(&self, id: &str) -> bool {
+        self.unlisted.get(id).is_some_and(|count| *count >= Self::threshold(self.telling))
+    }
+
+    /// Whether some living node lists it.
+    pub(super) fn is_listed(&self, id: &str) -> bool {
+        self.telling > self.unlisted.get(id).copied().unwrap_or(0)
+    }
+
+    fn set_count(&mut self, id: &str, count: usize) {
+        let before =
+            if count == 0 { self.unlisted.remove(id) } else { self.unlisted.insert(id.into(), count) };
+        if let Some(before) = before
+            && let Some(same) = self.by_count.get_mut(&before)
+        {
+            same.remove(id);
+            if same.is_empty() {
+                self.by_count.remove(&before);
+            }
+        }
+        if count > 0 {
+            self.by_count.entry(count).or_default().insert(id.into());
+        }
+    }
+
+    /// One node more, or one less, does not list it.
+    pub(super) fn count(&mut self, id: &str, more: bool) {
+        let count = self.unlisted.get(id).copied().unwrap_or(0);
+        self.set_count(id, if more { count + 1 } else { count.saturating_sub(1) });
+    }
+
+    /// Nobody counts it any more: it is forgotten.
+    fn forget(&mut self, id: &str) {
+        self.set_count(id, 0);
+    }
+
+    /// Another number of nodes has a list: the cache servers that are missing now and were not, or the other way round.
+    fn set_telling(&mut self, telling: usize) -> Vec<String> {
+        let (before, now) = (Self::threshold(self.telling), Self::threshold(telling));
+        self.telling = telling;
+        let between = self.by_count.range(before.min(now)..before.max(now));
+        between.flat_map(|(_, ids)| ids).cloned().collect()
+    }
+}
+
+/// Where a node or a cache server stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Place {
+    /// Its zone.
+    pub(super) zone: String,
+    /// It counts as out.
+    pub(super) out: bool,
+    /// It is missing or not ready, and no granted drain has it.
+    pub(super) unasked: bool,
+}
+
+/// All nodes, or all cache servers, by whether they are out and where.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct Places {
+    places: BTreeMap<String, Place>,
+    totals: BTreeMap<String, usize>,
+    out: BTreeSet<String>,
+    out_by_zone: BTreeMap<String, BTreeSet<String>>,
+    unasked: BTreeSet<String>,
+}
+
+impl Places {
+    /// Puts one where it stands now; `None` where it belongs to the fleet no more.
+    fn put(&mut self, id: &str, place: Option<Place>) {
+        if self.places.get(id) == place.as_ref() {
+            return;
+        }
+        if let Some(before) = self.places.remove(id) {
+            self.take_away(id, &before);
+        }
+        let Some(place) = place else { return };
+        *self.totals.entry(place.zone.clone()).or_default() += 1;
+        if place.out {
+            self.out.insert(id.into());
+            self.out_by_zone.entry(place.zone.clone()).or_default().insert(id.into());
+        }
+        if place.unasked {
+            self.unasked.insert(id.into());
+        }
+        self.places.insert(id.into(), place);
+    }
+
+    fn take_away(&mut self, id: &str, before: &Place) {
+        if let Some(total) = self.totals.get_mut(&before.zone) {
+            *total -= 1;
+            if *total == 0 {
+                self.totals.remove(&before.zone);
+            }
+        }
+        self.out.remove(id);
+        self.unasked.remove(id);
+        if let Some(out) = self.out_by_zone.get_mut(&before.zone) {
+            out.remove(id);
+            if out.is_empty() {
+                self.out_by_zone.remove(&before.zone);
+            }
+        }
+    }
+
+    /// All that are out.
+    pub(super) fn out(&self) -> &BTreeSet<String> {
+        &self.out
+    }
+
+    /// Those of a zone that are out.
+    pub(super) fn out_of_zone(&self, zone: &str) -> Option<&BTreeSet<String>> {
+        self.out_by_zone.get(zone)
+    }
+
+    /// How many a zone has.
+    pub(super) fn total_of_zone(&self, zone: &str) -> usize {
+        self.totals.get(zone).copied().unwrap_or(0)
+    }
+
+    /// Those that are missing or not ready, and that nobody asked out.
+    pub(super) fn unasked(&self) -> &BTreeSet<String> {
+        &self.unasked
+    }
+}
+
+/// Nodes that have not confirmed the stage of a cache server's drain.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Awaited {
+    /// With a session.
+    pub(super) living: usize,
+    /// Without one.
+    pub(super) missing: usize,
+}
+
+impl Awaited {
+    fn of(&mut self, living: bool) -> &mut usize {
+        if living { &mut self.living } else { &mut self.missing }
+    }
+}
+
+/// Living nodes that serve, and the sum of the parts of their requests that they refuse.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Serving {
+    nodes: u64,
+    refused_percent: u64,
+}
+
+impl Serving {
+    fn count(&mut self, node: &Node, more: bool) {
+        if node.session.is_none() || !node.ready {
+            return;
+        }
+        let refused = u64::from(node.refused_percent);
+        if more {
+            self.nodes += 1;
+            self.refused_percent += refused;
+        } else {
+            self.nodes -= 1;
+            self.refused_percent -= refused;
+        }
+    }
+
+    /// The mean of these parts; `None` where no node serves.
+    pub(super) fn mean(&self) -> Option<u64> {
+        self.refused_percent.checked_div(self.nodes)
+    }
+}
+
+/// All indexes of a fleet.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct Index {
+    /// The node of each session.
+    pub(super) sessions: BTreeMap<SessionId, String>,
+    /// The drain of each subject.
+    pub(super) drains: BTreeMap<Subject, u64>,
+    /// Who lists what.
+    pub(super) listings: Listings,
+    /// The nodes.
+    pub(super) nodes: Places,
+    /// The cache servers.
+    pub(super) servers: Places,
+    /// The nodes that serve.
+    pub(super) serving: Serving,
+    /// Confirmations that are awaited, by the number of the cache server's drain.
+    pub(super) awaited: BTreeMap<u64, Awaited>,
+    /// Cache servers that return or are cold by a drain.
+    pub(super) warming: usize,
+    /// Cache servers that have started by themselves and are cold.
+    pub(super) cold: BTreeSet<String>,
+    /// The cache servers by the number under which they became known.
+    pub(super) registered: BTreeMap<u64, String>,
+}
+
+impl Index {
+    /// All nodes, or all cache servers.
+    pub(super) fn of(&self, kind: Kind) -> &Places {
+        match kind {
+            Kind::Node => &self.nodes,
+            Kind::Server => &self.servers,
+        }
+    }
+
+    fn of_mut(&mut self, kind: Kind) -> &mut Places {
+        match kind {
+            Kind::Node => &mut self.nodes,
+            Kind::Server => &mut self.servers,
+        }
+    }
+
+    /// Derives all of it plainly, looking at everything.
+    pub(super) fn recompute(fleet: &Fleet) -> Self {
+        let mut index = Index { listings: recompute_listings(fleet), ..Index::default() };
+        for (name, node) in &fleet.nodes {
+            if let Some(session) = &node.session {
+                index.sessions.insert(session.clone(), name.clone());
+            }
+            index.serving.count(node, true);
+        }
+        for (id, server) in &fleet.servers {
+            if server.cold.is_some() {
+                index.cold.insert(id.clone());
+            }
+            index.registered.insert(server.registered, id.clone());
+        }
+        // Cache servers of formats 1 and 2 have no number, and no delta asks for them.
+        index.registered.remove(&0);
+        for (number, drain) in &fleet.drains {
+            index.drains.insert(drain.subject.clone(), *number);
+            index.warming += usize::from(is_warming(drain));
+            if drain.subject.kind == Kind::Server {
+                index.awaited.insert(*number, recompute_awaited(fleet, drain));
+            }
+        }
+        for name in fleet.nodes.keys() {
+            let place = fleet.place(&Subject::node(name), &index);
+            index.nodes.put(name, place);
+        }
+        for id in fleet.servers.keys() {
+            let place = fleet.place(&Subject::server(id), &index);
+            index.servers.put(id, place);
+        }
+        index
+    }
+}
+
+fn recompute_listings(fleet: &Fleet) -> Listings {
+    let telling: Vec<&Node> = fleet.nodes.values().filter(|node| node.is_telling()).collect();
+    let mut listings = Listings { telling: telling.len(), ..Listings::default() };
+    for id in telling.iter().flat_map(|node| &node.unlisted) {
+        *listings.unlisted.entry(id.clone()).or_default() += 1;
+    }
+    for (id, count) in &listings.unlisted {
+        listings.by_count.entry(*count).or_default().insert(id.clone());
+    }
+    listings
+}
+
+fn recompute_awaited(fleet: &Fleet, drain: &Drain) -> Awaited {
+    let mut awaited = Awaited::default();
+    for (_, node) in fleet.nodes.iter().filter(|(name, _)| !drain.confirmed.contains(*name)) {
+        *awaited.of(node.session.is_some()) += 1;
+    }
+    awaited
+}
+
+fn is_warming(drain: &Drain) -> bool {
+    drain.subject.kind == Kind::Server && matches!(drain.stage, Stage::Returning | Stage::Cold)
+}
+
+/// Keeping it up: whoever changes a node, a cache server or a drain says so here.
+impl Fleet {
+    fn index_mut(&mut self) -> &mut Index {
+        &mut self.index.0
+    }
+
+    /// The indexes.
+    pub(super) fn index(&self) -> &Index {
+        &self.index.0
+    }
+
+    /// Derives them anew.
+    pub(super) fn rebuild_index(&mut self) {
+        self.index.0 = Index::recompute(self);
+    }
+
+    /// Whether the indexes that were kept up are those that the plain computation gives. For tests.
+    pub fn index_is_current(&self) -> bool {
+        *self.index() == Index::recompute(self)
+    }
+
+    /// Looks where a node or a cache server stands now.
+    pub(super) fn update_place(&mut self, subject: &Subject) {
+        let place = self.place(subject, self.index());
+        self.index_mut().of_mut(subject.kind).put(&subject.id, place);
+    }
+
+    fn update_servers(&mut self, ids: impl IntoIterator<Item = String>) {
+        for id in ids {
+            self.update_place(&Subject::server(&id));
+        }
+    }
+
+    /// A node is as it is from now on: it is new, or was taken out by [`Fleet::node_out_of_index`].
+    pub(super) fn node_into_index(&mut self, name: &str) {
+        self.count_node(name, true);
+    }
+
+    /// A node is about to change in its session, or to leave the fleet.
+    pub(super) fn node_out_of_index(&mut self, name: &str) {
+        self.count_node(name, false);
+    }
+
+    fn count_node(&mut self, name: &str, more: bool) {
+        let Some(node) = self.nodes.get(name) else { return };
+        let index = &mut self.index.0;
+        if let Some(session) = &node.session {
+            if more {
+                index.sessions.insert(session.clone(), name.into());
+            } else {
+                index.sessions.remove(session);
+            }
+        }
+        index.serving.count(node, more);
+        for (number, awaited) in &mut index.awaited {
+            let confirmed = self.drains.get(number).is_some_and(|drain| drain.confirmed.contains(name));
+            if !confirmed {
+                let count = awaited.of(node.session.is_some());
+                *count = if more { *count + 1 } else { *count - 1 };
+            }
+        }
+        let counted = more || self.holds(Condition::EndUncounts);
+        if node.is_telling() && counted {
+            self.count_list(name, more);
+        }
+    }
+
+    /// The list of a living node counts from now on, or no more.
+    pub(super) fn count_list(&mut self, name: &str, more: bool) {
+        let Some(node) = self.nodes.get(name) else { return };
+        let listings = &mut self.index.0.listings;
+        let mut moved: Vec<String> = node.unlisted.iter().cloned().collect();
+        for id in &node.unlisted {
+            listings.count(id, more);
+        }
+        let telling = if more { listings.telling + 1 } else { listings.telling - 1 };
+        moved.extend(listings.set_telling(telling));
+        self.update_servers(moved);
+    }
+
+    /// A node with a list lists a cache server, or does not.
+    pub(super) fn set_listed(&mut self, name: &str, id: &str, listed: bool) {
+        let Some(node) = self.nodes.get_mut(name) else { return };
+        let changed = if listed { node.unlisted.remove(id) } else { node.unlisted.insert(id.into()) };
+        if changed && node.is_telling() {
+            self.index.0.listings.count(id, !listed);
+            self.update_place(&Subject::server(id));
+        }
+    }
+
+    /// A node's readiness and the part of its requests that it refuses are others.
+    pub(super) fn set_readiness(&mut self, name: &str, ready: bool, refused_percent: u8) {
+        let Some(node) = self.nodes.get_mut(name) else { return };
+        let serving = &mut self.index.0.serving;
+        serving.count(node, false);
+        (node.ready, node.refused_percent) = (ready, refused_percent);
+        serving.count(node, true);
+        self.update_place(&Subject::node(name));
+    }
+
+    /// A cache server is cold by a start of its own, or no more.
+    pub(super) fn set_cold(&mut self, id: &str, cold: Option<u64>) {
+        let Some(server) = self.servers.get_mut(id) else { return };
+        server.cold = cold;
+        let index = &mut self.index.0;
+        if cold.is_some() {
+            index.cold.insert(id.into());
+        } else {
+            index.cold.remove(id);
+        }
+        self.update_place(&Subject::server(id));
+    }
+
+    /// A cache server has become known.
+    pub(super) fn server_into_index(&mut self, id: &str) {
+        let Some(server) = self.servers.get(id) else { return };
+        let (registered, cold) = (server.registered, server.cold);
+        self.index_mut().registered.insert(registered, id.into());
+        self.set_cold(id, cold);
+    }
+
+    /// A cache server is forgotten, and no node's list has it.
+    pub(super) fn server_out_of_index(&mut self, id: &str, registered: u64) {
+        let index = self.index_mut();
+        index.registered.remove(&registered);
+        index.cold.remove(id);
+        index.listings.forget(id);
+        self.update_place(&Subject::server(id));
+    }
+
+    /// The cache servers have no numbers any more.
+    pub(super) fn forget_registrations(&mut self) {
+        self.index_mut().registered.clear();
+    }
+
+    /// A drain is as it is from now on, with none or all of its confirmations.
+    pub(super) fn drain_into_index(&mut self, number: u64) {
+        let Some(drain) = self.drains.get(&number) else { return };
+        let subject = drain.subject.clone();
+        let warming = usize::from(is_warming(drain));
+        let awaited = (subject.kind == Kind::Server).then(|| self.awaited(drain));
+        let index = self.index_mut();
+        index.drains.insert(subject.clone(), number);
+        index.warming += warming;
+        if let Some(awaited) = awaited {
+            index.awaited.insert(number, awaited);
+        }
+        self.update_place(&subject);
+    }
+
+    /// A drain is about to change its stage, or has just ended.
+    pub(super) fn drain_out_of_index(&mut self, number: u64, drain: &Drain) {
+        let index = self.index_mut();
+        index.drains.remove(&drain.subject);
+        index.warming -= usize::from(is_warming(drain));
+        index.awaited.remove(&number);
+        self.update_place(&drain.subject);
+    }
+
+    /// Nodes that have not confirmed a drain's stage. With no confirmation these are all nodes.
+    fn awaited(&self, drain: &Drain) -> Awaited {
+        let living = self.index().sessions.len();
+        let mut awaited = Awaited { living, missing: self.nodes.len() - living };
+        for node in drain.confirmed.iter().filter_map(|name| self.nodes.get(name)) {
+            *awaited.of(node.session.is_some()) -= 1;
+        }
+        awaited
+    }
+
+    /// A node has confirmed a drain's stage, for the first time.
+    pub(super) fn confirmed_in_index(&mut self, number: u64, living: bool) {
+        if let Some(awaited) = self.index_mut().awaited.get_mut(&number) {
+            *awaited.of(living) -= 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/mothpier-coordination/src/fleet/membership.rs
@@ -0,0 +1,113 @@
+//! Nodes that join, end and are forgotten, and cache servers that are.
+
+use std::collections::BTreeSet;
+
+use super::ask::{FleetAnswer, FleetChange, FleetRefusal, Kind, Subject, Word};
+use super::{Answered, Fleet, NODES, Node, bad};
+use crate::limits::is_name;
+
+impl Fleet {
+    /// A process takes a node's name.
+    pub(super) fn join(&mut self, session: &str, name: &str, zone: &str) -> Answered {
+        if !is_name(name) || !(zone.is_empty() || is_name(zone)) {
+            return Err(bad("a node's name and zone take letters, digits and -_.:@/"));
+        }
+        if let Ok(own) = self.node_of(session) {
+            return if own == name {
+                Ok(FleetAnswer::Done)
+            } else {
+                Err(bad("this session is another node's"))
+            };
+        }
+        if !self.nodes.contains_key(name) && self.nodes.len() >= NODES {
+            return Err(bad("the fleet has as many nodes as it may have"));
+        }
+        let node = Node {
+            zone: zone.into(),
+            session: Some(session.into()),
+            ready: false,
+            refused_percent: 0,
+            lists: false,
+            unlisted: BTreeSet::new(),
+            report: 0,
+            registered: 0,
+        };
+        self.node_out_of_index(name);
+        self.nodes.insert(name.into(), node);
+        // What the process before did, this one may not have done.
+        for drain in self.drains.values_mut() {
+            drain.confirmed.remove(name);
+        }
+        self.node_into_index(name);
+        self.update_place(&Subject::node(name));
+        Ok(FleetAnswer::Done)
+    }
+
+    /// The node whose process has this session.
+    pub(super) fn node_of(&self, session: &str) -> Result<String, FleetRefusal> {
+        self.index().sessions.get(session).cloned().ok_or(FleetRefusal::NoNode)
+    }
+
+    /// A session has ended.
+    pub fn session_over(&mut self, session: &str, changes: &mut Vec<FleetChange>) {
+        let Ok(name) = self.node_of(session) else { return };
+        self.node_out_of_index(&name);
+        if let Some(node) = self.nodes.get_mut(&name) {
+            (node.session, node.ready) = (None, false);
+        }
+        self.node_into_index(&name);
+        self.update_place(&Subject::node(&name));
+        self.go_on(changes);
+        self.check_index();
+    }
+
+    /// Whether the fleet has it.
+    pub(super) fn knows(&self, subject: &Subject) -> bool {
+        match subject.kind {
+            Kind::Node => self.nodes.contains_key(&subject.id),
+            Kind::Server => self.servers.contains_key(&subject.id),
+        }
+    }
+
+    /// A node or a cache server that is gone belongs to the fleet no more.
+    pub(super) fn forget(
+        &mut self,
+        subject: &Subject,
+        word: &Word,
+        changes: &mut Vec<FleetChange>,
+    ) -> Answered {
+        if !self.knows(subject) {
+            return Err(FleetRefusal::Unknown { subject: subject.clone() });
+        }
+        let lives = match subject.kind {
+            Kind::Node => self.nodes.get(&subject.id).is_some_and(|node| node.session.is_some()),
+            Kind::Server => self.index().listings.is_listed(&subject.id),
+        };
+        if lives {
+            return Err(FleetRefusal::Lives);
+        }
+        match subject.kind {
+            Kind::Node => self.forget_node(&subject.id),
+            Kind::Server => self.forget_server(&subject.id),
+        }
+        self.happened(Some(subject.clone()), "forgotten", Some(word.clone()));
+        if let Some((number, _)) = self.drain_of(subject) {
+            self.ended(number, changes);
+        }
+        Ok(FleetAnswer::Done)
+    }
+
+    fn forget_node(&mut self, name: &str) {
+        self.node_out_of_index(name);
+        self.nodes.remove(name);
+        self.update_place(&Subject::node(name));
+    }
+
+    fn forget_server(&mut self, id: &str) {
+        let Some(server) = self.servers.remove(id) else { return };
+        for node in self.nodes.values_mut() {
+            node.unlisted.remove(id);
+        }
+        self.server_out_of_index(id, server.registered);
+    }
+}
--- /dev/null
+++ b/crates/mothpier-coordination/src/fleet/progress.rs
@@ -0,0 +1,100 @@
+//! What follows from a command: grants, ends of stages, ways back.
+
+use std::collections::BTreeMap;
+
+use super::ask::{FleetChange, Kind, Stage, Word};
+use super::{Condition, Drain, Fleet};
+
+impl Fleet {
+    /// All that has become possible: halts, grants, ends of stages.
+    pub(super) fn go_on(&mut self, changes: &mut Vec<FleetChange>) {
+        if self.halt.is_none()
+            && self.drains.values().any(|d| d.stage <= Stage::Leaving && !d.force)
+            && let Some(why) = self.unwell()
+        {
+            let word = Word { by: "the fleet".into(), reason: why, at_ms: 0 };
+            self.stop(word, true, changes);
+        }
+        // An end makes room for one that was asked before it: looked at again until nothing moves.
+        loop {
+            let before = (self.numbers, self.drains.len());
+            self.stages(changes);
+            self.ways_back(changes);
+            if before == (self.numbers, self.drains.len()) {
+                return;
+            }
+        }
+    }
+
+    fn stages(&mut self, changes: &mut Vec<FleetChange>) {
+        let numbers: Vec<u64> = self.drains.keys().copied().collect();
+        // Hundreds may wait: while all places are taken nobody is looked at who does not have one. A place that becomes free
+        // on the way is given in the next round, for one that was passed over comes first.
+        let mut full = BTreeMap::new();
+        for number in numbers {
+            let Some(drain) = self.drains.get(&number) else { continue };
+            match drain.stage {
+                Stage::Asked => {
+                    let kind = drain.subject.kind;
+                    let is_full = *full.entry(kind).or_insert_with(|| self.is_full(kind));
+                    if self.may_leave(drain, is_full) {
+                        full.remove(&kind);
+                        self.to(number, Stage::Leaving, changes);
+                    }
+                }
+                Stage::Leaving if drain.back.is_none() && self.has_left(number, drain) => {
+                    self.to(number, Stage::Out, changes);
+                }
+                Stage::Returning if self.has_returned(number, drain) => self.returned(number, changes),
+                _ => {}
+            }
+        }
+    }
+
+    /// Whether a drain that is asked for is granted now.
+    fn may_leave(&self, drain: &Drain, is_full: bool) -> bool {
+        if drain.force {
+            return true;
+        }
+        if is_full && !self.is_out(&drain.subject) {
+            return false;
+        }
+        let halted = self.halt.is_some() && self.holds(Condition::HaltTakesBack);
+        !halted && self.why_not(&drain.subject).is_none()
+    }
+
+    fn returned(&mut self, number: u64, changes: &mut Vec<FleetChange>) {
+        let Some(drain) = self.drains.get(&number) else { return };
+        if drain.subject.kind == Kind::Node || !drain.touched {
+            return self.is_back(number, changes);
+        }
+        // One start, one time to warm up: that of the drain.
+        let id = drain.subject.id.clone();
+        self.set_cold(&id, None);
+        self.to(number, Stage::Cold, changes);
+    }
+
+    fn ways_back(&mut self, changes: &mut Vec<FleetChange>) {
+        let mut back: Vec<(u64, u64)> = self.drains.iter().filter_map(|(n, d)| Some((d.back?, *n))).collect();
+        back.sort_unstable();
+        for (_, number) in back {
+            let Some(drain) = self.drains.get(&number) else { continue };
+            if !matches!(drain.stage, Stage::Leaving | Stage::Out) {
+                continue;
+            }
+            if drain.subject.kind == Kind::Node || self.index().warming < self.limits.cold_most as usize {
+                if let Some(drain) = self.drains.get_mut(&number) {
+                    drain.back = None;
+                }
+                self.to(number, Stage::Returning, changes);
+            }
+        }
+    }
+
+    /// A drain has ended, and its subject serves.
+    pub(super) fn is_back(&mut self, number: u64, changes: &mut Vec<FleetChange>) {
+        let subject = self.drains.get(&number).map(|d| d.subject.clone());
+        self.happened(subject, "back", None);
+        self.ended(number, changes);
+    }
+}
--- a/crates/mothpier-coordination/src/fleet/reporter.rs
+++ b/crates/mothpier-coordination/src/fleet/reporter.rs
@@ -20,7 +20,14 @@
     ready: bool,
     refused_percent: u8,
     /// `None` until the node has a list.
-    servers: Option<ReadyList>,
+    servers: Option<List>,
+}
+
+/// A list, and the how manieth of the node it is.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct List {
+    version: u64,
+    servers: ReadyList,
 }
 
 /// A report that was made, and what it tells.
@@ -49,7 +56,7 @@
 /// ```
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Reporter {
-    servers: Option<ReadyList>,
+    servers: Option<List>,
     /// The number of the last report that was made.
     number: u64,
     /// The last report that the coordinators took: its number, and what it told. `None` where the next one is whole.
@@ -61,9 +68,11 @@
 }
 
 impl Reporter {
-    /// The node lists these as ready from now on.
+    /// The node has a new list, and lists these as ready from now on. It is reported even where the same ones are ready: the
+    /// node says anew that it lists no others.
     pub fn set_servers(&mut self, servers: ReadyList) {
-        self.servers = Some(servers);
+        let version = self.servers.as_ref().map_or(1, |list| list.version + 1);
+        self.servers = Some(List { version, servers });
     }
 
     /// The report that is to be sent now: the one under way until it is answered, then the next; `None` where nothing has
@@ -85,10 +94,13 @@
     }
 
     fn reported_servers(&self, view: &View) -> ReportedServers {
-        let Some(servers) = &view.servers else { return ReportedServers::Unknown };
+        let Some(now) = &view.servers else { return ReportedServers::Unknown };
         match &self.accepted {
-            Some((base, View { servers: Some(before), .. })) => delta(*base, before, servers),
-            _ => ReportedServers::Whole { listed: servers.values().cloned().collect() },
+            Some((base, View { servers: Some(before), .. })) if before.version == now.version => {
+                ReportedServers::Unchanged { base: *base }
+            }
+            Some((base, View { servers: Some(before), .. })) => delta(*base, &before.servers, &now.servers),
+            _ => ReportedServers::Whole { listed: now.servers.values().cloned().collect() },
         }
     }
 
@@ -121,9 +133,6 @@
 }
 
 fn delta(base: u64, before: &ReadyList, now: &ReadyList) -> ReportedServers {
-    if Arc::ptr_eq(before, now) {
-        return ReportedServers::Delta { base, listed: Vec::new(), unlisted: Vec::new() };
-    }
     let changed = now.values().filter(|line| before.get(&line.id) != Some(line));
     let gone = before.keys().filter(|id| !now.contains_key(*id));
     ReportedServers::Delta { base, listed: changed.cloned().collect(), unlisted: gone.cloned().collect() }
--- a/crates/mothpier-coordination/src/fleet/reporter/tests.rs
+++ b/crates/mothpier-coordination/src/fleet/reporter/tests.rs
@@ -25,7 +25,12 @@
     assert_eq!((second.number, second.ready, second.refused_percent), (2, false, 5));
     reporter.accepted(2);
     let third = reporter.next(true, 5).unwrap();
-    assert_eq!(third.servers, ReportedServers::Delta { base: 2, listed: vec![], unlisted: vec![] });
+    assert_eq!(third.servers, ReportedServers::Unchanged { base: 2 });
+    reporter.accepted(3);
+    reporter.set_servers(ready_list([line("s2", 9), line("s3", 1)]));
+    let fourth = reporter.next(true, 5).unwrap();
+    let no_others = ReportedServers::Delta { base: 3, listed: vec![], unlisted: vec![] };
+    assert_eq!(fourth.servers, no_others, "a new list, with the same ones ready");
 }
 
 #[test]
--- a/crates/mothpier-coordination/src/fleet/reports.rs
+++ b/crates/mothpier-coordination/src/fleet/reports.rs
@@ -26,7 +26,7 @@
             // A delta can't build on this one.
             self.set_report(&name, 0);
         }
-        self.set_readiness(&name, report.ready, report.refused_percent);
+        self.set_readiness(&name, report.ready, report.refused_percent.min(100));
         Ok(FleetAnswer::Done)
     }
 
@@ -43,7 +43,7 @@
             Sequence::UnknownBase => return Err(FleetRefusal::UnknownBase { last: node.report }),
         }
         match &report.servers {
-            ReportedServers::Unknown => {}
+            ReportedServers::Unknown | ReportedServers::Unchanged { .. } => {}
             ReportedServers::Whole { listed } => {
                 self.check_listed(listed)?;
                 self.take_whole_list(&name, listed);
@@ -54,7 +54,7 @@
             }
         }
         self.set_report(&name, report.number);
-        self.set_readiness(&name, report.ready, report.refused_percent);
+        self.set_readiness(&name, report.ready, report.refused_percent.min(100));
         Ok(FleetAnswer::Done)
     }
 
@@ -65,7 +65,10 @@
         if report.number < node.report && self.holds(Condition::BaseMatches) {
             return Sequence::UnknownBase;
         }
-        let ReportedServers::Delta { base, .. } = &report.servers else { return Sequence::Next };
+        let (ReportedServers::Delta { base, .. } | ReportedServers::Unchanged { base }) = &report.servers
+        else {
+            return Sequence::Next;
+        };
         let builds_on_last = node.lists && *base == node.report;
         let repeated = report.number == node.report;
         if builds_on_last || repeated || !self.holds(Condition::BaseMatches) {
@@ -81,13 +84,6 @@
         }
     }
 
-    fn set_readiness(&mut self, name: &str, ready: bool, refused_percent: u8) {
-        if let Some(node) = self.nodes.get_mut(name) {
-            node.ready = ready;
-            node.refused_percent = refused_percent.min(100);
-        }
-    }
-
     /// Whether these lines can be taken.
     fn check_listed(&self, listed: &[Listed]) -> Result<(), FleetRefusal> {
         let new = listed.iter().filter(|line| !self.servers.contains_key(&line.id)).count();
@@ -103,27 +99,46 @@
     fn take_whole_list(&mut self, name: &str, listed: &[Listed]) {
         self.take_lines(listed);
         let ready: BTreeSet<&str> = listed.iter().map(|line| line.id.as_str()).collect();
-        let unlisted = self.servers.keys().filter(|id| !ready.contains(id.as_str())).cloned().collect();
-        if let Some(node) = self.nodes.get_mut(name) {
-            node.lists = true;
-            node.unlisted = unlisted;
-            node.registered = self.registered;
+        let unlisted: BTreeSet<String> =
+            self.servers.keys().filter(|id| !ready.contains(id.as_str())).cloned().collect();
+        let Some(node) = self.nodes.get_mut(name) else { return };
+        if node.lists {
+            let moved: Vec<String> = node.unlisted.symmetric_difference(&unlisted).cloned().collect();
+            for id in moved {
+                self.set_listed(name, &id, !unlisted.contains(&id));
+            }
+        } else {
+            (node.lists, node.unlisted) = (true, unlisted);
+            self.count_list(name, true);
         }
+        self.has_told_all_known(name);
     }
 
     /// Makes of the node's last list the one that it has now. What became known since then was not in the last one.
     fn take_delta(&mut self, name: &str, listed: &[Listed], unlisted: &[String]) {
         self.take_lines(listed);
-        let Some(node) = self.nodes.get_mut(name) else { return };
-        let since = node.registered;
-        let registered_since = self.servers.iter().filter(|(_, server)| server.registered > since);
-        node.unlisted.extend(registered_since.map(|(id, _)| id.clone()));
+        let since = self.nodes.get(name).map_or(0, |node| node.registered);
+        let later = self.index().registered.range(since + 1..).map(|(_, id)| id.clone());
+        for id in later.collect::<Vec<_>>() {
+            self.set_listed(name, &id, false);
+        }
         for line in listed {
-            node.unlisted.remove(&line.id);
+            self.set_listed(name, &line.id, true);
+        }
+        for id in unlisted {
+            if self.servers.contains_key(id) {
+                self.set_listed(name, id, false);
+            }
+        }
+        self.has_told_all_known(name);
+    }
+
+    /// The node's list says of every cache server that is known whether it lists it.
+    fn has_told_all_known(&mut self, name: &str) {
+        let registered = self.registered;
+        if let Some(node) = self.nodes.get_mut(name) {
+            node.registered = registered;
         }
-        let known = unlisted.iter().filter(|id| self.servers.contains_key(*id));
-        node.unlisted.extend(known.cloned());
-        node.registered = self.registered;
     }
 
     /// Cache servers that are new, or have started anew, by lines of a node's list.
@@ -141,9 +156,12 @@
         let starts = known.as_ref().map_or(founded, |server| line.up_since_ms > server.up_since_ms);
         match known {
             Some(server) => {
-                server.zone.clone_from(&line.zone);
                 server.up_since_ms = server.up_since_ms.max(line.up_since_ms);
-                server.cold = if starts { Some(start) } else { server.cold };
+                let cold = if starts { Some(start) } else { server.cold };
+                if server.zone != line.zone || server.cold != cold {
+                    server.zone.clone_from(&line.zone);
+                    self.set_cold(&line.id, cold);
+                }
             }
             None => self.register(line, starts.then_some(start)),
         }
@@ -153,6 +171,7 @@
         }
     }
 
+    /// A cache server becomes known.
     fn register(&mut self, line: &Listed, cold: Option<u64>) {
         self.registered += 1;
         let server = Server {
@@ -162,5 +181,6 @@
             registered: self.registered,
         };
         self.servers.insert(line.id.clone(), server);
+        self.server_into_index(&line.id);
     }
 }
--- /dev/null
+++ b/crates/mothpier-coordination/src/fleet/rule.rs
@@ -0,0 +1,175 @@
+//! Who counts as out, and whether one more may go.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::ask::{Blocked, Kind, Stage, Subject};
+use super::index::{Index, Place};
+use super::limits::Bound;
+use super::{Condition, Drain, Fleet, NAMED, Node};
+
+impl Fleet {
+    /// Whether a drain keeps its subject out.
+    fn counts_as_out(&self, drain: &Drain) -> bool {
+        match drain.stage {
+            Stage::Asked => false,
+            Stage::Cold => self.holds(Condition::ColdCounts),
+            Stage::Leaving | Stage::Out | Stage::Returning => true,
+        }
+    }
+
+    /// Where something stands, by an index that has the sessions, the lists and the drains.
+    pub(super) fn place(&self, subject: &Subject, index: &Index) -> Option<Place> {
+        let dead_count = self.holds(Condition::DeadCount);
+        let (zone, missing, cold) = match subject.kind {
+            Kind::Node => {
+                let node = self.nodes.get(&subject.id)?;
+                (&node.zone, !node.is_serving(), false)
+            }
+            Kind::Server => {
+                let server = self.servers.get(&subject.id)?;
+                let cold = server.cold.is_some() && self.holds(Condition::ColdCounts);
+                (&server.zone, index.listings.is_missing(&subject.id), cold)
+            }
+        };
+        let drain = index.drains.get(subject).and_then(|number| self.drains.get(number));
+        let granted = drain.is_some_and(|drain| drain.stage != Stage::Asked);
+        let drained = drain.is_some_and(|drain| self.counts_as_out(drain));
+        Some(Place {
+            zone: zone.clone(),
+            out: drained || dead_count && (missing || cold),
+            unasked: dead_count && missing && !granted,
+        })
+    }
+
+    /// Why something that is out is so.
+    fn out_because(&self, subject: &Subject) -> String {
+        let drain = self.drain_of(subject).filter(|(_, drain)| self.counts_as_out(drain));
+        if let Some((number, drain)) = drain {
+            return format!("drain {number}, {}", drain.stage.name());
+        }
+        let node = self.nodes.get(&subject.id);
+        let because = match subject.kind {
+            Kind::Node if node.is_some_and(|node| node.session.is_some()) => "not ready",
+            Kind::Server if !self.index().listings.is_missing(&subject.id) => "cold",
+            Kind::Node | Kind::Server => "missing",
+        };
+        because.into()
+    }
+
+    /// All of a kind that do not serve, and why.
+    pub fn out(&self, kind: Kind) -> BTreeMap<&str, String> {
+        let out = self.index().of(kind).out().iter();
+        out.map(|id| (id.as_str(), self.out_because(&Subject { kind, id: id.clone() }))).collect()
+    }
+
+    /// How many may be out, and how many have to be in service.
+    pub(super) fn bound(&self, kind: Kind) -> &Bound {
+        match kind {
+            Kind::Node => &self.limits.nodes,
+            Kind::Server => &self.limits.servers,
+        }
+    }
+
+    fn total(&self, kind: Kind) -> usize {
+        match kind {
+            Kind::Node => self.nodes.len(),
+            Kind::Server => self.servers.len(),
+        }
+    }
+
+    fn zone(&self, subject: &Subject) -> &str {
+        match subject.kind {
+            Kind::Node => self.nodes.get(&subject.id).map_or("", |node| &node.zone),
+            Kind::Server => self.servers.get(&subject.id).map_or("", |server| &server.zone),
+        }
+    }
+
+    /// Whether all places of a kind are taken.
+    pub(super) fn is_full(&self, kind: Kind) -> bool {
+        self.index().of(kind).out().len() >= self.bound(kind).out_most as usize
+    }
+
+    /// Whether something is out, whether anybody asked for it or not.
+    pub(super) fn is_out(&self, subject: &Subject) -> bool {
+        self.index().of(subject.kind).out().contains(&subject.id)
+    }
+
+    /// What keeps one more from going out, as things stand.
+    pub fn why_not(&self, subject: &Subject) -> Option<Blocked> {
+        let bound = self.bound(subject.kind);
+        let places = self.index().of(subject.kind);
+        let zone = self.zone(subject);
+        let none = BTreeSet::new();
+        // Itself counts as one more, whether it serves or not: a drain of a dead one keeps it out when it comes back.
+        let others = |out: &BTreeSet<String>| out.len() - usize::from(out.contains(&subject.id));
+        let (all, of_zone) = (places.out(), places.out_of_zone(zone).unwrap_or(&none));
+        let (out, zone_out) = (others(all), others(of_zone));
+        let (total, zone_total) = (self.total(subject.kind), places.total_of_zone(zone));
+        let share = |percent: u32| total * percent as usize / 100;
+        if out >= bound.out_most as usize {
+            return Some(self.blocked(subject, "out_most", bound.out_most, all));
+        }
+        if let Some(percent) = bound.out_percent.filter(|percent| out >= share(*percent)) {
+            return Some(self.blocked(subject, "out_percent", percent, all));
+        }
+        if let Some(most) = bound.zone_out_most.filter(|most| zone_out >= *most as usize) {
+            return Some(self.blocked(subject, "zone_out_most", most, of_zone));
+        }
+        if total - out <= bound.ready_fewest as usize {
+            return Some(self.blocked(subject, "ready_fewest", bound.ready_fewest, all));
+        }
+        if zone_total - zone_out <= bound.zone_ready_fewest as usize {
+            return Some(self.blocked(subject, "zone_ready_fewest", bound.zone_ready_fewest, of_zone));
+        }
+        None
+    }
+
+    /// A limit that is used up, by the first few of those that are out beside the subject.
+    fn blocked(&self, subject: &Subject, limit: &str, most: u32, out: &BTreeSet<String>) -> Blocked {
+        let kind = subject.kind;
+        let prefix = match kind {
+            Kind::Node => "nodes",
+            Kind::Server => "servers",
+        };
+        let others = out.iter().filter(|id| **id != subject.id);
+        let named = others.take(NAMED).map(|id| Subject { kind, id: id.clone() });
+        Blocked {
+            limit: format!("{prefix}.{limit}"),
+            most: most.into(),
+            by: named.map(|other| format!("{} ({})", other.id, self.out_because(&other))).collect(),
+            count: (out.len() - usize::from(out.contains(&subject.id))) as u64,
+        }
+    }
+
+    /// Nodes that a drain waits for before it is out.
+    pub fn waits_for(&self, drain: &Drain) -> Vec<String> {
+        if drain.subject.kind == Kind::Node {
+            let own = drain.subject.id.clone();
+            return if drain.confirmed.contains(&own) { Vec::new() } else { vec![own] };
+        }
+        let counts = |node: &Node| node.session.is_some() || self.holds(Condition::AllConfirm);
+        let awaited =
+            self.nodes.iter().filter(|(name, node)| counts(node) && !drain.confirmed.contains(*name));
+        awaited.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Whether a drain waits for nobody before it is out.
+    pub(super) fn has_left(&self, number: u64, drain: &Drain) -> bool {
+        if drain.subject.kind == Kind::Node {
+            return drain.confirmed.contains(&drain.subject.id);
+        }
+        let awaited = self.index().awaited.get(&number).copied().unwrap_or_default();
+        awaited.living == 0 && (awaited.missing == 0 || !self.holds(Condition::AllConfirm))
+    }
+
+    /// Whether one that returns has done so: a node serves; of a cache server all nodes that live know it.
+    pub(super) fn has_returned(&self, number: u64, drain: &Drain) -> bool {
+        match drain.subject.kind {
+            Kind::Node => {
+                let serves = self.nodes.get(&drain.subject.id).is_some_and(Node::is_serving);
+                serves && drain.confirmed.contains(&drain.subject.id)
+            }
+            Kind::Server => self.index().awaited.get(&number).is_some_and(|awaited| awaited.living == 0),
+        }
+    }
+}
--- /dev/null
+++ b/crates/mothpier-coordination/src/fleet/stored.rs
@@ -0,0 +1,58 @@
+//! A fleet as snapshots and answers hold it: without what is derived.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use serde::Deserialize;
+
+use super::limits::Limits;
+use super::{Drain, Event, Fleet, Halt, Node, Server};
+
+/// What is read of a fleet. Its fields are those that [`Fleet`] writes.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct StoredFleet {
+    limits: Limits,
+    nodes: BTreeMap<String, Node>,
+    servers: BTreeMap<String, Server>,
+    drains: BTreeMap<u64, Drain>,
+    halt: Option<Halt>,
+    events: VecDeque<Event>,
+    numbers: u64,
+    #[serde(default)]
+    registered: u64,
+}
+
+impl From<StoredFleet> for Fleet {
+    fn from(stored: StoredFleet) -> Self {
+        let mut fleet = Fleet {
+            limits: stored.limits,
+            nodes: stored.nodes,
+            servers: stored.servers,
+            drains: stored.drains,
+            halt: stored.halt,
+            events: stored.events,
+            numbers: stored.numbers,
+            registered: stored.registered,
+            ..Fleet::default()
+        };
+        fleet.rebuild_index();
+        fleet
+    }
+}
+
+impl Fleet {
+    /// The fleet as it is shown to clients: without the numbers that formats 1 and 2 did not have, for a client of those
+    /// versions refuses what it does not know.
+    pub fn shown(&self) -> Fleet {
+        let mut shown = self.clone();
+        for node in shown.nodes.values_mut() {
+            (node.report, node.registered) = (0, 0);
+        }
+        for server in shown.servers.values_mut() {
+            server.registered = 0;
+        }
+        shown.registered = 0;
+        shown.forget_registrations();
+        shown
+    }
+}
