State: format 3, formats 1 and 2 are read, a newer one is refused with what to do

Clients of the version before read a fleet without the new numbers. agreed.rs expects format 4 to be refused where it expected 3, and the whole sentence.

--- a/crates/mothpier-coordination/src/agreed.rs
+++ b/crates/mothpier-coordination/src/agreed.rs
@@ -89,7 +89,11 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Unreadable::Format(format) => {
-                write!(f, "it was written in format {format}; this program reads {FORMAT}")
+                write!(
+                    f,
+                    "it was written in format {format}, and this program reads 1 to {FORMAT}: start the newer version \
+                     that wrote it"
+                )
             }
             Unreadable::Damaged(why) => write!(f, "it is damaged: {why}"),
         }
--- a/crates/mothpier-coordination/src/command.rs
+++ b/crates/mothpier-coordination/src/command.rs
@@ -6,8 +6,9 @@
 use crate::fleet::ask::{FleetAnswer, FleetAsk, FleetChange, FleetRefusal};
 use crate::fleet::timers::Timer;
 
-/// Version of commands in the log and of the state in snapshots.
-pub const FORMAT: u32 = 2;
+/// Version of commands in the log and of the state in snapshots. 2 brought the fleet, 3 its numbered reports; all before are
+/// read.
+pub const FORMAT: u32 = 3;
 
 /// A number that rises with every grant of any lease: who has the higher one was granted later.
 pub type Fence = u64;
--- a/crates/mothpier-coordination/tests/agreed.rs
+++ b/crates/mothpier-coordination/tests/agreed.rs
@@ -1,6 +1,9 @@
 //! The agreed state: the same log makes the same bytes, a command that is sent twice takes effect once, bounds hold.
 #![allow(missing_docs)]
 
+use mothpier_coordination::fleet::ask::{
+    FleetAnswer, FleetAsk, FleetRefusal, Kind, Listed, NumberedReport, ReportedServers,
+};
 use mothpier_coordination::{Agreed, Answer, Change, Command, Refusal, Request, Unreadable, limits};
 use proptest::prelude::*;
 
@@ -138,12 +141,16 @@
     let bytes = Agreed::default().to_bytes();
     let text = String::from_utf8(bytes.clone()).unwrap();
     assert_eq!(Agreed::from_bytes(&bytes), Ok(Agreed::default()));
-    let newer = text.replace("\"format\":2", "\"format\":3");
-    assert_eq!(Agreed::from_bytes(newer.as_bytes()), Err(Unreadable::Format(3)));
-    // As the program before this one wrote it, without a fleet.
+    let newer = text.replace("\"format\":3", "\"format\":4");
+    let refused = Agreed::from_bytes(newer.as_bytes()).unwrap_err();
+    assert_eq!(refused, Unreadable::Format(4));
+    let said =
+        "it was written in format 4, and this program reads 1 to 3: start the newer version that wrote it";
+    assert_eq!(refused.to_string(), said);
+    // As the first program wrote it, without a fleet.
     let (before, behind) = text.split_once("\"fleet\":").unwrap();
     let (_, behind) = behind.split_once(",\"history\"").unwrap();
-    let older = format!("{before}\"history\"{behind}").replace("\"format\":2", "\"format\":1");
+    let older = format!("{before}\"history\"{behind}").replace("\"format\":3", "\"format\":1");
     assert_eq!(Agreed::from_bytes(older.as_bytes()), Ok(Agreed::default()));
     for cut in 0..bytes.len() {
         assert!(matches!(Agreed::from_bytes(&bytes[..cut]), Err(Unreadable::Damaged(_))), "{cut}");
@@ -152,6 +159,60 @@
     assert!(matches!(Agreed::from_bytes(foreign.as_bytes()), Err(Unreadable::Damaged(_))));
 }
 
+/// As the program at c010d1e wrote it: drains under way, a dead node, a cache server that one node does not list.
+#[test]
+fn a_snapshot_of_format_2_goes_on_and_its_nodes_begin_with_their_whole_lists() {
+    let written = include_bytes!("fixtures/format-2.json");
+    let mut agreed = Agreed::from_bytes(written).unwrap();
+    assert!(agreed.fleet().index_is_current());
+    let fleet = agreed.fleet();
+    let stages: Vec<_> = fleet.drains.values().map(|d| (d.subject.id.as_str(), d.stage.name())).collect();
+    assert_eq!(stages, [("a1", "returning"), ("a2", "leaving"), ("b1", "asked")]);
+    assert_eq!(fleet.waits_for(&fleet.drains[&4]), ["n2", "n3"]);
+    let out: Vec<_> = fleet.out(Kind::Server).into_keys().collect();
+    assert_eq!(out, ["a1", "a2", "b1", "b2"]);
+    // Read and written it is of this format, and the same state.
+    let again = agreed.to_bytes();
+    assert!(again.starts_with(b"{\"format\":3,"));
+    assert_eq!(Agreed::from_bytes(&again).unwrap(), agreed);
+    // What nodes told before is no base for a delta.
+    let report = |number, servers| Request::Fleet {
+        what: FleetAsk::NumberedReport {
+            report: NumberedReport { number, ready: true, refused_percent: 0, servers },
+        },
+    };
+    let delta = ReportedServers::Delta { base: 1, listed: vec![], unlisted: vec!["b2".into()] };
+    let unknown = Refusal::Fleet { fleet: FleetRefusal::UnknownBase { last: 0 } };
+    assert_eq!(refused(&agreed.apply(&ask("n1-a", 6, report(2, delta.clone())))), Some(&unknown));
+    let line = |id: &str| Listed { id: id.into(), zone: id[..1].into(), up_since_ms: 9 };
+    let whole = ReportedServers::Whole { listed: ["a1", "a2", "b1", "b2"].map(line).into() };
+    let done = Answer::Fleet { answer: FleetAnswer::Done };
+    assert_eq!(agreed.apply(&ask("n1-a", 7, report(3, whole))), done);
+    assert!(agreed.fleet().out(Kind::Server).contains_key("a3"));
+    let delta = ReportedServers::Delta { base: 3, listed: vec![line("a3")], unlisted: vec!["b2".into()] };
+    assert_eq!(agreed.apply(&ask("n1-a", 8, report(4, delta))), done);
+    let unlisted: Vec<_> = agreed.fleet().nodes["n1"].unlisted.iter().collect();
+    assert_eq!(unlisted, ["b2"]);
+}
+
+/// What clients of the version before are shown of a fleet has no field that they do not know.
+#[test]
+fn a_fleet_is_shown_as_the_version_before_reads_it() {
+    let mut agreed = Agreed::from_bytes(include_bytes!("fixtures/format-2.json")).unwrap();
+    let line = Listed { id: "c1".into(), zone: "c".into(), up_since_ms: 9 };
+    let servers = ReportedServers::Whole { listed: vec![line] };
+    let report = NumberedReport { number: 1, ready: true, refused_percent: 0, servers };
+    let what = FleetAsk::NumberedReport { report };
+    agreed.apply(&ask("n1-a", 6, Request::Fleet { what }));
+    let keys = |value: &serde_json::Value| value.as_object().unwrap().keys().cloned().collect::<Vec<_>>();
+    let shown = serde_json::to_value(agreed.fleet().shown()).unwrap();
+    let before: serde_json::Value = serde_json::from_slice(include_bytes!("fixtures/format-2.json")).unwrap();
+    let before = &before["fleet"];
+    assert_eq!(keys(&shown), keys(before));
+    assert_eq!(keys(&shown["nodes"]["n1"]), keys(&before["nodes"]["n1"]));
+    assert_eq!(keys(&shown["servers"]["c1"]), keys(&before["servers"]["a1"]));
+}
+
 fn commands() -> impl Strategy<Value = Vec<Command>> {
     let session = || prop::sample::select(vec!["a", "b", "c"]).prop_map(String::from);
     let lease = || prop::sample::select(vec!["l", "m"]).prop_map(String::from);
--- a/crates/mothpier-coordinator/src/door.rs
+++ b/crates/mothpier-coordinator/src/door.rs
@@ -227,7 +227,7 @@
 }
 
 fn fleet(core: &Core) -> FleetShown {
-    FleetShown { revision: core.agreed().revision(), fleet: core.agreed().fleet().clone() }
+    FleetShown { revision: core.agreed().revision(), fleet: core.agreed().fleet().shown() }
 }
 
 fn drains(core: &Core) -> Drains {
