--- a/crates/mothpier/src/drains.rs
+++ b/crates/mothpier/src/drains.rs
@@ -6,9 +6,11 @@
 use std::time::{Duration, Instant};
 
 use mothpier_coordination::Change;
-use mothpier_coordination::fleet::ask::{FleetAsk, FleetRefusal, Listed, Report};
+use mothpier_coordination::fleet::ask::{FleetAsk, FleetRefusal, Listed};
 use mothpier_coordination::fleet::follow::{Effect, Follower};
+use mothpier_coordination::fleet::reporter::{ReadyList, Reporter, ready_list};
 use mothpier_coordination_client::{Client, Seen, Session};
+use mothpier_membership::Line;
 use mothpier_net::Net;
 use tokio::sync::oneshot;
 
@@ -204,32 +206,12 @@
         joined.map_err(|why| why.to_string())?;
         *self.joined.borrow_mut() = Some(session.name.clone());
         self.follower.borrow_mut().joined();
-        let (mut told, mut lists): (Option<Report>, u64) = (None, 0);
+        let (mut reporter, mut list_held) = (Reporter::default(), 0);
         loop {
-            let (tell, ready) = oneshot::channel();
-            let _ = self.operations.orders.send(Order::Ready { held: lists, tell }).await;
-            let listed = ready.await.map_err(|_| "the node has ended".to_owned())?;
-            let servers = listed.map(|(number, lines)| {
-                lists = number;
-                let one = |l: mothpier_membership::Line| Listed {
-                    id: l.id,
-                    zone: l.locality,
-                    up_since_ms: l.up_since_ms,
-                };
-                lines.into_iter().map(one).collect()
-            });
-            let report = Report {
-                ready: self.operations.phase.ready().is_ok(),
-                refused_percent: self.refused(),
-                servers,
-            };
-            let same = told
-                .as_ref()
-                .is_some_and(|t| (t.ready, t.refused_percent) == (report.ready, report.refused_percent));
-            if report.servers.is_some() || !same {
-                self.ask(session, FleetAsk::Report { report: report.clone() }).await?;
-                told = Some(report);
+            if let Some(servers) = self.new_list(&mut list_held).await? {
+                reporter.set_servers(servers);
             }
+            self.report_changes(session, &mut reporter).await?;
             let effect = self.in_effect();
             let confirms = self.follower.borrow().confirms(&effect);
             let beside = self.operations.succession.as_ref().is_some_and(|s| s.accompanied());
@@ -244,6 +226,36 @@
         }
     }
 
+    /// The cache servers that are ready, where the node's list is another than the one that is held.
+    async fn new_list(&self, held: &mut u64) -> Result<Option<ReadyList>, String> {
+        let (tell, ready) = oneshot::channel();
+        let _ = self.operations.orders.send(Order::Ready { held: *held, tell }).await;
+        let listed = ready.await.map_err(|_| "the node has ended".to_owned())?;
+        let Some((number, lines)) = listed else { return Ok(None) };
+        *held = number;
+        let line = |line: Line| Listed { id: line.id, zone: line.locality, up_since_ms: line.up_since_ms };
+        Ok(Some(ready_list(lines.into_iter().map(line))))
+    }
+
+    /// Reports what has changed, if anything has.
+    async fn report_changes(&self, session: &Session<N>, reporter: &mut Reporter) -> Result<(), String> {
+        let ready = self.operations.phase.ready().is_ok();
+        let Some(report) = reporter.next(ready, self.refused()) else { return Ok(()) };
+        let number = report.number;
+        let answer = session.fleet(FleetAsk::NumberedReport { report }).await;
+        match answer.map_err(|lost| lost.to_string())? {
+            Ok(_) => reporter.accepted(number),
+            // The next look sends the whole list.
+            Err(FleetRefusal::UnknownBase { last }) => reporter.base_unknown(number, last),
+            Err(why @ FleetRefusal::NoNode) => return Err(why.to_string()),
+            Err(why) => {
+                self.net().log(format_args!("the fleet does not take this node's report: {why}"));
+                reporter.rejected(number);
+            }
+        }
+        Ok(())
+    }
+
     async fn ask(&self, session: &Session<N>, ask: FleetAsk) -> Result<(), String> {
         match session.fleet(ask).await.map_err(|lost| lost.to_string())? {
             Ok(_) => Ok(()),
