Simulation: drains play numbered reports with late copies, and two more plants

Nodes report by Reporter; a report that is sent again arrives twice. Judged: the coordinators hold the list that a node told, and count missing cache servers as a plain look does. Planted: a stale base taken, a session's end not counted.

--- a/crates/mothpier-sim/src/drains.rs
+++ b/crates/mothpier-sim/src/drains.rs
@@ -7,10 +7,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use mothpier_coordination::fleet::ask::{
-    FleetAnswer, FleetAsk, Kind, Listed, Report, Stage, Subject, Then, Word,
+    FleetAnswer, FleetAsk, FleetRefusal, Kind, Listed, Stage, Subject, Then, Word,
 };
 use mothpier_coordination::fleet::follow::{Effect, Follower};
 use mothpier_coordination::fleet::limits::{Bound, Limits};
+use mothpier_coordination::fleet::reporter::{Reporter, ready_list};
 use mothpier_coordination::fleet::timers::Timers;
 use mothpier_coordination::fleet::{Condition, Fleet};
 use mothpier_world::Dice;
@@ -36,13 +37,15 @@
 }
 
 /// All of them.
-pub const TWINS: [Twin; 7] = [
+pub const TWINS: [Twin; 9] = [
     Twin::Rule(Condition::DeadCount),
     Twin::Rule(Condition::AllConfirm),
     Twin::Rule(Condition::OfThisTurn),
     Twin::Rule(Condition::ColdCounts),
     Twin::Rule(Condition::HaltTakesBack),
     Twin::Rule(Condition::HaltBringsBack),
+    Twin::Rule(Condition::BaseMatches),
+    Twin::Rule(Condition::EndUncounts),
     Twin::RestartForgets,
 ];
 
@@ -99,11 +102,21 @@
     stopped_until: u64,
     /// A copy of the drains on its way, and when it comes.
     reads: Option<(u64, Vec<mothpier_coordination::fleet::ask::Told>)>,
-    /// What it has asked: when that comes, when it is sent again, and what; and the list as it was then.
+    /// What it has asked: when that comes, when it is sent again, and what.
     asks: Option<(u64, u64, FleetAsk)>,
-    listed: u64,
     joined: bool,
-    told: Option<(bool, u64)>,
+    reporter: Reporter,
+    /// The list that its reporter has, by number, and the cache servers in it.
+    list: (u64, BTreeSet<String>),
+    /// The cache servers in the list that its last report told.
+    reported: BTreeSet<String>,
+}
+
+/// A report that was sent twice: the copy that comes later.
+struct LateCopy {
+    at: u64,
+    session: String,
+    ask: FleetAsk,
 }
 
 struct Server {
@@ -148,6 +161,7 @@
     /// Rises with each change of what the lists say.
     lists: u64,
     people: Vec<Person>,
+    late_copies: Vec<LateCopy>,
     late: u64,
     trouble_at: u64,
     /// Staff end their own halt then.
@@ -173,9 +187,10 @@
         stopped_until: 0,
         reads: None,
         asks: None,
-        listed: 0,
         joined: false,
-        told: None,
+        reporter: Reporter::default(),
+        list: (0, BTreeSet::new()),
+        reported: BTreeSet::new(),
     };
     let mut people: Vec<Person> = Vec::new();
     let person = |subject, at, hasty| Person { subject, at, hasty, state: Doing::Waits };
@@ -205,6 +220,7 @@
         servers: (0..size.servers).map(|_| Server { up: true, since_ms: 0, back_at: 0 }).collect(),
         lists: 1,
         people,
+        late_copies: Vec::new(),
         late: 20,
         trouble_at: 1_500,
         resume_at: 0,
@@ -239,12 +255,12 @@
             calm_ms: Some(1_000),
             ..Limits::default()
         };
-        self.command("staff", &FleetAsk::Limits { limits, word: word() });
+        let _ = self.command("staff", &FleetAsk::Limits { limits, word: word() });
         while self.now < self.size.end && self.played.broken.is_empty() {
             self.now += STEP;
             self.trouble();
             if self.fleet.halt.as_ref().is_some_and(|h| !h.by_itself) && self.now >= self.resume_at {
-                self.command("staff", &FleetAsk::Resume { word: word() });
+                let _ = self.command("staff", &FleetAsk::Resume { word: word() });
             }
             if self.now >= self.away_until {
                 self.leader();
@@ -252,6 +268,7 @@
             for i in 0..self.machines.len() {
                 self.machine(i);
             }
+            self.copies_arrive();
             // They look as often as nodes do, all of them at the same screen: hundreds wait at once.
             if self.now.is_multiple_of(LOOK) && self.away_until <= self.now {
                 let drains = self.fleet.drains.values();
@@ -292,11 +309,11 @@
     }
 
     /// Commits a command, and counts what it grants from what is there.
-    fn command(&mut self, session: &str, ask: &FleetAsk) -> Option<FleetAnswer> {
+    fn command(&mut self, session: &str, ask: &FleetAsk) -> Result<FleetAnswer, FleetRefusal> {
         let before = self.granted();
         let halted = self.fleet.halt.is_some();
         self.played.commands += 1;
-        let answer = self.fleet.ask(session, ask, &mut Vec::new()).ok();
+        let answer = self.fleet.ask(session, ask, &mut Vec::new());
         self.after(&before, halted);
         answer
     }
@@ -345,6 +362,9 @@
             self.broken("a halt leaves something on its way out".into());
         }
         self.fleet.events.clear();
+        if !self.all {
+            self.judge_count();
+        }
     }
 
     /// Draws what goes wrong next; after the time of trouble all is mended.
@@ -380,7 +400,7 @@
             _ => self.late = if self.dice.chance(0.5) { 20 } else { self.dice.within(20, 1_500) },
         }
         if self.dice.chance(0.05) {
-            self.command("staff", &FleetAsk::Halt { word: word() });
+            let _ = self.command("staff", &FleetAsk::Halt { word: word() });
             self.resume_at = self.now + self.dice.within(200, 3_000);
         }
     }
@@ -397,7 +417,7 @@
 
     fn crash(&mut self, i: usize, lasts: u64) {
         let machine = &mut self.machines[i];
-        (machine.alive, machine.serves, machine.joined, machine.told) = (false, false, false, None);
+        (machine.alive, machine.serves, machine.joined) = (false, false, false);
         (machine.follower, machine.effect) = (Follower::new(&node(i)), Effect::default());
         (machine.reads, machine.asks) = (None, None);
         machine.stopped_until = self.now + lasts;
@@ -442,8 +462,9 @@
                 self.machines[i].asks = None;
             } else if again <= now && at > now {
                 // Sent again: whichever comes first counts, and the other changes nothing.
-                let sooner = now + self.dice.within(1, self.late);
-                self.machines[i].asks = Some((at.min(sooner), now + PATIENCE, ask));
+                let other = now + self.dice.within(1, self.late);
+                self.send_late(i, at.max(other), &ask);
+                self.machines[i].asks = Some((at.min(other), now + PATIENCE, ask));
             }
         }
         let machine = &mut self.machines[i];
@@ -462,34 +483,61 @@
             *ends = now + TTL;
         }
         if machine.asks.is_none() {
-            let (ask, lists) = (self.next(i), self.lists);
+            let ask = self.next(i);
             let machine = &mut self.machines[i];
-            machine.listed = lists;
             machine.asks = ask.map(|ask| (now + self.dice.within(1, self.late), now + PATIENCE, ask));
         }
     }
 
+    /// The later copy of a report that a node sends twice.
+    fn send_late(&mut self, i: usize, at: u64, ask: &FleetAsk) {
+        let FleetAsk::NumberedReport { .. } = ask else { return };
+        let Some((session, _)) = self.machines[i].session.clone() else { return };
+        self.late_copies.push(LateCopy { at, session, ask: ask.clone() });
+    }
+
+    fn copies_arrive(&mut self) {
+        if self.away_until > self.now {
+            return;
+        }
+        let now = self.now;
+        let arrived: Vec<LateCopy> = self.late_copies.extract_if(.., |copy| copy.at < now).collect();
+        for copy in arrived {
+            let _ = self.command(&copy.session, &copy.ask);
+        }
+    }
+
     /// What a node asks next.
-    fn next(&self, i: usize) -> Option<FleetAsk> {
-        let machine = &self.machines[i];
-        if !machine.joined {
+    fn next(&mut self, i: usize) -> Option<FleetAsk> {
+        if !self.machines[i].joined {
             return Some(FleetAsk::Join { node: node(i), zone: format!("z{}", i % 3) });
         }
+        if self.machines[i].list.0 != self.lists {
+            self.new_list(i);
+        }
+        let machine = &mut self.machines[i];
         let ready = machine.serves && !machine.effect.empty;
-        if machine.told != Some((ready, self.lists)) {
-            let up = self.servers.iter().enumerate().filter(|(_, s)| s.up);
-            let listed = |(j, s): (usize, &Server)| Listed {
-                id: server(j),
-                zone: format!("z{}", j % 3),
-                up_since_ms: s.since_ms,
-            };
-            let servers = Some(up.map(listed).collect());
-            return Some(FleetAsk::Report { report: Report { ready, refused_percent: 0, servers } });
+        if let Some(report) = machine.reporter.next(ready, 0) {
+            machine.reported.clone_from(&machine.list.1);
+            return Some(FleetAsk::NumberedReport { report });
         }
         let confirms = machine.follower.confirms(&machine.effect);
         confirms.first().map(|(drain, turn)| FleetAsk::Confirm { drain: *drain, turn: *turn })
     }
 
+    fn new_list(&mut self, i: usize) {
+        let up = self.servers.iter().enumerate().filter(|(_, s)| s.up);
+        let line = |(j, s): (usize, &Server)| Listed {
+            id: server(j),
+            zone: format!("z{}", j % 3),
+            up_since_ms: s.since_ms,
+        };
+        let list = ready_list(up.map(line));
+        let machine = &mut self.machines[i];
+        machine.list = (self.lists, list.keys().cloned().collect());
+        machine.reporter.set_servers(list);
+    }
+
     /// A node's ask is committed.
     fn arrives(&mut self, i: usize, ask: &FleetAsk) {
         if let FleetAsk::Join { .. } = ask {
@@ -501,20 +549,59 @@
             self.machines[i].joined = false;
             return;
         };
-        let done = self.command(&session, ask).is_some();
+        let answer = self.command(&session, ask);
         let machine = &mut self.machines[i];
-        let lists = machine.listed;
         match ask {
             FleetAsk::Join { .. } => {
-                (machine.joined, machine.told) = (done, None);
+                machine.joined = answer.is_ok();
+                (machine.reporter, machine.list) = (Reporter::default(), (0, BTreeSet::new()));
                 machine.follower.joined();
             }
-            FleetAsk::Report { report } if done => machine.told = Some((report.ready, lists)),
-            FleetAsk::Confirm { drain, turn } if done => machine.follower.confirmed(*drain, *turn),
+            FleetAsk::NumberedReport { report } => self.report_answered(i, report.number, answer),
+            FleetAsk::Confirm { drain, turn } if answer.is_ok() => machine.follower.confirmed(*drain, *turn),
             _ => {}
         }
     }
 
+    fn report_answered(&mut self, i: usize, number: u64, answer: Result<FleetAnswer, FleetRefusal>) {
+        let machine = &mut self.machines[i];
+        match answer {
+            Ok(_) => {
+                machine.reporter.accepted(number);
+                self.judge_list(i);
+            }
+            Err(FleetRefusal::UnknownBase { last }) => machine.reporter.base_unknown(number, last),
+            Err(_) => machine.reporter.rejected(number),
+        }
+    }
+
+    /// What the coordinators hold of a node's list is what it has just told.
+    fn judge_list(&mut self, i: usize) {
+        let reported = &self.machines[i].reported;
+        let Some(held) = self.fleet.nodes.get(&node(i)) else { return };
+        let known = self.fleet.servers.keys();
+        let unlisted: BTreeSet<&String> = known.filter(|id| !reported.contains(*id)).collect();
+        if !held.unlisted.iter().eq(unlisted) {
+            self.broken(format!("the coordinators hold another list of {} than it told", node(i)));
+        }
+    }
+
+    /// The count of missing cache servers is that of a plain look at all nodes.
+    fn judge_count(&mut self) {
+        let telling: Vec<_> = self.fleet.nodes.values().filter(|n| n.session.is_some() && n.lists).collect();
+        let missing = |id: &str| {
+            let count = telling.iter().filter(|n| n.unlisted.contains(id)).count();
+            count > 0 && 2 * count >= telling.len()
+        };
+        let out = self.fleet.out(Kind::Server);
+        let counted = |id: &str| out.get(id).is_some_and(|why| why == "missing");
+        let drained = |id: &str| out.get(id).is_some_and(|why| why.starts_with("drain"));
+        let wrong = |id: &&String| !drained(id) && missing(id) != counted(id);
+        if let Some(id) = self.fleet.servers.keys().find(wrong).cloned() {
+            self.broken(format!("whether {id} is missing is miscounted"));
+        }
+    }
+
     /// A person's share of a step.
     fn person(&mut self, i: usize, screen: &Screen) {
         let (subject, state, hasty) =
@@ -537,8 +624,8 @@
                     force: false,
                 };
                 match self.command("staff", &ask) {
-                    Some(_) => Doing::Asked(self.now),
-                    None => {
+                    Ok(_) => Doing::Asked(self.now),
+                    Err(_) => {
                         // Halted, or another's: a little later again.
                         self.people[i].at = self.now + 500;
                         Doing::Waits
@@ -557,7 +644,7 @@
             }
             (Doing::Asked(since), Some(_)) if hasty && self.now > since + 300 => Doing::Works(self.now),
             (Doing::Works(until), _) if until <= self.now => {
-                self.command("staff", &FleetAsk::Back { subject, word: word() });
+                let _ = self.command("staff", &FleetAsk::Back { subject, word: word() });
                 if hasty {
                     // And out again in the midst, and back.
                     self.people[i].hasty = false;
