--- /dev/null
+++ b/crates/mothpier-coordination/examples/fleet_cost.rs
@@ -0,0 +1,179 @@
+//! What commands of the agreed fleet cost a coordinator: `Fleet::ask` alone, in one process, on one thread.
+//!
+//! ```sh
+//! cargo run --release -p mothpier-coordination --example fleet_cost -- --nodes 6300 --servers 1500
+//! ```
+//!
+//! Without arguments all sizes are measured. Each prints one line of JSON; times are processor time of the thread.
+
+use std::time::Duration;
+
+use mothpier_coordination::fleet::Fleet;
+use mothpier_coordination::fleet::ask::{FleetAsk, Kind, Listed, Stage, Subject, Then, Word};
+use mothpier_coordination::wire::Call;
+use mothpier_coordination::{Command, Request};
+use rustix::time::{ClockId, clock_gettime};
+use serde_json::json;
+
+/// Nodes and cache servers.
+const SIZES: [(usize, usize); 5] = [(100, 200), (300, 200), (1_000, 400), (3_000, 800), (6_300, 1_500)];
+
+fn cpu() -> Duration {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
+
+fn micros(time: Duration, count: usize) -> f64 {
+    (time.as_secs_f64() * 1e6 / count as f64 * 100.0).round() / 100.0
+}
+
+fn node(i: usize) -> String {
+    format!("pop-{:03}-node-{i:05}", i % 370)
+}
+
+fn session(i: usize) -> String {
+    format!("node:{}:{i:08x}", node(i))
+}
+
+fn server(i: usize) -> String {
+    format!("cache-{i:04}")
+}
+
+fn line(i: usize) -> Listed {
+    Listed { id: server(i), zone: format!("zone-{:02}", i % 110), up_since_ms: 1_700_000_000_000 }
+}
+
+/// One node's reports, and the bytes of a command as they go over the wire.
+mod reports {
+    use mothpier_coordination::fleet::ask::{FleetAsk, Listed};
+    use mothpier_coordination::fleet::reporter::{ReadyList, Reporter, ready_list};
+
+    pub type List = ReadyList;
+
+    pub fn list(lines: impl Iterator<Item = Listed>) -> List {
+        ready_list(lines)
+    }
+
+    #[derive(Default)]
+    pub struct Node {
+        reporter: Reporter,
+    }
+
+    impl Node {
+        /// The report that it sends, with a new list or without; it is taken.
+        pub fn report(&mut self, refused_percent: u8, list: Option<&List>) -> FleetAsk {
+            if let Some(list) = list {
+                self.reporter.set_servers(list.clone());
+            }
+            let report = self.reporter.next(true, refused_percent).expect("something is new");
+            self.reporter.accepted(report.number);
+            FleetAsk::NumberedReport { report }
+        }
+    }
+}
+
+struct Bench {
+    fleet: Fleet,
+    nodes: Vec<reports::Node>,
+    servers: usize,
+}
+
+impl Bench {
+    /// All nodes have joined and reported all cache servers.
+    fn new(nodes: usize, servers: usize) -> Self {
+        let fleet = Fleet::default();
+        let nodes = (0..nodes).map(|_| reports::Node::default()).collect();
+        let mut bench = Bench { fleet, nodes, servers };
+        let list = reports::list((0..servers).map(line));
+        for i in 0..bench.nodes.len() {
+            let join = FleetAsk::Join { node: node(i), zone: format!("zone-{:03}", i % 110) };
+            bench.ask(i, &join);
+            let report = bench.nodes[i].report(0, Some(&list));
+            bench.ask(i, &report);
+        }
+        bench
+    }
+
+    fn ask(&mut self, i: usize, ask: &FleetAsk) -> Duration {
+        let session = session(i);
+        let began = cpu();
+        let answer = self.fleet.ask(&session, ask, &mut Vec::new());
+        let took = cpu() - began;
+        answer.expect("it is taken");
+        took
+    }
+
+    /// All nodes report one after another: the time that takes, and the bytes of it.
+    fn all_report(&mut self, refused_percent: u8, list: Option<&reports::List>) -> (Duration, usize) {
+        let (mut took, mut bytes) = (Duration::ZERO, 0);
+        for i in 0..self.nodes.len() {
+            let report = self.nodes[i].report(refused_percent, list);
+            bytes += wire_bytes(i, &report);
+            took += self.ask(i, &report);
+        }
+        (took, bytes)
+    }
+
+    /// A cache server is drained and all nodes confirm: the time that takes.
+    fn all_confirm(&mut self) -> Duration {
+        let subject = Subject::server(&server(self.servers / 2));
+        let word = Word { by: "staff".into(), reason: "a measurement".into(), at_ms: 0 };
+        let drain = FleetAsk::Drain {
+            subject: subject.clone(),
+            word,
+            for_ms: None,
+            then: Then::Stay,
+            wait: false,
+            force: true,
+        };
+        self.fleet.ask("staff", &drain, &mut Vec::new()).expect("it is granted");
+        let (number, turn) = self.fleet.drain_of(&subject).map(|(n, d)| (n, d.turn)).expect("a drain");
+        let confirm = FleetAsk::Confirm { drain: number, turn };
+        let took = (0..self.nodes.len()).map(|i| self.ask(i, &confirm)).sum();
+        let stage = self.fleet.drain_of(&subject).map(|(_, d)| d.stage);
+        assert_eq!(stage, Some(Stage::Out), "all have confirmed");
+        took
+    }
+}
+
+/// Bytes of the call that carries a command.
+fn wire_bytes(i: usize, ask: &FleetAsk) -> usize {
+    let request = Request::Fleet { what: ask.clone() };
+    let command = Command::Ask { session: session(i), number: 1_000, request };
+    serde_json::to_vec(&Call { cluster: "manila".into(), command }).expect("it can be written").len()
+}
+
+fn measure(nodes: usize, servers: usize) {
+    let mut bench = Bench::new(nodes, servers);
+    let (plain, _) = bench.all_report(5, None);
+    let started = |line: Listed| Listed { up_since_ms: line.up_since_ms + 1, ..line };
+    let changed = reports::list((0..servers).map(|i| if i == 0 { started(line(i)) } else { line(i) }));
+    let (delta, _) = bench.all_report(5, Some(&changed));
+    let confirm = bench.all_confirm();
+    let without = reports::list((0..servers - 1).map(|i| if i == 0 { started(line(i)) } else { line(i) }));
+    let (leaves, bytes) = bench.all_report(5, Some(&without));
+    assert!(bench.fleet.out(Kind::Server).contains_key(server(servers - 1).as_str()), "it is missing");
+    let shown = json!({
+        "nodes": nodes,
+        "servers": servers,
+        "plain_report_us": micros(plain, nodes),
+        "changed_line_report_us": micros(delta, nodes),
+        "confirmation_us": micros(confirm, nodes),
+        "server_leaves_cpu_s": leaves.as_secs_f64(),
+        "server_leaves_bytes": bytes,
+        "server_leaves_bytes_a_node": bytes / nodes,
+    });
+    println!("{shown}");
+}
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let figure = |name: &str| {
+        let at = arguments.iter().position(|argument| argument == name)?;
+        Some(arguments.get(at + 1)?.parse::<usize>().expect("a number"))
+    };
+    match (figure("--nodes"), figure("--servers")) {
+        (Some(nodes), Some(servers)) => measure(nodes, servers),
+        _ => SIZES.iter().for_each(|(nodes, servers)| measure(*nodes, *servers)),
+    }
+}
