--- a/crates/mothpier-coordination/examples/fleet_cost.rs
+++ b/crates/mothpier-coordination/examples/fleet_cost.rs
@@ -4,7 +4,7 @@
 //! cargo run --release -p mothpier-coordination --example fleet_cost -- --nodes 6300 --servers 1500
 //! ```
 //!
-//! Without arguments all sizes are measured. Each prints one line of JSON; times are processor time of the thread.
+//! Without arguments all sizes are measured, each with one drain under way and another one that waits for its place. Each prints one line of JSON; times are processor time of the thread.
 
 use std::time::Duration;
 
@@ -114,24 +114,30 @@
         (took, bytes)
     }
 
-    /// A cache server is drained and all nodes confirm: the time that takes.
-    fn all_confirm(&mut self) -> Duration {
-        let subject = Subject::server(&server(self.servers / 2));
+    /// Staff want a cache server out; it waits for a place where there is none.
+    fn drain(&mut self, subject: &Subject) {
         let word = Word { by: "staff".into(), reason: "a measurement".into(), at_ms: 0 };
         let drain = FleetAsk::Drain {
             subject: subject.clone(),
             word,
             for_ms: None,
             then: Then::Stay,
-            wait: false,
-            force: true,
+            wait: true,
+            force: false,
         };
-        self.fleet.ask("staff", &drain, &mut Vec::new()).expect("it is granted");
-        let (number, turn) = self.fleet.drain_of(&subject).map(|(n, d)| (n, d.turn)).expect("a drain");
-        let confirm = FleetAsk::Confirm { drain: number, turn };
+        self.fleet.ask("staff", &drain, &mut Vec::new()).expect("it is asked for");
+    }
+
+    fn stage(&self, subject: &Subject) -> Option<Stage> {
+        self.fleet.drain_of(subject).map(|(_, drain)| drain.stage)
+    }
+
+    /// All nodes confirm a drain: the time that takes.
+    fn all_confirm(&mut self, subject: &Subject) -> Duration {
+        let (drain, turn) = self.fleet.drain_of(subject).map(|(n, d)| (n, d.turn)).expect("a drain");
+        let confirm = FleetAsk::Confirm { drain, turn };
         let took = (0..self.nodes.len()).map(|i| self.ask(i, &confirm)).sum();
-        let stage = self.fleet.drain_of(&subject).map(|(_, d)| d.stage);
-        assert_eq!(stage, Some(Stage::Out), "all have confirmed");
+        assert_eq!(self.stage(subject), Some(Stage::Out), "all have confirmed");
         took
     }
 }
@@ -145,19 +151,24 @@
 
 fn measure(nodes: usize, servers: usize) {
     let mut bench = Bench::new(nodes, servers);
+    // A drain is under way all the while, and another one waits for its place.
+    let (leaving, waiting) = (Subject::server(&server(1)), Subject::server(&server(2)));
+    bench.drain(&leaving);
+    bench.drain(&waiting);
     let (plain, _) = bench.all_report(5, None);
     let started = |line: Listed| Listed { up_since_ms: line.up_since_ms + 1, ..line };
-    let changed = reports::list((0..servers).map(|i| if i == 0 { started(line(i)) } else { line(i) }));
-    let (delta, _) = bench.all_report(5, Some(&changed));
-    let confirm = bench.all_confirm();
-    let without = reports::list((0..servers - 1).map(|i| if i == 0 { started(line(i)) } else { line(i) }));
-    let (leaves, bytes) = bench.all_report(5, Some(&without));
+    let changed = |i: usize| if i == 0 { started(line(i)) } else { line(i) };
+    let (changed_line, _) = bench.all_report(5, Some(&reports::list((0..servers).map(changed))));
+    let (leaves, bytes) = bench.all_report(5, Some(&reports::list((0..servers - 1).map(changed))));
     assert!(bench.fleet.out(Kind::Server).contains_key(server(servers - 1).as_str()), "it is missing");
+    assert_eq!(bench.stage(&leaving), Some(Stage::Leaving));
+    let confirm = bench.all_confirm(&leaving);
+    assert_eq!(bench.stage(&waiting), Some(Stage::Asked));
     let shown = json!({
         "nodes": nodes,
         "servers": servers,
         "plain_report_us": micros(plain, nodes),
-        "changed_line_report_us": micros(delta, nodes),
+        "changed_line_report_us": micros(changed_line, nodes),
         "confirmation_us": micros(confirm, nodes),
         "server_leaves_cpu_s": leaves.as_secs_f64(),
         "server_leaves_bytes": bytes,
