World: capacity measures what a node costs against the size of its fleet

Change: `mothpier-world capacity` measures the decision module, the merge of sources, one real node beside real coordinators and the datagrams of one real node with many peers; a JSON line a size, and the least-squares line of each figure with its residuals.

--- a/crates/mothpier-world/src/lib.rs
+++ b/crates/mothpier-world/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod agent;
 pub mod cache_box;
+pub mod capacity;
 pub mod client;
 pub mod cluster;
 pub mod cost;
--- a/crates/mothpier-world/src/main.rs
+++ b/crates/mothpier-world/src/main.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use clap::{Parser, Subcommand};
+use mothpier_world::capacity::{self, Measured};
 use mothpier_world::cost::{self, Cost};
 use mothpier_world::demo::{self, Demo};
 use mothpier_world::matrix::{self, Matrix};
@@ -87,6 +88,107 @@
         #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u16).range(1..=256))]
         connections: u16,
     },
+    /// Measures what a node costs against the size of its fleet: a JSON line a size, then the line that fits each figure.
+    #[command(subcommand)]
+    Capacity(Capacity),
+}
+
+/// What is measured of a node.
+#[derive(Subcommand)]
+enum Capacity {
+    /// The decision module: a request, a change of the list, a review, memory, messages to peers.
+    Choice {
+        /// Numbers of cache servers.
+        #[arg(long, value_delimiter = ',', default_values_t = [50, 200, 500, 1_500])]
+        servers: Vec<usize>,
+        /// Numbers of nodes.
+        #[arg(long, value_delimiter = ',', default_values_t = [6_300])]
+        nodes: Vec<u32>,
+        /// Requests a second at the node.
+        #[arg(long, default_value_t = 905.0)]
+        rate: f64,
+    },
+    /// The merge of the list with other sources.
+    Merge {
+        /// Numbers of cache servers.
+        #[arg(long, value_delimiter = ',', default_values_t = [50, 200, 500, 1_500])]
+        servers: Vec<usize>,
+    },
+    /// One real node beside real coordinators: at rest, for a change of the list, for a whole list.
+    Control {
+        /// The folder of the programs `mothpier` and `mothpier-coordinator`.
+        #[arg(long, default_value = "target/release")]
+        programs: PathBuf,
+        /// Numbers of cache servers.
+        #[arg(long, value_delimiter = ',', default_values_t = [50, 200, 500, 1_500])]
+        servers: Vec<usize>,
+        /// Coordinators; with none the node takes no part in the fleet's agreement.
+        #[arg(long, default_value_t = 3)]
+        coordinators: usize,
+        /// Seconds at rest.
+        #[arg(long, default_value_t = 20)]
+        seconds: u64,
+        /// The time of the node's session.
+        #[arg(long, default_value = "3s")]
+        ttl: String,
+    },
+    /// One real node with many peers: the datagrams between nodes.
+    Datagrams {
+        /// The folder of the program `mothpier`.
+        #[arg(long, default_value = "target/release")]
+        programs: PathBuf,
+        /// Numbers of nodes.
+        #[arg(long, value_delimiter = ',', default_values_t = [100, 300, 1_000, 3_000, 6_300])]
+        nodes: Vec<usize>,
+        /// Serves slot-aware clients, for which each node tells all others that it runs.
+        #[arg(long)]
+        tier: bool,
+        /// Seconds of each part.
+        #[arg(long, default_value_t = 10)]
+        seconds: u64,
+    },
+}
+
+/// Measures at each size in turn, and fits a line to each figure.
+async fn measure(what: Capacity) -> Result<(), String> {
+    let mut runs: Vec<Measured> = Vec::new();
+    let mut take = |measured: Measured| {
+        measured.print();
+        runs.push(measured);
+    };
+    let against = match what {
+        Capacity::Choice { servers, nodes, rate } => {
+            let against = if servers.len() > 1 { "servers" } else { "nodes" };
+            for (servers, nodes) in servers.iter().flat_map(|s| nodes.iter().map(move |n| (*s, *n))) {
+                take(capacity::choice::measure(capacity::choice::Asked { servers, nodes, per_s: rate })?);
+            }
+            against
+        }
+        Capacity::Merge { servers } => {
+            for servers in servers {
+                take(capacity::merge::measure(servers)?);
+            }
+            "servers"
+        }
+        Capacity::Control { programs, servers, coordinators, seconds, ttl } => {
+            for servers in servers {
+                let (programs, ttl) = (programs.clone(), ttl.clone());
+                let control = capacity::control::Control { programs, servers, coordinators, seconds, ttl };
+                take(capacity::control::measure(&control).await?);
+            }
+            "servers"
+        }
+        Capacity::Datagrams { programs, nodes, tier, seconds } => {
+            for nodes in nodes {
+                let programs = programs.clone();
+                let datagrams = capacity::datagrams::Datagrams { programs, nodes, tier, seconds };
+                take(capacity::datagrams::measure(&datagrams).await?);
+            }
+            "nodes"
+        }
+    };
+    capacity::fit::print(&runs, against);
+    Ok(())
 }
 
 fn main() -> ExitCode {
@@ -107,6 +209,7 @@
                     demo::run(&demo).await
                 }
                 Command::Clients { only, root } => matrix::run(&Matrix { root, only }).await,
+                Command::Capacity(what) => measure(what).await.map(|()| true),
                 Command::Resolvers { root } => resolvers::run(&root).await,
                 Command::Cost { nodes, rounds, requests, depth, connections } => {
                     let cost = Cost {
