World: the memory of a decision state is measured before all that frees memory

Cause: states that were made after others had been freed took up their heap and seemed to cost 0 to 9 KB with 50 to 500 cache servers.

Change: the states of all sizes are made first, 64 of each, and kept to the end of the run.

--- a/crates/mothpier-world/src/capacity/choice.rs
+++ b/crates/mothpier-world/src/capacity/choice.rs
@@ -20,7 +20,7 @@
 /// Requests before anything is measured, so that what is kept of them is there.
 const WARM: usize = 2_000;
 /// States whose memory is measured together.
-const STATES: usize = 16;
+const STATES: usize = 64;
 /// Simulated time over which messages to peers are counted, in seconds.
 const TOLD_OVER_S: u64 = 30;
 /// An attempt's answer comes after this time.
@@ -39,15 +39,42 @@
     pub per_s: f64,
 }
 
-/// Measures the module at one size.
+impl Asked {
+    fn sizes(&self) -> [(&'static str, f64); 3] {
+        [("servers", self.servers as f64), ("nodes", f64::from(self.nodes)), ("per_s", self.per_s)]
+    }
+}
+
+/// States whose memory was measured: where they were freed, the next ones would take their place and seem to cost nothing.
+pub struct Kept(#[allow(dead_code, reason = "held for their memory")] Vec<Balancer>);
+
+/// Measures the memory of a state with its list alone and after some requests. Comes before all other measurements of the
+/// process, whose freed memory would be taken up by it.
+///
+/// # Errors
+///
+/// A system that does not tell of memory.
+pub fn measure_memory(asked: Asked) -> Result<(Measured, Kept), String> {
+    let mut measured = Measured::new(asked.sizes());
+    let site = settings::read(super::settings(asked.nodes, TENANTS, true).as_bytes())?;
+    let lines: Vec<ServerLine> = members(asked.servers).iter().map(line).collect();
+    let before = process::used("self")?.memory_kb;
+    let mut states: Vec<Balancer> = (0..STATES).map(|_| Balancer::new(&site, &lines, asked.per_s)).collect();
+    let listed = process::used("self")?.memory_kb;
+    states.iter_mut().for_each(|state| (0..WARM).for_each(|_| state.serve()));
+    let served = process::used("self")?.memory_kb;
+    measured.set("state_with_list_kb", (listed - before) / STATES as f64);
+    measured.set("state_after_2000_requests_kb", (served - before) / STATES as f64);
+    Ok((measured, Kept(states)))
+}
+
+/// Measures what the module takes of the processor at one size, and what it tells its peers.
 ///
 /// # Errors
 ///
 /// A system that does not count processor time.
 pub fn measure(asked: Asked) -> Result<Measured, String> {
-    let sizes =
-        [("servers", asked.servers as f64), ("nodes", f64::from(asked.nodes)), ("per_s", asked.per_s)];
-    let mut measured = Measured::new(sizes);
+    let mut measured = Measured::new(asked.sizes());
     let site = settings::read(super::settings(asked.nodes, TENANTS, true).as_bytes())?;
     let lines: Vec<ServerLine> = members(asked.servers).iter().map(line).collect();
 
@@ -76,15 +103,6 @@
     })?;
     measured.set("peer_message_us", heard);
 
-    let before = process::used("self")?.memory_kb;
-    let mut states: Vec<Balancer> = (0..STATES).map(|_| Balancer::new(&site, &lines, asked.per_s)).collect();
-    let listed = process::used("self")?.memory_kb;
-    states.iter_mut().for_each(|state| (0..WARM).for_each(|_| state.serve()));
-    let served = process::used("self")?.memory_kb;
-    drop(states);
-    measured.set("state_with_list_kb", (listed - before) / STATES as f64);
-    measured.set("state_after_2000_requests_kb", (served - before) / STATES as f64);
-
     let mut calm = Balancer::new(&site, &lines, asked.per_s);
     calm.tell_for(TOLD_OVER_S);
     measured.set("datagrams_a_second", calm.told.0 as f64 / TOLD_OVER_S as f64);
--- a/crates/mothpier-world/src/main.rs
+++ b/crates/mothpier-world/src/main.rs
@@ -159,8 +159,18 @@
     let against = match what {
         Capacity::Choice { servers, nodes, rate } => {
             let against = if servers.len() > 1 { "servers" } else { "nodes" };
-            for (servers, nodes) in servers.iter().flat_map(|s| nodes.iter().map(move |n| (*s, *n))) {
-                take(capacity::choice::measure(capacity::choice::Asked { servers, nodes, per_s: rate })?);
+            let asked = |servers: &usize, nodes: &u32| capacity::choice::Asked {
+                servers: *servers,
+                nodes: *nodes,
+                per_s: rate,
+            };
+            let all: Vec<_> = servers.iter().flat_map(|s| nodes.iter().map(move |n| asked(s, n))).collect();
+            let memories: Vec<_> =
+                all.iter().map(|asked| capacity::choice::measure_memory(*asked)).collect::<Result<_, _>>()?;
+            for (asked, (memory, _kept)) in all.iter().zip(&memories) {
+                let mut measured = capacity::choice::measure(*asked)?;
+                measured.figures.extend(memory.figures.clone());
+                take(measured);
             }
             against
         }
