World: capacity connections measures one node under its share before as many cache servers

Cause: what a node holds towards 1,500 cache servers, and what a request costs it as a whole, was reckoned only. The quotas of the measuring settings were so small that a third of failing attempts had the requests shed, which made them look cheap.

Change: a part of the measuring tool with real cache servers and paced clients; quotas a quarter above what the fleet is asked.

--- a/crates/mothpier-world/src/capacity.rs
+++ b/crates/mothpier-world/src/capacity.rs
@@ -4,6 +4,7 @@
 //! Nothing is asserted here: the figures go to `docs/CAPACITY.md`, which names the command of each.
 
 pub mod choice;
+pub mod connections;
 pub mod control;
 pub mod datagrams;
 pub mod fit;
@@ -66,16 +67,22 @@
     told.ok().filter(|text| !text.is_empty()).unwrap_or_else(|| "unknown".into())
 }
 
-/// The settings of a node that is one of several, as its file has them.
-pub fn settings(nodes: u32, tenants: usize, peers: bool) -> String {
-    let realm = |i: usize| format!(r#"{{"name":"tenant-{i}","quotaPerS":1000}}"#);
+/// Requests a second of all tenants together that are within their quotas: a quarter more than the fleet is asked.
+const QUOTAS_PER_S: usize = 7_125_000;
+
+/// The settings of a node that is one of several, as its file has them. Cache servers get what they lack themselves where
+/// `through` is set; else the node asks the origin.
+pub fn settings(nodes: u32, tenants: usize, peers: bool, through: bool) -> String {
+    let quota = QUOTAS_PER_S / tenants.max(1);
+    let mode = if through { "through" } else { "aside" };
+    let realm = |i: usize| format!(r#"{{"name":"tenant-{i}","quotaPerS":{quota}}}"#);
     let realms: Vec<String> = (0..tenants).map(realm).collect();
     format!(
         r#"{{"balancers":{nodes},"me":0,"classes":[
 {{"name":"read","deadlineUs":3000000,"goalTimeUs":1000000,"lateValue":0.5,"gain":1.0,"effect":"pure"}},
 {{"name":"write","deadlineUs":3000000,"goalTimeUs":1000000,"gain":8.0,"effect":"side_effect"}}],
 "realms":[{}],"discovery":"push","zones":["a"],"machineTypes":["cache","origin"],
-"specifics":{{"mode":"aside","originKind":1}},"report":{{"fields":["lat_ms","busy"]}},
+"specifics":{{"mode":"{mode}","originKind":1}},"report":{{"fields":["lat_ms","busy"]}},
 "limits":{{"maxAttempts":3,"mayDuplicate":true,"mayCancel":true,"multiplex":32,"idleCloseUs":60000000,
 "connectTimeoutUs":1000000,"maxOpen":20000,"maxRetryAfterUs":600000,"peers":{peers}}},
 "guarantees":{{"coldUs":10000000,"drainGraceUs":500000}},"periodUs":1000}}"#,
--- a/crates/mothpier-world/src/capacity/choice.rs
+++ b/crates/mothpier-world/src/capacity/choice.rs
@@ -56,7 +56,7 @@
 /// A system that does not tell of memory.
 pub fn measure_memory(asked: Asked) -> Result<(Measured, Kept), String> {
     let mut measured = Measured::new(asked.sizes());
-    let site = settings::read(super::settings(asked.nodes, TENANTS, true).as_bytes())?;
+    let site = settings::read(super::settings(asked.nodes, TENANTS, true, false).as_bytes())?;
     let lines: Vec<ServerLine> = members(asked.servers).iter().map(line).collect();
     let before = process::used("self")?.memory_kb;
     let mut states: Vec<Balancer> = (0..STATES).map(|_| Balancer::new(&site, &lines, asked.per_s)).collect();
@@ -75,7 +75,7 @@
 /// A system that does not count processor time.
 pub fn measure(asked: Asked) -> Result<Measured, String> {
     let mut measured = Measured::new(asked.sizes());
-    let site = settings::read(super::settings(asked.nodes, TENANTS, true).as_bytes())?;
+    let site = settings::read(super::settings(asked.nodes, TENANTS, true, false).as_bytes())?;
     let lines: Vec<ServerLine> = members(asked.servers).iter().map(line).collect();
 
     let mut balancer = Balancer::new(&site, &lines, asked.per_s);
--- a/crates/mothpier-world/src/capacity/control.rs
+++ b/crates/mothpier-world/src/capacity/control.rs
@@ -166,7 +166,7 @@
         r#"{{"name":"node-0001","listen":"127.0.0.1:0","discovery":"{}","seed":"1","limits":{{"memory_mb":192,
 "sockets":{SOCKETS}}},"settings":{}}}"#,
         list.at,
-        super::settings(6_300, 20, false)
+        super::settings(6_300, 20, false, false)
     );
     write(&file, &text)?;
     let mut command = Command::new(control.programs.join("mothpier"));
--- a/crates/mothpier-world/src/capacity/datagrams.rs
+++ b/crates/mothpier-world/src/capacity/datagrams.rs
@@ -173,7 +173,7 @@
 "limits":{{"memory_mb":192,"sockets":4096}},"settings":{}}}"#,
         peers[0],
         named.join(","),
-        super::settings(peers.len() as u32, TENANTS, true)
+        super::settings(peers.len() as u32, TENANTS, true, false)
     );
     write(&file, &text)?;
     let mut command = Command::new(datagrams.programs.join("mothpier"));
--- a/crates/mothpier-world/src/cost.rs
+++ b/crates/mothpier-world/src/cost.rs
@@ -155,7 +155,8 @@
     Ok(used * 1e6 / cost.requests as f64)
 }
 
-async fn ready(node: SocketAddr) -> Result<(), String> {
+/// Waits until a node says that it is ready.
+pub(crate) async fn ready(node: SocketAddr) -> Result<(), String> {
     let until = Instant::now() + Duration::from_secs(10);
     while Instant::now() < until {
         if let Ok(stream) = Tokio.connect(node).await {
--- a/crates/mothpier-world/src/main.rs
+++ b/crates/mothpier-world/src/main.rs
@@ -132,6 +132,24 @@
         #[arg(long, default_value = "3s")]
         ttl: String,
     },
+    /// One real node under its share of the requests before many cache servers: descriptors, memory, CPU a request, refusals.
+    Connections {
+        /// The folder of the program `mothpier`.
+        #[arg(long, default_value = "target/release")]
+        programs: PathBuf,
+        /// Numbers of cache servers.
+        #[arg(long, value_delimiter = ',', default_values_t = [50, 200, 500, 1_500])]
+        servers: Vec<usize>,
+        /// Descriptors that the node may hold.
+        #[arg(long, default_value_t = 8_192)]
+        sockets: usize,
+        /// Requests a second.
+        #[arg(long, default_value_t = 905.0)]
+        rate: f64,
+        /// Seconds of warming up, and of measuring.
+        #[arg(long, default_value_t = 15)]
+        seconds: u64,
+    },
     /// One real node with many peers: the datagrams between nodes.
     Datagrams {
         /// The folder of the program `mothpier`.
@@ -188,6 +206,14 @@
             }
             "servers"
         }
+        Capacity::Connections { programs, servers, sockets, rate, seconds } => {
+            for servers in servers {
+                let (programs, per_s) = (programs.clone(), rate);
+                let asked = capacity::connections::Asked { programs, servers, sockets, per_s, seconds };
+                take(capacity::connections::measure(&asked).await?);
+            }
+            "servers"
+        }
         Capacity::Datagrams { programs, nodes, tier, seconds } => {
             for nodes in nodes {
                 let programs = programs.clone();
