Node: servers.rs becomes modules for connections, their lines, pools, readers and large values

One file of 859 lines held the pools, the record of what a connection carries, the task that drives it, the reader, the writer and the passing on of large values, with functions of up to 130 lines.

The code moves into servers/{connection,line,pool,reader,large_value}.rs; the file servers.rs keeps the interface. drive, send and the reader are split into steps with a typed result for reading more. The tests get imports only.

--- a/crates/mothpier/src/servers/tests.rs
+++ b/crates/mothpier/src/servers/tests.rs
@@ -1,9 +1,16 @@
+use std::future::poll_fn;
 use std::io::Read;
+use std::task::Poll;
 
+use bytes::Bytes;
 use mothpier_net::Tokio;
 
+use super::line::{Line, Shared};
+use super::pool::SETTLED;
 use super::*;
 use crate::messages::{self, Claim, Ids};
+use crate::resp;
+use crate::time_budget::TimeBudget;
 
 /// A rule of drains: what still waits for its connection when the notice comes is never written.
 /// A server leaves the list while its answer is on its way from the connection to the node: the answer counts.
