Node: a node that can't read who has its name asks again soon, not after a whole ttl

Cause: after a lost session the node asks whose its name is. A fleet that could not be read counted as another process with the name, so that the node slept for one whole ttl before it opened a session.

--- a/crates/mothpier/src/drains.rs
+++ b/crates/mothpier/src/drains.rs
@@ -50,6 +50,16 @@
     joined: RefCell<Option<String>>,
 }
 
+/// Whose session has the node's name in the fleet.
+enum NameHolder {
+    /// Nobody's, or this process's own that has ended.
+    Nobody,
+    /// That of another process of this node.
+    AnotherProcess,
+    /// The fleet could not be read.
+    Unknown,
+}
+
 impl<N: Net> Drains<N> {
     /// A node that knows nothing yet.
     ///
@@ -175,10 +185,17 @@
     async fn belong(self: Rc<Self>) {
         loop {
             let ttl = self.settings.ttl;
-            if self.is_followed().await {
-                // A new process of the node, most likely, and this one is about to end.
-                self.net().sleep(ttl).await;
-                continue;
+            match self.name_holder().await {
+                NameHolder::Nobody => {}
+                NameHolder::AnotherProcess => {
+                    // A new process of the node, most likely, and this one is about to end.
+                    self.net().sleep(ttl).await;
+                    continue;
+                }
+                NameHolder::Unknown => {
+                    self.net().sleep(AGAIN).await;
+                    continue;
+                }
             }
             let name = format!("node:{}:{}", self.node, self.client.draw_name());
             // That there are no coordinators is said by those who wait for what the fleet says.
@@ -191,12 +208,15 @@
         }
     }
 
-    /// Whether another process has the node's name since this one joined: whoever begins takes it, and nobody takes it back.
-    async fn is_followed(&self) -> bool {
-        let Some(own) = self.joined.borrow().clone() else { return false };
-        let Ok(all) = self.client.fleet(self.net().now() + ASK).await else { return true };
+    /// Who has the node's name since this process joined: whoever begins takes it, and nobody takes it back.
+    async fn name_holder(&self) -> NameHolder {
+        let Some(own) = self.joined.borrow().clone() else { return NameHolder::Nobody };
+        let Ok(all) = self.client.fleet(self.net().now() + ASK).await else { return NameHolder::Unknown };
         let holder = all.fleet.nodes.get(&self.node).and_then(|n| n.session.clone());
-        holder.is_some_and(|holder| holder != own)
+        match holder {
+            Some(holder) if holder != own => NameHolder::AnotherProcess,
+            _ => NameHolder::Nobody,
+        }
     }
 
     /// Joins, and tells and confirms what changes, until the session is over.
