Fleet: Word is AuditNote, its fields are note; the wire keeps the name

Who asks for something, why and when is an audit note, and was called a word. Serialized fields stay "word" by rename; the format 2 fixture, which refuses unknown fields, is read as before. Tests change in this name alone. The example loses a field that nothing read.

--- a/crates/mothpier-coordination/examples/fleet_cost.rs
+++ b/crates/mothpier-coordination/examples/fleet_cost.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use mothpier_coordination::fleet::Fleet;
-use mothpier_coordination::fleet::ask::{FleetAsk, Kind, Listed, Stage, Subject, Then, Word};
+use mothpier_coordination::fleet::ask::{AuditNote, FleetAsk, Kind, Listed, Stage, Subject, Then};
 use mothpier_coordination::wire::Call;
 use mothpier_coordination::{Command, Request};
 use rustix::time::{ClockId, clock_gettime};
@@ -75,7 +75,6 @@
 struct Bench {
     fleet: Fleet,
     nodes: Vec<reports::Node>,
-    servers: usize,
 }
 
 impl Bench {
@@ -83,7 +82,7 @@
     fn new(nodes: usize, servers: usize) -> Self {
         let fleet = Fleet::default();
         let nodes = (0..nodes).map(|_| reports::Node::default()).collect();
-        let mut bench = Bench { fleet, nodes, servers };
+        let mut bench = Bench { fleet, nodes };
         let list = reports::list((0..servers).map(line));
         for i in 0..bench.nodes.len() {
             let join = FleetAsk::Join { node: node(i), zone: format!("zone-{:03}", i % 110) };
@@ -116,10 +115,10 @@
 
     /// Staff want a cache server out; it waits for a place where there is none.
     fn drain(&mut self, subject: &Subject) {
-        let word = Word { by: "staff".into(), reason: "a measurement".into(), at_ms: 0 };
+        let note = AuditNote { by: "staff".into(), reason: "a measurement".into(), at_ms: 0 };
         let drain = FleetAsk::Drain {
             subject: subject.clone(),
-            word,
+            note,
             for_ms: None,
             then: Then::Stay,
             wait: true,
--- a/crates/mothpier-coordination/src/fleet/ask.rs
+++ b/crates/mothpier-coordination/src/fleet/ask.rs
@@ -65,7 +65,7 @@
 /// Who says something, why, and when by that one's wall clock: kept and shown, never reckoned with.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Word {
+pub struct AuditNote {
     /// Who.
     pub by: String,
     /// Why.
@@ -185,7 +185,8 @@
         /// Which.
         subject: Subject,
         /// Who wants it and why.
-        word: Word,
+        #[serde(rename = "word")]
+        note: AuditNote,
         /// Its latest end, ms after it was granted.
         for_ms: Option<u64>,
         /// What happens then.
@@ -200,31 +201,36 @@
         /// Which.
         subject: Subject,
         /// Who wants it and why.
-        word: Word,
+        #[serde(rename = "word")]
+        note: AuditNote,
     },
     /// Nothing more goes out.
     Halt {
         /// Who wants it and why.
-        word: Word,
+        #[serde(rename = "word")]
+        note: AuditNote,
     },
     /// The halt is over.
     Resume {
         /// Who wants it and why.
-        word: Word,
+        #[serde(rename = "word")]
+        note: AuditNote,
     },
     /// A node that does not run any more, or a cache server that nobody lists, belongs to the fleet no more.
     Forget {
         /// Which.
         subject: Subject,
         /// Who says so and why.
-        word: Word,
+        #[serde(rename = "word")]
+        note: AuditNote,
     },
     /// The limits are others.
     Limits {
         /// Which.
         limits: Limits,
         /// Who wants it and why.
-        word: Word,
+        #[serde(rename = "word")]
+        note: AuditNote,
     },
 }
 
@@ -300,7 +306,8 @@
     /// The fleet has halted.
     Halted {
         /// Who halted it and why.
-        word: Word,
+        #[serde(rename = "word")]
+        note: AuditNote,
     },
     /// It has not halted.
     NotHalted,
@@ -352,7 +359,7 @@
             FleetRefusal::Already { number, stage } => write!(f, "drain {number} has it: {}", stage.name()),
             FleetRefusal::NotOut => write!(f, "it is not out"),
             FleetRefusal::Limit { blocked } => write!(f, "{blocked}"),
-            FleetRefusal::Halted { word } => write!(f, "halted by {}: {}", word.by, word.reason),
+            FleetRefusal::Halted { note } => write!(f, "halted by {}: {}", note.by, note.reason),
             FleetRefusal::NotHalted => write!(f, "it has not halted"),
             FleetRefusal::Lives => write!(f, "it lives, or nodes list it: only what is gone is forgotten"),
             FleetRefusal::UnknownBase { last } => {
--- a/crates/mothpier-coordination/src/fleet/drains.rs
+++ b/crates/mothpier-coordination/src/fleet/drains.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use super::ask::{FleetAnswer, FleetChange, FleetRefusal, Stage, Subject, Then, Told, Word};
+use super::ask::{AuditNote, FleetAnswer, FleetChange, FleetRefusal, Stage, Subject, Then, Told};
 use super::{Answered, Condition, DRAINS, Drain, Fleet, LONGEST_MS, bad};
 
 impl Fleet {
@@ -16,7 +16,7 @@
     pub(super) fn drain(
         &mut self,
         subject: &Subject,
-        word: &Word,
+        note: &AuditNote,
         wanted: Wanted,
         changes: &mut Vec<FleetChange>,
     ) -> Answered {
@@ -24,14 +24,14 @@
             return Err(FleetRefusal::Unknown { subject: subject.clone() });
         }
         if let Some(halt) = self.halt.as_ref().filter(|_| !wanted.force) {
-            return Err(FleetRefusal::Halted { word: halt.word.clone() });
+            return Err(FleetRefusal::Halted { note: halt.note.clone() });
         }
         if wanted.for_ms.is_some_and(|ms| ms > LONGEST_MS) {
             return Err(bad("a drain's latest end is at most thirty days away"));
         }
         let fresh = Drain {
             subject: subject.clone(),
-            word: word.clone(),
+            note: note.clone(),
             for_ms: wanted.for_ms,
             then: wanted.then,
             force: wanted.force,
@@ -49,7 +49,7 @@
             if !(again || wanted.force && stage == Stage::Asked) {
                 return Err(FleetRefusal::Already { number, stage });
             }
-            self.happened(Some(subject.clone()), how, Some(word.clone()));
+            self.happened(Some(subject.clone()), how, Some(note.clone()));
             // It counts as out already, so that no limit is passed.
             self.put_drain(number, Drain { stage, turn, touched: true, ..fresh });
             if stage != Stage::Asked && stage != Stage::Out {
@@ -63,7 +63,7 @@
         if let Some(blocked) = self.why_not(subject).filter(|_| !wanted.wait && !wanted.force) {
             return Err(FleetRefusal::Limit { blocked });
         }
-        self.happened(Some(subject.clone()), how, Some(word.clone()));
+        self.happened(Some(subject.clone()), how, Some(note.clone()));
         let number = self.number();
         self.put_drain(number, fresh);
         Ok(FleetAnswer::Drain { number, stage: Stage::Asked })
@@ -73,7 +73,7 @@
     pub(super) fn back(
         &mut self,
         subject: &Subject,
-        word: &Word,
+        note: &AuditNote,
         changes: &mut Vec<FleetChange>,
     ) -> Answered {
         let Some((number, drain)) = self.drain_of(subject) else {
@@ -87,11 +87,11 @@
         let stage = drain.stage;
         match stage {
             Stage::Asked => {
-                self.happened(Some(subject.clone()), "taken back", Some(word.clone()));
+                self.happened(Some(subject.clone()), "taken back", Some(note.clone()));
                 self.ended(number, changes);
             }
             Stage::Leaving | Stage::Out => {
-                self.happened(Some(subject.clone()), "back asked", Some(word.clone()));
+                self.happened(Some(subject.clone()), "back asked", Some(note.clone()));
                 self.wants_back(number);
             }
             Stage::Returning | Stage::Cold => {}
--- a/crates/mothpier-coordination/src/fleet/halts.rs
+++ b/crates/mothpier-coordination/src/fleet/halts.rs
@@ -1,22 +1,22 @@
 //! Halts: of staff, and of the fleet itself.
 
-use super::ask::{FleetAnswer, FleetChange, FleetRefusal, Kind, Stage, Word};
+use super::ask::{AuditNote, FleetAnswer, FleetChange, FleetRefusal, Kind, Stage};
 use super::{Answered, Condition, Fleet, Halt, NAMED};
 
 impl Fleet {
     /// Nothing more goes out, and what is on its way comes back, the latest first.
-    pub(super) fn stop(&mut self, word: Word, by_itself: bool, changes: &mut Vec<FleetChange>) {
+    pub(super) fn stop(&mut self, note: AuditNote, by_itself: bool, changes: &mut Vec<FleetChange>) {
         if let Some(halt) = &mut self.halt {
             // Staff's word outlasts the fleet's own: no calm ends it.
             if halt.by_itself && !by_itself {
-                (halt.word, halt.by_itself) = (word.clone(), false);
-                self.happened(None, "halted by staff as well", Some(word));
+                (halt.note, halt.by_itself) = (note.clone(), false);
+                self.happened(None, "halted by staff as well", Some(note));
             }
             return;
         }
         let number = self.number();
-        self.happened(None, "halted", Some(word.clone()));
-        self.halt = Some(Halt { word, by_itself, number });
+        self.happened(None, "halted", Some(note.clone()));
+        self.halt = Some(Halt { note, by_itself, number });
         changes.push(FleetChange::Halted { halted: true });
         let of = |stage: Stage| -> Vec<u64> {
             self.drains.iter().filter(|(_, d)| d.stage == stage && !d.force).map(|(n, _)| *n).collect()
@@ -35,11 +35,11 @@
     }
 
     /// Staff end a halt.
-    pub(super) fn resume(&mut self, word: &Word, changes: &mut Vec<FleetChange>) -> Answered {
+    pub(super) fn resume(&mut self, note: &AuditNote, changes: &mut Vec<FleetChange>) -> Answered {
         if self.halt.take().is_none() {
             return Err(FleetRefusal::NotHalted);
         }
-        self.happened(None, "resumed", Some(word.clone()));
+        self.happened(None, "resumed", Some(note.clone()));
         changes.push(FleetChange::Halted { halted: false });
         Ok(FleetAnswer::Done)
     }
--- a/crates/mothpier-coordination/src/fleet/membership.rs
+++ b/crates/mothpier-coordination/src/fleet/membership.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use super::ask::{FleetAnswer, FleetChange, FleetRefusal, Kind, Subject, Word};
+use super::ask::{AuditNote, FleetAnswer, FleetChange, FleetRefusal, Kind, Subject};
 use super::{Answered, Fleet, NODES, Node, bad};
 use crate::limits::is_name;
 
@@ -73,7 +73,7 @@
     pub(super) fn forget(
         &mut self,
         subject: &Subject,
-        word: &Word,
+        note: &AuditNote,
         changes: &mut Vec<FleetChange>,
     ) -> Answered {
         if !self.knows(subject) {
@@ -90,7 +90,7 @@
             Kind::Node => self.forget_node(&subject.id),
             Kind::Server => self.forget_server(&subject.id),
         }
-        self.happened(Some(subject.clone()), "forgotten", Some(word.clone()));
+        self.happened(Some(subject.clone()), "forgotten", Some(note.clone()));
         if let Some((number, _)) = self.drain_of(subject) {
             self.ended(number, changes);
         }
--- a/crates/mothpier-coordination/src/fleet/mod.rs
+++ b/crates/mothpier-coordination/src/fleet/mod.rs
@@ -35,7 +35,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use self::ask::{FleetAnswer, FleetAsk, FleetChange, FleetRefusal, Stage, Subject, Then, Word};
+use self::ask::{AuditNote, FleetAnswer, FleetAsk, FleetChange, FleetRefusal, Stage, Subject, Then};
 use self::drains::Wanted;
 use self::index::{Derived, Index};
 use self::limits::Limits;
@@ -144,7 +144,8 @@
     /// Of what.
     pub subject: Subject,
     /// Who wants it and why.
-    pub word: Word,
+    #[serde(rename = "word")]
+    pub note: AuditNote,
     /// Its latest end, ms after it was granted.
     pub for_ms: Option<u64>,
     /// What happens then.
@@ -170,7 +171,8 @@
 #[serde(deny_unknown_fields)]
 pub struct Halt {
     /// Who halted, and why.
-    pub word: Word,
+    #[serde(rename = "word")]
+    pub note: AuditNote,
     /// The fleet itself did.
     pub by_itself: bool,
     /// Its number.
@@ -186,7 +188,8 @@
     /// What.
     pub what: String,
     /// Whose word it was; nobody's where it followed by itself.
-    pub word: Option<Word>,
+    #[serde(rename = "word")]
+    pub note: Option<AuditNote>,
 }
 
 /// A fleet as it is agreed.
@@ -246,8 +249,8 @@
         self.numbers
     }
 
-    fn happened(&mut self, subject: Option<Subject>, what: &str, word: Option<Word>) {
-        self.events.push_back(Event { subject, what: what.into(), word });
+    fn happened(&mut self, subject: Option<Subject>, what: &str, note: Option<AuditNote>) {
+        self.events.push_back(Event { subject, what: what.into(), note });
         if self.events.len() > EVENTS {
             self.events.pop_front();
         }
@@ -274,41 +277,41 @@
             FleetAsk::Report { report } => self.report(session, report),
             FleetAsk::NumberedReport { report } => self.numbered_report(session, report),
             FleetAsk::Confirm { drain, turn } => self.confirm(session, *drain, *turn),
-            FleetAsk::Drain { subject, word, for_ms, then, wait, force } => {
-                self.said(word)?;
+            FleetAsk::Drain { subject, note, for_ms, then, wait, force } => {
+                self.said(note)?;
                 let wanted = Wanted { for_ms: *for_ms, then: *then, wait: *wait, force: *force };
-                self.drain(subject, word, wanted, changes)
+                self.drain(subject, note, wanted, changes)
             }
-            FleetAsk::Back { subject, word } => {
-                self.said(word)?;
-                self.back(subject, word, changes)
+            FleetAsk::Back { subject, note } => {
+                self.said(note)?;
+                self.back(subject, note, changes)
             }
-            FleetAsk::Halt { word } => {
-                self.said(word)?;
-                self.stop(word.clone(), false, changes);
+            FleetAsk::Halt { note } => {
+                self.said(note)?;
+                self.stop(note.clone(), false, changes);
                 Ok(FleetAnswer::Done)
             }
-            FleetAsk::Resume { word } => {
-                self.said(word)?;
-                self.resume(word, changes)
+            FleetAsk::Resume { note } => {
+                self.said(note)?;
+                self.resume(note, changes)
             }
-            FleetAsk::Forget { subject, word } => {
-                self.said(word)?;
-                self.forget(subject, word, changes)
+            FleetAsk::Forget { subject, note } => {
+                self.said(note)?;
+                self.forget(subject, note, changes)
             }
-            FleetAsk::Limits { limits, word } => {
-                self.said(word)?;
-                self.set_limits(limits, word)
+            FleetAsk::Limits { limits, note } => {
+                self.said(note)?;
+                self.set_limits(limits, note)
             }
         }
     }
 
-    fn set_limits(&mut self, limits: &Limits, word: &Word) -> Answered {
+    fn set_limits(&mut self, limits: &Limits, note: &AuditNote) -> Answered {
         if let Some(wrong) = limits.wrong() {
             return Err(bad(&wrong));
         }
         self.limits = limits.clone();
-        self.happened(None, "limits stated", Some(word.clone()));
+        self.happened(None, "limits stated", Some(note.clone()));
         Ok(FleetAnswer::Done)
     }
 
@@ -324,11 +327,11 @@
     }
 
     /// A word that can be kept.
-    fn said(&self, word: &Word) -> Result<(), FleetRefusal> {
-        if word.by.is_empty() || word.by.len() > NAME {
+    fn said(&self, note: &AuditNote) -> Result<(), FleetRefusal> {
+        if note.by.is_empty() || note.by.len() > NAME {
             return Err(bad("who wants this has to be named, in at most 128 bytes"));
         }
-        if word.reason.trim().is_empty() || word.reason.len() > REASON {
+        if note.reason.trim().is_empty() || note.reason.len() > REASON {
             return Err(bad("a reason has to be given, in at most 500 bytes"));
         }
         Ok(())
--- a/crates/mothpier-coordination/src/fleet/progress.rs
+++ b/crates/mothpier-coordination/src/fleet/progress.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::ask::{FleetChange, Kind, Stage, Word};
+use super::ask::{AuditNote, FleetChange, Kind, Stage};
 use super::{Condition, Drain, Fleet};
 
 impl Fleet {
@@ -12,8 +12,8 @@
             && self.drains.values().any(|d| d.stage <= Stage::Leaving && !d.force)
             && let Some(why) = self.unwell()
         {
-            let word = Word { by: "the fleet".into(), reason: why, at_ms: 0 };
-            self.stop(word, true, changes);
+            let note = AuditNote { by: "the fleet".into(), reason: why, at_ms: 0 };
+            self.stop(note, true, changes);
         }
         // An end makes room for one that was asked before it: looked at again until nothing moves.
         loop {
--- a/crates/mothpier-coordination/tests/fleet.rs
+++ b/crates/mothpier-coordination/tests/fleet.rs
@@ -2,15 +2,15 @@
 
 use mothpier_coordination::fleet::Fleet;
 use mothpier_coordination::fleet::ask::{
-    FleetAnswer, FleetAsk, FleetRefusal, Kind, Listed, Report, Stage, Subject, Then, Word,
+    AuditNote, FleetAnswer, FleetAsk, FleetRefusal, Kind, Listed, Report, Stage, Subject, Then,
 };
 use mothpier_coordination::fleet::limits::{Bound, Limits};
 use mothpier_coordination::fleet::timers::Timer;
 
 type Answered = Result<FleetAnswer, FleetRefusal>;
 
-fn word(why: &str) -> Word {
-    Word { by: "duty".into(), reason: why.into(), at_ms: 7 }
+fn note(why: &str) -> AuditNote {
+    AuditNote { by: "duty".into(), reason: why.into(), at_ms: 7 }
 }
 
 fn ask(fleet: &mut Fleet, session: &str, ask: FleetAsk) -> Answered {
@@ -18,12 +18,12 @@
 }
 
 fn out(fleet: &mut Fleet, subject: Subject, wait: bool, force: bool) -> Answered {
-    let drain = FleetAsk::Drain { subject, word: word("w"), for_ms: None, then: Then::Stay, wait, force };
+    let drain = FleetAsk::Drain { subject, note: note("w"), for_ms: None, then: Then::Stay, wait, force };
     ask(fleet, "staff", drain)
 }
 
 fn back(fleet: &mut Fleet, subject: Subject) -> Answered {
-    ask(fleet, "staff", FleetAsk::Back { subject, word: word("b") })
+    ask(fleet, "staff", FleetAsk::Back { subject, note: note("b") })
 }
 
 fn listed(ids: &[&str]) -> Vec<Listed> {
@@ -51,14 +51,14 @@
     }
     let bound = |out_most| Bound { out_most, ..Limits::default().nodes };
     let limits = Limits { nodes: bound(nodes), servers: bound(servers), ..Limits::default() };
-    ask(&mut fleet, "staff", FleetAsk::Limits { limits, word: word("l") }).unwrap();
+    ask(&mut fleet, "staff", FleetAsk::Limits { limits, note: note("l") }).unwrap();
     fleet
 }
 
 fn limits(fleet: &mut Fleet, change: impl FnOnce(&mut Limits)) {
     let mut limits = fleet.limits.clone();
     change(&mut limits);
-    ask(fleet, "staff", FleetAsk::Limits { limits, word: word("l") }).unwrap();
+    ask(fleet, "staff", FleetAsk::Limits { limits, note: note("l") }).unwrap();
 }
 
 fn stage(fleet: &Fleet, subject: &Subject) -> Option<Stage> {
@@ -200,7 +200,7 @@
     confirm(&mut fleet, &["n1", "n2"], &a1);
     let (_, drain) = fleet.drain_of(&a1).unwrap();
     assert_eq!(fleet.waits_for(drain), ["n3"]);
-    let gone = |node: &str| FleetAsk::Forget { subject: Subject::node(node), word: word("burnt") };
+    let gone = |node: &str| FleetAsk::Forget { subject: Subject::node(node), note: note("burnt") };
     assert_eq!(ask(&mut fleet, "staff", gone("n1")), Err(FleetRefusal::Lives));
     ask(&mut fleet, "staff", gone("n3")).unwrap();
     assert_eq!(stage(&fleet, &a1), Some(Stage::Out));
@@ -284,7 +284,7 @@
     assert_eq!(fleet.halt, None, "three are missing: a3, b2, b3");
     limits(&mut fleet, |l| l.servers.out_most = 2);
     let halt = fleet.halt.clone().expect("a halt");
-    assert!(halt.by_itself && halt.word.reason.contains("cache servers are missing"), "{halt:?}");
+    assert!(halt.by_itself && halt.note.reason.contains("cache servers are missing"), "{halt:?}");
     assert_eq!(stage(&fleet, &of("b2")), None, "taken back");
     assert_eq!(stage(&fleet, &of("b1")), Some(Stage::Returning), "the latest first, one cold at a time");
     assert_eq!(stage(&fleet, &of("a2")), Some(Stage::Leaving));
@@ -302,10 +302,10 @@
     assert!(calm(&fleet));
     due(&mut fleet, |t| matches!(t, Timer::Calm { .. }));
     assert_eq!(fleet.halt, None);
-    let resume = FleetAsk::Resume { word: word("r") };
+    let resume = FleetAsk::Resume { note: note("r") };
     assert_eq!(ask(&mut fleet, "staff", resume.clone()), Err(FleetRefusal::NotHalted));
-    ask(&mut fleet, "staff", FleetAsk::Halt { word: word("storm") }).unwrap();
-    assert!(!calm(&fleet), "staff's halt ends by staff's word alone");
+    ask(&mut fleet, "staff", FleetAsk::Halt { note: note("storm") }).unwrap();
+    assert!(!calm(&fleet), "staff's halt ends by staff's note alone");
     ask(&mut fleet, "staff", resume.clone()).unwrap();
     assert_eq!(fleet.halt, None);
     // Staff halt a fleet that has halted itself: no calm ends that.
@@ -313,10 +313,10 @@
     reports(&mut fleet, "n1", true, Some(&["a1"]));
     reports(&mut fleet, "n2", true, Some(&["a1"]));
     assert!(fleet.halt.as_ref().is_some_and(|h| h.by_itself));
-    ask(&mut fleet, "staff", FleetAsk::Halt { word: word("look first") }).unwrap();
+    ask(&mut fleet, "staff", FleetAsk::Halt { note: note("look first") }).unwrap();
     reports(&mut fleet, "n1", true, Some(&SERVERS));
     reports(&mut fleet, "n2", true, Some(&SERVERS));
-    assert!(!calm(&fleet) && fleet.halt.as_ref().is_some_and(|h| h.word.reason == "look first"));
+    assert!(!calm(&fleet) && fleet.halt.as_ref().is_some_and(|h| h.note.reason == "look first"));
     ask(&mut fleet, "staff", resume).unwrap();
 }
 
@@ -330,7 +330,7 @@
     ask(&mut fleet, "n1", report(60)).unwrap();
     assert_eq!(fleet.halt, None, "nothing goes out");
     let _ = out(&mut fleet, Subject::server("a1"), true, false);
-    assert!(fleet.halt.as_ref().is_some_and(|h| h.word.reason.contains("20 percent")), "{:?}", fleet.halt);
+    assert!(fleet.halt.as_ref().is_some_and(|h| h.note.reason.contains("20 percent")), "{:?}", fleet.halt);
     assert_eq!(fleet.drains.len(), 0);
 }
 
@@ -340,7 +340,7 @@
     let mut drain = |id: &str, then| {
         let subject = Subject::server(id);
         let asked =
-            FleetAsk::Drain { subject, word: word("w"), for_ms: Some(900), then, wait: false, force: false };
+            FleetAsk::Drain { subject, note: note("w"), for_ms: Some(900), then, wait: false, force: false };
         ask(&mut fleet, "staff", asked).unwrap();
     };
     drain("a1", Then::Stay);
@@ -365,16 +365,16 @@
 fn what_makes_no_sense_is_refused_in_words_and_changes_nothing() {
     let mut fleet = fleet(1, 1);
     let before = fleet.clone();
-    let none = Word { by: String::new(), ..word("x") };
-    let long = word(&"x".repeat(501));
+    let none = AuditNote { by: String::new(), ..note("x") };
+    let long = note(&"x".repeat(501));
     let mut limits = Limits::default();
     limits.nodes.out_percent = Some(101);
     let node = |name: &str| FleetAsk::Join { node: name.into(), zone: "z".into() };
     for (session, what, says) in [
-        ("staff", FleetAsk::Halt { word: none }, "has to be named"),
-        ("staff", FleetAsk::Halt { word: word(" ") }, "a reason has to be given"),
-        ("staff", FleetAsk::Halt { word: long }, "at most 500"),
-        ("staff", FleetAsk::Limits { limits, word: word("l") }, "nodes.out_percent: 101"),
+        ("staff", FleetAsk::Halt { note: none }, "has to be named"),
+        ("staff", FleetAsk::Halt { note: note(" ") }, "a reason has to be given"),
+        ("staff", FleetAsk::Halt { note: long }, "at most 500"),
+        ("staff", FleetAsk::Limits { limits, note: note("l") }, "nodes.out_percent: 101"),
         ("staff", FleetAsk::Confirm { drain: 1, turn: 1 }, "no node's"),
         ("x", node("n 1"), "take letters"),
         ("n1", node("n9"), "another node's"),
@@ -384,7 +384,7 @@
     }
     let endless = FleetAsk::Drain {
         subject: Subject::server("a1"),
-        word: word("w"),
+        note: note("w"),
         for_ms: Some(u64::MAX),
         then: Then::Back,
         wait: false,
--- a/crates/mothpier-coordination/tests/fleet_index.rs
+++ b/crates/mothpier-coordination/tests/fleet_index.rs
@@ -6,7 +6,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use mothpier_coordination::fleet::ask::{
-    FleetAsk, FleetRefusal, Kind, Listed, NumberedReport, Report, ReportedServers, Stage, Subject, Then, Word,
+    AuditNote, FleetAsk, FleetRefusal, Kind, Listed, NumberedReport, Report, ReportedServers, Stage, Subject,
+    Then,
 };
 use mothpier_coordination::fleet::limits::{Bound, Limits};
 use mothpier_coordination::fleet::reporter::{Reporter, ready_list};
@@ -197,8 +198,8 @@
     if i < NODES { Subject::node(&node(i)) } else { Subject::server(&server(i - NODES)) }
 }
 
-fn word() -> Word {
-    Word { by: "staff".into(), reason: "r".into(), at_ms: 0 }
+fn note() -> AuditNote {
+    AuditNote { by: "staff".into(), reason: "r".into(), at_ms: 0 }
 }
 
 /// A node's process.
@@ -293,7 +294,7 @@
             Step::Drain(i, wait, force) => {
                 let drain = FleetAsk::Drain {
                     subject: subject(*i),
-                    word: word(),
+                    note: note(),
                     for_ms: Some(1_000),
                     then: if *wait { Then::Back } else { Then::Stay },
                     wait: *wait,
@@ -301,7 +302,7 @@
                 };
                 self.ask("staff", drain);
             }
-            Step::Back(i) => self.ask("staff", FleetAsk::Back { subject: subject(*i), word: word() }),
+            Step::Back(i) => self.ask("staff", FleetAsk::Back { subject: subject(*i), note: note() }),
             Step::Confirm(i, nth) => {
                 let drain = self.by_deltas.drains.iter().nth(*nth).map(|(number, d)| (*number, d.turn));
                 if let (Some(process), Some((drain, turn))) = (&self.processes[*i], drain) {
@@ -309,9 +310,9 @@
                     self.ask(&session, FleetAsk::Confirm { drain, turn });
                 }
             }
-            Step::Forget(i) => self.ask("staff", FleetAsk::Forget { subject: subject(*i), word: word() }),
-            Step::Halt => self.ask("staff", FleetAsk::Halt { word: word() }),
-            Step::Resume => self.ask("staff", FleetAsk::Resume { word: word() }),
+            Step::Forget(i) => self.ask("staff", FleetAsk::Forget { subject: subject(*i), note: note() }),
+            Step::Halt => self.ask("staff", FleetAsk::Halt { note: note() }),
+            Step::Resume => self.ask("staff", FleetAsk::Resume { note: note() }),
             Step::Limits(most, percent, zone, fewest) => {
                 let bound = Bound {
                     out_most: *most,
@@ -328,7 +329,7 @@
                     calm_ms: Some(1_000),
                     ..Limits::default()
                 };
-                self.ask("staff", FleetAsk::Limits { limits, word: word() });
+                self.ask("staff", FleetAsk::Limits { limits, note: note() });
             }
             Step::Due(nth) => {
                 let Some(timer) = self.by_deltas.timers().into_keys().nth(*nth) else { return };
--- a/crates/mothpier-coordination/tests/fleet_model.rs
+++ b/crates/mothpier-coordination/tests/fleet_model.rs
@@ -8,7 +8,7 @@
 
 use std::collections::BTreeSet;
 
-use mothpier_coordination::fleet::ask::{FleetAsk, Kind, Listed, Report, Stage, Subject, Then, Word};
+use mothpier_coordination::fleet::ask::{AuditNote, FleetAsk, Kind, Listed, Report, Stage, Subject, Then};
 use mothpier_coordination::fleet::follow::{Effect, Follower};
 use mothpier_coordination::fleet::limits::{Bound, Limits};
 use mothpier_coordination::fleet::timers::Timer;
@@ -86,8 +86,8 @@
     Due(Timer),
 }
 
-fn word() -> Word {
-    Word { by: "staff".into(), reason: "r".into(), at_ms: 0 }
+fn note() -> AuditNote {
+    AuditNote { by: "staff".into(), reason: "r".into(), at_ms: 0 }
 }
 
 fn server(i: usize) -> String {
@@ -138,7 +138,7 @@
                 world.spent[0] += 1;
                 let drain = FleetAsk::Drain {
                     subject,
-                    word: word(),
+                    note: note(),
                     for_ms: None,
                     then: Then::Stay,
                     wait: true,
@@ -148,13 +148,13 @@
             }
             Step::Back(subject) => {
                 world.spent[1] += 1;
-                self.ask(world, "staff", &FleetAsk::Back { subject, word: word() });
+                self.ask(world, "staff", &FleetAsk::Back { subject, note: note() });
             }
             Step::Halt => {
                 world.spent[4] += 1;
-                self.ask(world, "staff", &FleetAsk::Halt { word: word() });
+                self.ask(world, "staff", &FleetAsk::Halt { note: note() });
             }
-            Step::Resume => self.ask(world, "staff", &FleetAsk::Resume { word: word() }),
+            Step::Resume => self.ask(world, "staff", &FleetAsk::Resume { note: note() }),
             Step::Over(i) => {
                 world.spent[2] += 1;
                 if let Some(session) = world.machines[i].session.take() {
@@ -299,7 +299,7 @@
         };
         let bound = Bound { ready_fewest: 0, ..Limits::default().nodes };
         let limits = Limits { nodes: bound.clone(), servers: bound, ..Limits::default() };
-        self.ask(&mut world, "staff", &FleetAsk::Limits { limits, word: word() });
+        self.ask(&mut world, "staff", &FleetAsk::Limits { limits, note: note() });
         let list = (0..self.servers).map(|i| Listed { id: server(i), zone: "z".into(), up_since_ms: 0 });
         let servers = Some(list.collect::<Vec<_>>());
         for i in 0..self.nodes {
--- a/crates/mothpier-sim/src/drains.rs
+++ b/crates/mothpier-sim/src/drains.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use mothpier_coordination::fleet::ask::{
-    FleetAnswer, FleetAsk, FleetRefusal, Kind, Listed, Stage, Subject, Then, Word,
+    AuditNote, FleetAnswer, FleetAsk, FleetRefusal, Kind, Listed, Stage, Subject, Then,
 };
 use mothpier_coordination::fleet::follow::{Effect, Follower};
 use mothpier_coordination::fleet::limits::{Bound, Limits};
@@ -239,8 +239,8 @@
     format!("s{i}")
 }
 
-fn word() -> Word {
-    Word { by: "staff".into(), reason: "roll".into(), at_ms: 0 }
+fn note() -> AuditNote {
+    AuditNote { by: "staff".into(), reason: "roll".into(), at_ms: 0 }
 }
 
 impl World {
@@ -255,12 +255,12 @@
             calm_ms: Some(1_000),
             ..Limits::default()
         };
-        let _ = self.command("staff", &FleetAsk::Limits { limits, word: word() });
+        let _ = self.command("staff", &FleetAsk::Limits { limits, note: note() });
         while self.now < self.size.end && self.played.broken.is_empty() {
             self.now += STEP;
             self.trouble();
             if self.fleet.halt.as_ref().is_some_and(|h| !h.by_itself) && self.now >= self.resume_at {
-                let _ = self.command("staff", &FleetAsk::Resume { word: word() });
+                let _ = self.command("staff", &FleetAsk::Resume { note: note() });
             }
             if self.now >= self.away_until {
                 self.leader();
@@ -401,7 +401,7 @@
             _ => self.late = if self.dice.chance(0.5) { 20 } else { self.dice.within(20, 1_500) },
         }
         if self.dice.chance(0.05) {
-            let _ = self.command("staff", &FleetAsk::Halt { word: word() });
+            let _ = self.command("staff", &FleetAsk::Halt { note: note() });
             self.resume_at = self.now + self.dice.within(200, 3_000);
         }
     }
@@ -618,7 +618,7 @@
             (Doing::Waits, _) => {
                 let ask = FleetAsk::Drain {
                     subject,
-                    word: word(),
+                    note: note(),
                     for_ms: None,
                     then: Then::Stay,
                     wait: true,
@@ -645,7 +645,7 @@
             }
             (Doing::Asked(since), Some(_)) if hasty && self.now > since + 300 => Doing::Works(self.now),
             (Doing::Works(until), _) if until <= self.now => {
-                let _ = self.command("staff", &FleetAsk::Back { subject, word: word() });
+                let _ = self.command("staff", &FleetAsk::Back { subject, note: note() });
                 if hasty {
                     // And out again in the midst, and back.
                     self.people[i].hasty = false;
--- a/crates/mothpier-trials/src/opening.rs
+++ b/crates/mothpier-trials/src/opening.rs
@@ -5,7 +5,7 @@
 use std::sync::PoisonError;
 use std::time::{Duration, Instant};
 
-use mothpier_coordination::fleet::ask::{FleetAnswer, FleetAsk, Stage, Subject, Then, Word};
+use mothpier_coordination::fleet::ask::{AuditNote, FleetAnswer, FleetAsk, Stage, Subject, Then};
 use mothpier_coordination_client::{Client, Session};
 use mothpier_net::Tokio;
 use tokio::task::spawn_local;
@@ -148,13 +148,13 @@
 async fn timed(world: &Rc<World>, servers: usize) -> Result<(), String> {
     let client = Client::new(Tokio, "trial".into(), world.desk.clone())?;
     let session = Session::open(client.clone(), "timed".into(), PATIENCE, PATIENCE).await?;
-    let word = || Word { by: "trial".into(), reason: "timed".into(), at_ms: 0 };
+    let note = || AuditNote { by: "trial".into(), reason: "timed".into(), at_ms: 0 };
     let mut all = Vec::new();
     for i in 0..DRAINS {
         let subject = Subject::server(&format!("s-{}", i % servers));
         let drain = FleetAsk::Drain {
             subject: subject.clone(),
-            word: word(),
+            note: note(),
             for_ms: None,
             then: Then::Stay,
             wait: true,
@@ -171,7 +171,7 @@
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
         all.push(began.elapsed().as_secs_f64() * 1000.0);
-        let back = FleetAsk::Back { subject, word: word() };
+        let back = FleetAsk::Back { subject, note: note() };
         session.fleet(back).await.map_err(|l| l.to_string())?.map_err(|r| r.to_string())?;
         tokio::time::sleep(Duration::from_millis(900)).await;
     }
--- a/crates/mothpierctl/src/fleet.rs
+++ b/crates/mothpierctl/src/fleet.rs
@@ -8,7 +8,7 @@
 use clap::{Args, Subcommand, ValueEnum};
 use mothpier_coordination::fleet::Fleet;
 use mothpier_coordination::fleet::ask::{
-    FleetAnswer, FleetAsk, FleetRefusal, Kind, Stage, Subject, Then as AtTheEnd, Word,
+    AuditNote, FleetAnswer, FleetAsk, FleetRefusal, Kind, Stage, Subject, Then as AtTheEnd,
 };
 use mothpier_coordination_client::{Client, Session};
 use mothpier_net::{Net, Tokio};
@@ -70,9 +70,9 @@
 }
 
 impl Who {
-    fn word(&self) -> Word {
+    fn note(&self) -> AuditNote {
         let at_ms = Tokio.wall().as_millis() as u64;
-        Word { by: self.by.clone(), reason: self.reason.clone(), at_ms }
+        AuditNote { by: self.by.clone(), reason: self.reason.clone(), at_ms }
     }
 }
 
@@ -276,7 +276,7 @@
                 let (client, subject) = (client(at)?, what.subject());
                 let drain = FleetAsk::Drain {
                     subject: subject.clone(),
-                    word: who.word(),
+                    note: who.note(),
                     for_ms: lasts.map(|l| l.as_millis() as u64),
                     then: if then == Then::Back { AtTheEnd::Back } else { AtTheEnd::Stay },
                     wait,
@@ -299,7 +299,7 @@
             }
             Call::Back { what, who, wait, at } => {
                 let (client, subject) = (client(at)?, what.subject());
-                match ask(&client, FleetAsk::Back { subject: subject.clone(), word: who.word() }).await {
+                match ask(&client, FleetAsk::Back { subject: subject.clone(), note: who.note() }).await {
                     Ok(Ok(FleetAnswer::Drain { number, .. })) => {
                         print(&format!("{subject} comes back\n"))?;
                         if wait { follow(&client, number, None).await } else { Ok(GOOD) }
@@ -311,20 +311,20 @@
             }
             Call::Halt { who, at } => {
                 let done = "halted: nothing more goes out, and what is on its way comes back";
-                told(&client(at)?, FleetAsk::Halt { word: who.word() }, done).await
+                told(&client(at)?, FleetAsk::Halt { note: who.note() }, done).await
             }
             Call::Resume { who, at } => {
-                told(&client(at)?, FleetAsk::Resume { word: who.word() }, "resumed").await
+                told(&client(at)?, FleetAsk::Resume { note: who.note() }, "resumed").await
             }
             Call::Forget { what, who, at } => {
                 let subject = what.subject();
                 let done = format!("{subject} belongs to the fleet no more");
-                told(&client(at)?, FleetAsk::Forget { subject, word: who.word() }, &done).await
+                told(&client(at)?, FleetAsk::Forget { subject, note: who.note() }, &done).await
             }
             Call::Limits { file: Some(file), reason, by, at } => {
                 let limits = fleet_limits::read(&file)?;
-                let word = Who { reason: reason.unwrap_or_default(), by }.word();
-                told(&client(at)?, FleetAsk::Limits { limits, word }, "the limits are stated").await
+                let note = Who { reason: reason.unwrap_or_default(), by }.note();
+                told(&client(at)?, FleetAsk::Limits { limits, note }, "the limits are stated").await
             }
             Call::Limits { file: None, at, .. } => {
                 let fleet = read(&client(at)?).await?;
--- a/crates/mothpierctl/src/fleet_shown.rs
+++ b/crates/mothpierctl/src/fleet_shown.rs
@@ -73,7 +73,7 @@
     match drain.stage {
         _ if drain.back.is_some() => "waits to come back: too many are cold".into(),
         Stage::Asked => match (&fleet.halt, fleet.why_not(&drain.subject)) {
-            (Some(halt), _) => format!("halted by {}: {}", halt.word.by, halt.word.reason),
+            (Some(halt), _) => format!("halted by {}: {}", halt.note.by, halt.note.reason),
             (None, Some(blocked)) => blocked.to_string(),
             (None, None) => "about to be granted".into(),
         },
@@ -101,8 +101,8 @@
 pub fn status(fleet: &Fleet, now_ms: u64) -> String {
     let mut text = String::new();
     if let Some(halt) = &fleet.halt {
-        let when = ago(halt.word.at_ms, now_ms);
-        text += &format!("HALTED by {}{when}: {}\n", halt.word.by, halt.word.reason);
+        let when = ago(halt.note.at_ms, now_ms);
+        text += &format!("HALTED by {}{when}: {}\n", halt.note.by, halt.note.reason);
         text += if halt.by_itself && fleet.limits.calm_ms.is_some() {
             "  nothing goes out; it ends after a calm, or by `fleet resume`\n"
         } else {
@@ -116,13 +116,13 @@
     }
     for (number, d) in &fleet.drains {
         let forced = if d.force { ", past the limits" } else { "" };
-        let when = ago(d.word.at_ms, now_ms);
+        let when = ago(d.note.at_ms, now_ms);
         text += &format!(
             "drain {number}  {}  {}{forced}  by {}{when}: {}\n",
             d.subject,
             d.stage.name(),
-            d.word.by,
-            d.word.reason
+            d.note.by,
+            d.note.reason
         );
         text += &format!("  {}\n", waits(fleet, *number));
     }
@@ -156,9 +156,9 @@
 pub fn history(fleet: &Fleet) -> String {
     let line = |e: &mothpier_coordination::fleet::Event| {
         let what = e.subject.as_ref().map_or_else(|| e.what.clone(), |s| format!("{s}: {}", e.what));
-        let Some(word) = &e.word else { return format!("{:20}  {what}\n", "") };
-        let at = std::time::UNIX_EPOCH + std::time::Duration::from_millis(word.at_ms);
-        format!("{:20}  {what}, by {}: {}\n", humantime::format_rfc3339_seconds(at), word.by, word.reason)
+        let Some(note) = &e.note else { return format!("{:20}  {what}\n", "") };
+        let at = std::time::UNIX_EPOCH + std::time::Duration::from_millis(note.at_ms);
+        format!("{:20}  {what}, by {}: {}\n", humantime::format_rfc3339_seconds(at), note.by, note.reason)
     };
     let lines: String = fleet.events.iter().map(line).collect();
     if lines.is_empty() { "nothing has happened\n".into() } else { lines }
