Simulation: an attempt later than 0.1 s after its client left breaks, without slack

The judge allowed 0.3 s and 50 ms of slack. The limit is 0.1 s now, and as no limit of the settings it has no slack on sockets.

--- a/crates/mothpier-sim/src/oracle.rs
+++ b/crates/mothpier-sim/src/oracle.rs
@@ -14,8 +14,8 @@
 use crate::exec::{Exec, Host};
 use crate::net::{Close, Line, Tap};
 
-/// What waits for a client that has left is sent on for it no later than this.
-const LEFT_MS: u64 = 300;
+/// No attempt begins later than this after its client has left; no slack comes on top, for it is no limit of the settings.
+const LEFT_MS: u64 = 100;
 /// Every time limit is so much longer on sockets.
 const SLACK_MS: u64 = 50;
 
@@ -546,7 +546,7 @@
             r.attempts.push((false, now));
             (r.attempts.len() - 1, r.care.unwrap_or(Care::Safe), open, r.answered, r.left)
         };
-        if let Some(left) = left.filter(|left| now > left + (LEFT_MS + SLACK_MS) * 1_000_000) {
+        if let Some(left) = left.filter(|left| now > left + LEFT_MS * 1_000_000) {
             let late = (now - left) / 1_000_000;
             self.breaks(
                 Rule::Answer,
