Node: a stated reserve of descriptors, within what the machine allows

Cause: the node set 20 descriptors aside, but out of limits.sockets alone. Where RLIMIT_NOFILE was lower, clients and servers took all that there were. Calls to coordinators and for the slot map had no part, and the checks of a configuration reckoned with 16. As the process ended, an error of accept ended letting in, and who waited there had no answer.

Change: src/descriptors.rs names each part of the reserve, takes it off first and shares out the rest; limits.sockets is bounded by the soft limit of RLIMIT_NOFILE. The checks' OWN_SOCKETS is 20, held equal at compile time.

--- a/crates/mothpier-config/src/rules/sizes.rs
+++ b/crates/mothpier-config/src/rules/sizes.rs
@@ -5,8 +5,8 @@
 use crate::finding::Finding;
 use crate::units::show_size;
 
-/// Descriptors that a node keeps for itself: listener, peers, discovery, runtime, standard streams.
-pub const OWN_SOCKETS: u64 = 16;
+/// Descriptors that a node keeps for itself: listener, peers, discovery, runtime, files, standard streams.
+pub const OWN_SOCKETS: u64 = 20;
 /// With fewer a node does not start.
 pub const LEAST_SOCKETS: u64 = 32;
 /// Memory that an open request counts for, beside its value: half of the largest answer.
--- a/crates/mothpier-net/src/lib.rs
+++ b/crates/mothpier-net/src/lib.rs
@@ -5,6 +5,7 @@
 //! that a program for production holds nothing of the simulation.
 
 mod inherited;
+mod limits;
 mod tokio_net;
 mod unix;
 
@@ -20,6 +21,7 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 
 pub use inherited::inherited;
+pub use limits::open_files;
 pub use tokio_net::{Door, Duplex, DuplexReading, DuplexWriting, Tokio};
 pub use unix::UnixPlace;
 
--- a/crates/mothpier-world/src/lib.rs
+++ b/crates/mothpier-world/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod machine;
 pub mod matrix;
 pub mod origin;
+pub mod outages;
 pub mod resolvers;
 pub mod wire;
 
--- a/crates/mothpier-world/src/loopback.rs
+++ b/crates/mothpier-world/src/loopback.rs
@@ -286,6 +286,11 @@
         }
     }
 
+    /// How many lines that hold a text were logged since the log was last read.
+    pub fn log_count(&self, text: &str) -> usize {
+        self.log.try_iter().filter(|line| line.contains(text)).count()
+    }
+
     /// A call of the operators' staff: the status, and what is said.
     pub fn call(&self, method: &str, path: &str, body: &str) -> (u16, String) {
         let (head, body) = self.call_raw(&format!(
--- a/crates/mothpier/src/clients.rs
+++ b/crates/mothpier/src/clients.rs
@@ -196,6 +196,7 @@
     /// Accepts until the phase ends; what the machine has accepted by then is still taken.
     pub async fn accept(self: Rc<Self>, listener: N::Listener) {
         let mut number = 0u64;
+        let mut failing = false;
         loop {
             if self.count() >= self.most() {
                 // At the limit the connection that has been idle longest gives way; if none is, new ones wait.
@@ -213,9 +214,10 @@
                 () = self.phase.until_shut() => break,
                 accepted = listener.accept() => accepted,
             };
-            number += 1;
             match accepted {
                 Ok((stream, _)) => {
+                    failing = false;
+                    number += 1;
                     self.clone().start(stream, number);
                     // For each that comes while many are open one that rested longest goes, and another until they
                     // are fewer: clients may hold fewer than the node could, and those who find all theirs kept by
@@ -227,7 +229,9 @@
                 }
                 Err(e) => {
                     // Out of descriptors (EMFILE) or the like: it passes, and the listener must outlive it.
-                    self.net.log(format_args!("accepting failed: {e}"));
+                    if !std::mem::replace(&mut failing, true) {
+                        self.net.log(format_args!("accepting failed: {e}; trying again until it succeeds"));
+                    }
                     self.evict();
                     self.net.sleep(ACCEPT_PAUSE).await;
                 }
@@ -244,12 +248,18 @@
             // Once round the runtime, which looks at the listener then.
             self.net.yield_now().await;
             let accepted = poll_fn(|cx| match listener.poll_accept(cx) {
-                Poll::Ready(accepted) => Poll::Ready(accepted.ok()),
+                Poll::Ready(accepted) => Poll::Ready(Some(accepted)),
                 Poll::Pending => Poll::Ready(None),
             });
-            let Some((stream, _)) = accepted.await else { return };
-            number += 1;
-            self.clone().start(stream, number);
+            match accepted.await {
+                None => return,
+                Some(Ok((stream, _))) => {
+                    number += 1;
+                    self.clone().start(stream, number);
+                }
+                // Out of descriptors: who waits is let in as others close.
+                Some(Err(_)) => self.net.sleep(ACCEPT_PAUSE).await,
+            }
         }
     }
 
--- a/crates/mothpier/src/config.rs
+++ b/crates/mothpier/src/config.rs
@@ -66,6 +66,24 @@
     pub warnings: Vec<String>,
 }
 
+impl Config {
+    /// Takes no more descriptors for its own than the machine allows the process.
+    ///
+    /// # Errors
+    ///
+    /// One plain line, where these are too few.
+    fn within(&mut self, open_files: Option<usize>) -> Result<(), String> {
+        let Some(allowed) = open_files.filter(|allowed| *allowed < self.sockets) else { return Ok(()) };
+        if allowed < LEAST_SOCKETS {
+            return Err(format!("the machine allows {allowed} descriptors: too few to work with"));
+        }
+        let told = self.sockets;
+        self.warnings.push(format!("limits.sockets: {told}, but the machine allows {allowed}: these hold"));
+        self.sockets = allowed;
+        Ok(())
+    }
+}
+
 /// Where clients connect.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Listen {
@@ -183,6 +201,7 @@
     let path = env("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?;
     let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
     let mut config = parse(&text, &env, precedence).map_err(|e| format!("{path}: {e}"))?;
+    config.within(mothpier_net::open_files())?;
     if let Some(number) = env("ROUTER_ACCEPT_FD").filter(|_| precedence == Precedence::Environment) {
         let listener = mothpier_net::inherited(&number).map_err(|e| format!("ROUTER_ACCEPT_FD: {e}"))?;
         config.inherited = Some(listener);
--- a/crates/mothpier/src/door.rs
+++ b/crates/mothpier/src/door.rs
@@ -48,12 +48,17 @@
 pub async fn run<N: Net>(operations: Rc<Operations<N>>, listener: N::Listener) {
     let net = operations.net.clone();
     let callers: Callers<N> = Rc::default();
-    let mut number = 0u64;
+    let (mut number, mut failing) = (0u64, false);
     loop {
         let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+            Ok((stream, _)) => {
+                failing = false;
+                stream
+            }
             Err(e) => {
-                net.log(format_args!("the operators' door: accepting failed: {e}"));
+                if !std::mem::replace(&mut failing, true) {
+                    net.log(format_args!("the operators' door: accepting failed: {e}"));
+                }
                 net.sleep(PAUSE).await;
                 continue;
             }
--- a/crates/mothpier/src/lib.rs
+++ b/crates/mothpier/src/lib.rs
@@ -7,6 +7,7 @@
 mod clients;
 mod clock;
 pub mod config;
+mod descriptors;
 mod discovery;
 mod door;
 mod drains;
@@ -45,6 +46,7 @@
 use clients::Clients;
 use clock::Clock;
 use config::{Config, Listen};
+use descriptors::Descriptors;
 use figures::Figures;
 pub use handover::Word;
 use node::{Node, Parts};
@@ -77,8 +79,6 @@
 const HELD: usize = 8;
 /// Orders of staff that wait for the node.
 const ORDERS: usize = 16;
-/// Descriptors for the listener, the peers, the runtime and the standard streams, and for discovery.
-const OWN_DESCRIPTORS: usize = 14 + discovery::CALLS;
 
 /// What a running node is told from outside.
 pub enum Control {
@@ -98,6 +98,7 @@
 ///
 /// An address that can't be opened, or an end of the node that nobody asked for.
 pub async fn run<N: Net>(net: N, config: Config, mut control: mpsc::Receiver<Control>) -> Result<(), String> {
+    let descriptors = Descriptors::of(&config)?;
     let clock = Clock::start(net.clone());
     let (events, inputs) = mpsc::channel(QUEUE);
     let site = config.site;
@@ -107,12 +108,6 @@
     };
     let idle_close = Duration::from_micros(site.idle_close);
     let connect_timeout = Duration::from_micros(site.decisions.connect_timeout);
-    // Half for clients, half for servers: neither can leave the other without.
-    let asks_dns = config.sources.as_ref().is_some_and(|s| s.dns.is_some());
-    let own = OWN_DESCRIPTORS
-        + if asks_dns { config::sources::DESCRIPTORS } else { 0 }
-        + if config.operator.is_some() { door::DESCRIPTORS } else { 0 };
-    let descriptors = config.sockets.saturating_sub(own) / 2;
     let figures = Rc::new(Figures::new(&site.classes).map_err(|e| format!("cannot count: {e}"))?);
     let share = Rc::new(Share::default());
     let limits = servers::Limits {
@@ -122,7 +117,7 @@
         multiplex: if site.decisions.may_duplicate { site.multiplex } else { 1 },
         idle_close,
         connect_timeout,
-        descriptors: descriptors * 3 / 4,
+        descriptors: descriptors.servers,
         read_copies: config.boxes.as_ref().is_some_and(|b| b.read_copies),
         tier: config.sidecar.as_ref().is_some_and(|s| s.tier),
         figures: figures.clone(),
@@ -193,7 +188,7 @@
             net.clone(),
             idle_close,
             connect_timeout,
-            descriptors / 4,
+            descriptors.origins,
             figures.clone(),
             events.clone(),
         ),
@@ -223,7 +218,7 @@
     let listening = listener.local_addr().map_or(config.listen, Listen::Address);
     let longest: Micros = site.decisions.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
     let connections = config.sidecar.as_ref().and_then(|s| s.connections).unwrap_or(usize::MAX);
-    let bounds = (descriptors.min(connections), config.memory / 2);
+    let bounds = (descriptors.clients.min(connections), config.memory / 2);
     let now = clock.clone();
     let clients = Clients::new(
         net.clone(),
