Simulation: the sum of what twenty to thirty nodes send a cold server

A cold cache server falls under what all processes send it together, and beyond its budget of N calls only 2*sqrt(N) + 2 are put down to chance.

`mothpier-sim cold-ramp` plays the decision modules of 20 to 30 nodes on one clock: a new or returning server, drawn shares of traffic, a burst, new keys that all ask for at once, lost messages, nodes that begin anew. Every window is judged against N at its beginning. It also prints what nodes are told of the others' traffic against what is so.

The module is not changed: the fault stands.

--- a/crates/mothpier-sim/src/main.rs
+++ b/crates/mothpier-sim/src/main.rs
@@ -1,6 +1,7 @@
 //! `mothpier-sim`: plays the node's own network code on a virtual clock against faults drawn from seeds, and judges
 //! the four rules from outside.
 
+mod cold_ramp;
 mod coordinators;
 mod daily_cases;
 mod disk;
@@ -85,6 +86,9 @@
     /// Plays the fleet's agreement on drains: nodes that are cut off and crash, leaders that change, staff who take cache
     /// servers and nodes out and back. The last line is "N seeds, N broken".
     Drains(Many),
+    /// Plays twenty to thirty nodes' decisions before a cache server that has just started. The last line is "N seeds, N
+    /// broken".
+    ColdRamp(Many),
     /// Measures how long it takes to take every cache server and node of a fleet out and back, by limit, under faults.
     Roll {
         /// Nodes.
@@ -234,6 +238,7 @@
         Command::Run { seeds, jobs, plant, state, quiet } => run(seeds, jobs, plant, state, quiet),
         Command::Coordinators(Many { seeds, jobs, twins }) => coordinators(seeds, jobs, twins),
         Command::Drains(Many { seeds, jobs, twins }) => drains(seeds, jobs, twins),
+        Command::ColdRamp(Many { seeds, jobs, twins }) => cold_ramp(seeds, jobs, twins),
         Command::Roll { nodes, servers, seed } => {
             drains::roll(usize::from(nodes), usize::from(servers), seed, &say).map(|()| true)
         }
@@ -444,6 +449,17 @@
     Ok(broken == 0)
 }
 
+fn cold_ramp(seeds: Range<u64>, jobs: Option<usize>, twins: bool) -> Result<bool, String> {
+    if twins {
+        let play = |seed, twin| cold_ramp::play(seed, Some(twin)).broken;
+        return Ok(planted_found(&cold_ramp::TWINS, &seeds, jobs, play));
+    }
+    let all = seeds_at_once(&seeds, jobs, |seed| cold_ramp::play(seed, None), |_| false);
+    let broken = broken_seeds(all.iter().map(|(seed, p)| (seed, &p.broken)));
+    say(&format!("{}{} seeds, {broken} broken\n", cold_ramp::sum(&all), all.len()));
+    Ok(broken == 0)
+}
+
 fn coordinators(seeds: Range<u64>, jobs: Option<usize>, twins: bool) -> Result<bool, String> {
     if twins {
         let play = |seed, twin| coordinators::play(seed, Some(twin)).broken;
