Trials: `scale` plays hollow nodes by the thousand against real coordinators

What coordination costs by nodes and cache servers was measured for the pure state and for sessions alone, never with watches, reports and confirmations over sockets. `mothpier-trials scale run` starts real coordinators and hollow nodes in one process: the product's client library, sessions, watch and `Follower`, no data plane, over the seam `Net` with a delay of its own for each node, cut by region, counted by kind of call. Scenarios: rest, server-leaves, drain, region-cut. Each run is a line of JSON; the judge reads sessions at the nodes, and grants and halts in the history that a client read. `scale fit` fits slopes by nodes and cache servers and compares a prediction from small runs with the largest.

--- a/crates/mothpier-trials/src/main.rs
+++ b/crates/mothpier-trials/src/main.rs
@@ -11,6 +11,7 @@
 mod plan;
 mod process;
 mod programs;
+mod scale;
 mod trial;
 
 use std::ops::Range;
@@ -50,6 +51,9 @@
     /// Measures how long things take and what they cost.
     #[command(subcommand)]
     Measure(Measure),
+    /// Hollow nodes by the hundred or thousand against real coordinators: what coordination costs, and slopes of that.
+    #[command(subcommand)]
+    Scale(scale::Scale),
     /// Becomes a program that ends when the trial does.
     #[command(hide = true)]
     Bound {
@@ -379,6 +383,7 @@
                 block(measure::load(&programs, members, leases)).map(|()| true)
             }
         }),
+        Command::Scale(scale) => scale::run(&scale),
         Command::Run(Run::Leases { seeds, jobs, options }) => run(seeds, jobs, &options),
         Command::Run(Run::Drains { seeds, jobs, of }) => run_drains(seeds, jobs, &of),
         Command::Replay { seed, keep, options } => options.how(keep.clone(), 0).and_then(|how| {
--- /dev/null
+++ b/crates/mothpier-trials/src/scale/hollow.rs
@@ -0,0 +1,242 @@
+//! A hollow node: the product's client, session, watch and rule of drains (`Follower`) as `mothpier`'s `drains.rs` uses
+//! them, step by step and with its spans, and no data plane: what is out is in effect at once, and a node that empties
+//! itself is empty.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use mothpier_coordination::Change;
+use mothpier_coordination::fleet::ask::{FleetAsk, FleetRefusal, Report};
+use mothpier_coordination::fleet::follow::{Effect, Follower};
+use mothpier_coordination_client::{Client, Seen, Session};
+use mothpier_net::Net;
+
+use super::links::LinkNet;
+use super::plan::NodePlan;
+use super::shared::{NodeEvent, ServerList, Shared};
+
+/// The spans of `mothpier`'s `drains.rs`: one reading of all drains, a watch, a pause after a failure, a look at what
+/// there is to report.
+const READ: Duration = Duration::from_secs(5);
+const WATCH: Duration = Duration::from_secs(5);
+const AGAIN: Duration = Duration::from_millis(300);
+const LOOK: Duration = Duration::from_millis(100);
+
+/// What all hollow nodes of a trial are told.
+#[derive(Clone)]
+pub struct Told {
+    /// The fleet's name.
+    pub cluster: String,
+    /// Where the coordinators are, by their numbers.
+    pub coordinators: Vec<SocketAddr>,
+    /// The time of a node's session.
+    pub ttl: Duration,
+}
+
+/// A node without a data plane.
+pub struct Hollow {
+    plan: NodePlan,
+    told: Told,
+    shared: Arc<Shared>,
+    client: Rc<Client<LinkNet>>,
+    follower: RefCell<Follower>,
+    out: RefCell<BTreeSet<String>>,
+    /// The session under which it joined last.
+    joined: RefCell<Option<String>>,
+    /// The last list that it heard of.
+    list: RefCell<Option<ServerList>>,
+    in_danger: Cell<bool>,
+}
+
+/// The address that a node's connections come from: ports of one address would not last for all.
+fn source(number: usize) -> Ipv4Addr {
+    let [.., high, low] = (number as u32 + 1).to_be_bytes();
+    Ipv4Addr::new(127, 32, high, low)
+}
+
+impl Hollow {
+    /// A node that knows nothing yet.
+    ///
+    /// # Errors
+    ///
+    /// No coordinator is named.
+    pub fn new(plan: NodePlan, told: Told, shared: Arc<Shared>) -> Result<Rc<Self>, String> {
+        let delay = Duration::from_millis(plan.delay_ms);
+        let net = LinkNet::new(shared.clone(), plan.region, source(plan.number), delay, plan.seed);
+        let client = Client::new(net, told.cluster.clone(), told.coordinators.clone())?;
+        Ok(Rc::new(Hollow {
+            follower: RefCell::new(Follower::new(&plan.name)),
+            plan,
+            told,
+            shared,
+            client,
+            out: RefCell::default(),
+            joined: RefCell::default(),
+            list: RefCell::default(),
+            in_danger: Cell::new(false),
+        }))
+    }
+
+    fn net(&self) -> &LinkNet {
+        self.client.net()
+    }
+
+    fn happened(&self, what: NodeEvent) {
+        self.shared.happened(self.plan.number, what);
+    }
+
+    /// Starts in its time and follows the fleet from then on.
+    pub async fn run(self: Rc<Self>) {
+        self.net().sleep(Duration::from_millis(self.plan.start_ms)).await;
+        self.net().spawn(self.clone().belong());
+        loop {
+            match self.client.drains(self.net().now() + READ).await {
+                Ok(all) => {
+                    self.follower.borrow_mut().read(all.drains);
+                    self.obey();
+                    self.shared.update(self.plan.number, |state| state.knows = true);
+                    self.follow(all.revision).await;
+                }
+                Err(_) => self.net().sleep(AGAIN).await,
+            }
+        }
+    }
+
+    /// Hears of changes while that goes well, and for the time of one watch after the last.
+    async fn follow(&self, mut revision: u64) {
+        loop {
+            let until = self.net().now() + WATCH + READ;
+            let Ok(Seen::Changes(next, changes)) = self.client.watch(revision, WATCH, until).await else {
+                self.happened(NodeEvent::WatchLost);
+                return self.net().sleep(AGAIN).await;
+            };
+            if changes.is_empty() {
+                return;
+            }
+            for (_, change) in changes {
+                if let Change::Fleet { what } = change {
+                    self.follower.borrow_mut().change(&what);
+                }
+            }
+            revision = next;
+            self.obey();
+        }
+    }
+
+    /// Has it in effect when this returns.
+    fn obey(&self) {
+        let (out, empties) = {
+            let follower = self.follower.borrow();
+            (follower.out(), follower.empties())
+        };
+        let before = self.out.replace(out.clone());
+        for server in before.symmetric_difference(&out) {
+            self.happened(NodeEvent::Effect { server: server.clone(), out: out.contains(server) });
+        }
+        self.shared.update(self.plan.number, |state| (state.out, state.empties) = (out, empties));
+    }
+
+    /// Is a node of the fleet for as long as it lives: one session after another.
+    async fn belong(self: Rc<Self>) {
+        loop {
+            let ttl = self.told.ttl;
+            if self.is_followed().await {
+                self.net().sleep(ttl).await;
+                continue;
+            }
+            let name = format!("node:{}:{}", self.plan.name, self.client.draw_name());
+            if let Ok(session) = Session::open(self.client.clone(), name, ttl, ttl).await {
+                let opened = Instant::now();
+                if let Err(why) = self.report(&session).await {
+                    self.happened(NodeEvent::SessionLost { opened, why });
+                }
+                self.shared.update(self.plan.number, |state| (state.joined, state.reported) = (false, 0));
+            }
+            self.net().sleep(AGAIN).await;
+        }
+    }
+
+    /// Whether another process has the node's name since this one joined.
+    async fn is_followed(&self) -> bool {
+        let Some(own) = self.joined.borrow().clone() else { return false };
+        let Ok(all) = self.client.fleet(self.net().now() + READ).await else { return true };
+        let holder = all.fleet.nodes.get(&self.plan.name).and_then(|n| n.session.clone());
+        holder.is_some_and(|holder| holder != own)
+    }
+
+    /// The list of cache servers, as its agent told it last: an agent that is cut off tells nothing new.
+    fn list(&self) -> Option<ServerList> {
+        if !self.shared.is_cut(self.plan.region) {
+            let heard = self.shared.list(Duration::from_millis(self.plan.discovery_ms));
+            *self.list.borrow_mut() = heard;
+        }
+        self.list.borrow().clone()
+    }
+
+    /// Joins, and tells and confirms what changes, until the session is over.
+    async fn report(&self, session: &Session<LinkNet>) -> Result<(), String> {
+        let zone = format!("region-{}", self.plan.region);
+        let join = FleetAsk::Join { node: self.plan.name.clone(), zone };
+        let joined = session.fleet(join).await.map_err(|lost| lost.to_string())?;
+        joined.map_err(|why| why.to_string())?;
+        *self.joined.borrow_mut() = Some(session.name.clone());
+        self.follower.borrow_mut().joined();
+        self.shared.update(self.plan.number, |state| state.joined = true);
+        let (mut told, mut reported): (Option<bool>, u64) = (None, 0);
+        loop {
+            let list = self.list().filter(|list| list.number != reported);
+            let (knows, empties) = {
+                let follower = self.follower.borrow();
+                (follower.knows(), follower.empties())
+            };
+            let ready = knows && !empties;
+            if list.is_some() || told != Some(ready) {
+                let servers = list.as_ref().map(|list| list.servers.to_vec());
+                let report = Report { ready, refused_percent: 0, servers };
+                let taken = self.ask(session, FleetAsk::Report { report }).await?;
+                told = Some(ready);
+                if let Some(list) = list {
+                    reported = list.number;
+                    if taken {
+                        self.happened(NodeEvent::Reported { list: reported });
+                        self.shared.update(self.plan.number, |state| state.reported = reported);
+                    }
+                }
+            }
+            let effect = Effect { out: self.out.borrow().clone(), empty: empties && told == Some(false) };
+            let confirms = self.follower.borrow().confirms(&effect);
+            for (drain, turn) in confirms {
+                self.ask(session, FleetAsk::Confirm { drain, turn }).await?;
+                self.follower.borrow_mut().confirmed(drain, turn);
+            }
+            self.net().sleep(LOOK).await;
+            self.look(session);
+            session.left().map_err(|lost| lost.to_string())?;
+        }
+    }
+
+    /// Counts once each time that a renewal is late by half of the session's time.
+    fn look(&self, session: &Session<LinkNet>) {
+        let in_danger = session.in_danger();
+        if in_danger && !self.in_danger.get() {
+            self.happened(NodeEvent::InDanger);
+        }
+        self.in_danger.set(in_danger);
+    }
+
+    /// Whether the fleet has taken it.
+    async fn ask(&self, session: &Session<LinkNet>, ask: FleetAsk) -> Result<bool, String> {
+        match session.fleet(ask).await.map_err(|lost| lost.to_string())? {
+            Ok(_) => Ok(true),
+            Err(why @ FleetRefusal::NoNode) => Err(why.to_string()),
+            Err(why) => {
+                self.happened(NodeEvent::Refused { why: why.to_string() });
+                Ok(false)
+            }
+        }
+    }
+}
