--- a/crates/mothpier-trials/src/scale/hollow.rs
+++ b/crates/mothpier-trials/src/scale/hollow.rs
@@ -154,7 +154,9 @@
                 if let Err(why) = self.report(&session).await {
                     self.happened(NodeEvent::SessionLost { opened, why });
                 }
-                self.shared.update(self.plan.number, |state| (state.joined, state.reported) = (false, 0));
+                self.shared.update(self.plan.number, |state| {
+                    (state.joined, state.ready, state.reported) = (false, false, 0);
+                });
             }
             self.net().sleep(AGAIN).await;
         }
@@ -199,6 +201,7 @@
                 let report = Report { ready, refused_percent: 0, servers };
                 let taken = self.ask(session, FleetAsk::Report { report }).await?;
                 told = Some(ready);
+                self.shared.update(self.plan.number, |state| state.ready = taken && ready);
                 if let Some(list) = list {
                     reported = list.number;
                     if taken {
--- a/crates/mothpier-trials/src/scale/judge.rs
+++ b/crates/mothpier-trials/src/scale/judge.rs
@@ -96,6 +96,9 @@
     pub grants_above_limit: Vec<String>,
     /// What did not come to its end, and gaps in the history.
     pub unfinished: Vec<String>,
+    /// Counts that are not those of the scenario.
+    #[serde(default)]
+    pub counts_off: Vec<String>,
 }
 
 /// Whether a session that was opened at that time may end for the cut's sake.
@@ -176,6 +179,7 @@
         halts_not_asked: halts(evidence),
         grants_above_limit: grants(evidence),
         unfinished,
+        counts_off: Vec::new(),
     }
 }
 
--- a/crates/mothpier-trials/src/scale/mod.rs
+++ b/crates/mothpier-trials/src/scale/mod.rs
@@ -4,6 +4,7 @@
 //! nodes spend on control is measured by span, and judged at the far ends.
 
 mod coordinators;
+mod expected;
 mod fit;
 mod hollow;
 mod judge;
@@ -59,9 +60,12 @@
     /// Coordinators.
     #[arg(long, default_value_t = 3)]
     members: usize,
-    /// Seeds, as 0..8, one run after another.
+    /// Seeds, as 0..8.
     #[arg(long, value_parser = crate::seeds, default_value = "0..1")]
     seeds: Range<u64>,
+    /// Runs at once; what the hollow nodes use can't be told apart then.
+    #[arg(long, default_value_t = 1)]
+    jobs: u8,
     /// Nodes of the region that is cut off; 210, or a quarter of all where these are fewer.
     #[arg(long)]
     region_nodes: Option<usize>,
@@ -102,7 +106,7 @@
         Ok(Size { nodes: self.nodes, servers: self.servers, region_nodes, region_servers })
     }
 
-    fn play(&self, seed: u64, commit: &str) -> Result<Record, String> {
+    fn play(&self, seed: u64, lane: u8, commit: &str) -> Result<Record, String> {
         let programs = self.programs.clone().map_or_else(crate::beside, Ok)?;
         let folder = tempfile::tempdir().map_err(|e| e.to_string())?;
         let how = How {
@@ -113,6 +117,7 @@
             threads: self.nodes.div_ceil(NODES_OF_THREAD).min(MOST_THREADS),
             rest: Duration::from_millis(self.rest_ms),
             commit,
+            lane,
         };
         crate::block(scenario::play(self.scenario, Plan::draw(seed, self.size()?), &how))
     }
@@ -124,17 +129,24 @@
         written.map_err(|e| format!("{}: {e}", path.display()))
     }
 
+    /// Plays one seed, and prints and keeps its record.
+    fn record(&self, seed: u64, lane: u8, commit: &str) -> Result<bool, String> {
+        let record = self.play(seed, lane, commit)?;
+        let line = serde_json::to_string(&record).map_err(|e| e.to_string())?;
+        println!("{line}");
+        self.keep(&line)?;
+        Ok(record.is_good())
+    }
+
     fn run(&self) -> Result<bool, String> {
         let commit = self.commit.clone().unwrap_or_else(commit);
-        let mut good = true;
-        for seed in self.seeds.clone() {
-            let record = self.play(seed, &commit)?;
-            let line = serde_json::to_string(&record).map_err(|e| e.to_string())?;
-            println!("{line}");
-            self.keep(&line)?;
-            good &= record.is_good();
-        }
-        Ok(good)
+        let played = crate::each(self.seeds.clone(), self.jobs, |seed, lane| {
+            (self.record(seed, lane, &commit), false)
+        })?;
+        played.into_iter().try_fold(true, |all, (seed, good)| {
+            let good = good.map_err(|why| format!("seed {seed}: {why}"))?;
+            Ok(all && good)
+        })
     }
 }
 
--- a/crates/mothpier-trials/src/scale/scenario.rs
+++ b/crates/mothpier-trials/src/scale/scenario.rs
@@ -14,6 +14,7 @@
 use mothpier_net::Tokio;
 
 use super::coordinators::{CLUSTER, Coordinators, Usage, usage};
+use super::expected::counts_off;
 use super::hollow::Told;
 use super::judge::{Cut, Evidence, judge};
 use super::observer::Observer;
@@ -25,21 +26,23 @@
 use super::tally::{Latency, Tally};
 
 /// Every step of a scenario comes to its end within this time, or the run is not good.
-const PATIENCE: Duration = Duration::from_secs(120);
+const PATIENCE: Duration = Duration::from_secs(60);
+/// Once a step has not, the others are not waited for so long.
+const PATIENCE_AFTER: Duration = Duration::from_secs(5);
 const LOOK: Duration = Duration::from_millis(20);
-/// After the start, before anything is measured.
+/// After the start, before anything is measured, at most.
 const SETTLE: Duration = Duration::from_secs(2);
 /// Behind an event, so that what it caused is over.
 const AFTER: Duration = Duration::from_secs(1);
 /// Drains in a row, of cache servers and then of nodes.
-const DRAINS_IN_A_ROW: usize = 2;
+pub const DRAINS_IN_A_ROW: usize = 2;
 /// Drains of each kind that are asked for while the region is cut off.
 const DRAINS_IN_CUT: usize = 3;
 /// Places for drains beside the whole region.
 const PLACES: usize = 2;
 /// A cache server that comes back is cold for so long: a cold time is no figure here.
 const COLD_MS: u64 = 300;
-/// The lane of addresses that trials of scale take.
+/// The first lane of addresses that trials of scale take.
 const LANE: u8 = 220;
 
 /// What happens.
@@ -84,6 +87,8 @@
     pub rest: Duration,
     /// The commit that records name.
     pub commit: &'a str,
+    /// Its place among trials that run at once.
+    pub lane: u8,
 }
 
 /// What was used up to a moment.
@@ -138,9 +143,14 @@
         Ok((span(before, &after, &tally), after))
     }
 
+    /// How long the next step is waited for.
+    fn patience(&self) -> Duration {
+        if self.unfinished.borrow().is_empty() { PATIENCE } else { PATIENCE_AFTER }
+    }
+
     /// Waits until all of these nodes are so; whether they were in time.
     async fn all(&self, what: &str, nodes: &[usize], is: impl Fn(&NodeState) -> bool) -> bool {
-        let until = Instant::now() + PATIENCE;
+        let until = Instant::now() + self.patience();
         loop {
             let lacking = self.shared.lacking(nodes.iter().copied(), &is);
             if lacking == 0 {
@@ -156,7 +166,7 @@
 
     /// Waits until something is known; `None` where it is not in time.
     async fn until<T>(&self, what: &str, mut find: impl FnMut() -> Option<T>) -> Option<T> {
-        let until = Instant::now() + PATIENCE;
+        let until = Instant::now() + self.patience();
         loop {
             if let Some(found) = find() {
                 return Some(found);
@@ -208,25 +218,23 @@
         Ok(())
     }
 
-    /// Asks for something's way back and waits until its drain has ended.
-    async fn comes_back(&self, subject: Subject, drain: u64) -> Result<(), String> {
-        let began = Instant::now();
-        self.staff.back(subject).await?;
-        let ended = self.until("a drain has ended", || self.observer.ended(drain)).await;
-        ended.into_iter().for_each(|at| self.took("back_request_to_ended", at.duration_since(began)));
-        Ok(())
-    }
-
     /// The drains that have not ended.
     async fn drains(&self) -> Result<Vec<(u64, Subject, Stage)>, String> {
         let all = self.client.drains(Instant::now() + PATIENCE).await?;
         Ok(all.drains.into_iter().map(|told| (told.drain, told.subject, told.stage)).collect())
     }
 
-    /// Brings back all that is out, one after another.
+    /// Asks back all that is out, and waits until all drains have ended.
     async fn all_come_back(&self) -> Result<(), String> {
+        let mut asked = Vec::new();
         for (drain, subject, _) in self.drains().await? {
-            self.comes_back(subject, drain).await?;
+            let began = Instant::now();
+            self.staff.back(subject).await?;
+            asked.push((drain, began));
+        }
+        for (drain, began) in asked {
+            let ended = self.until("a drain has ended", || self.observer.ended(drain)).await;
+            ended.into_iter().for_each(|at| self.took("back_request_to_ended", at.duration_since(began)));
         }
         Ok(())
     }
@@ -255,7 +263,7 @@
     async fn region_is_dead(&self) -> Result<(), String> {
         // The staff's session lives, too.
         let living = self.plan.size.nodes - self.plan.size.region_nodes + 1;
-        let until = Instant::now() + PATIENCE;
+        let until = Instant::now() + self.patience();
         loop {
             let (leader, _) = self.coordinators.leader(&self.client).await?;
             let statuses = self.client.statuses(until).await;
@@ -282,7 +290,7 @@
 
     /// Waits until the coordinators' state shows all nodes alive and all lists whole.
     async fn agreed_again(&self) -> Result<(), String> {
-        let until = Instant::now() + PATIENCE;
+        let until = Instant::now() + self.patience();
         loop {
             let fleet = self.observer.read().await?;
             let whole = |node: &mothpier_coordination::fleet::Node| {
@@ -411,7 +419,7 @@
         hollow: usage(std::process::id()),
         log_lines: 0,
     };
-    let coordinators = Coordinators::start(how.programs, how.folder, how.members, LANE)?;
+    let coordinators = Coordinators::start(how.programs, how.folder, how.members, LANE + how.lane)?;
     let client = coordinators.client()?;
     coordinators.leader(&client).await?;
     let size = plan.size;
@@ -429,12 +437,12 @@
         unfinished: RefCell::default(),
         cut: Cell::new(None),
     };
-    let ready = |s: &NodeState| s.knows && s.joined && s.reported > 0;
+    let ready = |s: &NodeState| s.ready && s.joined && s.reported > 0;
     trial.all("all nodes have joined and reported", &trial.everybody(), ready).await;
     let (start, _) = trial.span_since(&nothing).await?;
     trial.staff.limits(trial.limits()).await?;
     trial.observer.read().await?;
-    tokio::time::sleep(SETTLE).await;
+    tokio::time::sleep(SETTLE.min(how.rest)).await;
     // What settled counts to neither span.
     let (_, before) = trial.span_since(&nothing).await?;
     tokio::time::sleep(how.rest).await;
@@ -462,6 +470,8 @@
     read.err().into_iter().for_each(|why| trial.unfinished.borrow_mut().push(why));
     let evidence = trial.evidence();
     shards.end()?;
+    let mut verdict = judge(&evidence);
+    verdict.counts_off = counts_off(scenario, size.nodes, &rest, event.as_ref());
     let beyond = event.as_ref().map(|event| beyond_rest(&rest, event));
     let steps = trial.steps.take();
     let count = |is: &dyn Fn(&super::shared::Event) -> bool| evidence.events.iter().filter(|e| is(e)).count();
@@ -499,6 +509,6 @@
             let halted = mothpier_coordination::fleet::ask::FleetChange::Halted { halted: true };
             evidence.changes.iter().filter(|(_, change)| *change == halted).count()
         },
-        verdict: judge(&evidence),
+        verdict,
     })
 }
--- a/crates/mothpier-trials/src/scale/shared.rs
+++ b/crates/mothpier-trials/src/scale/shared.rs
@@ -33,6 +33,8 @@
     pub knows: bool,
     /// Its present session has joined.
     pub joined: bool,
+    /// The coordinators have it as ready.
+    pub ready: bool,
     /// The last list that the coordinators have of its present session.
     pub reported: u64,
     /// Cache servers that it sends nothing.
