Trials of scale: hollow nodes report by number, as nodes do now

Nodes report what changed (fleet::reporter) and ask again soon where the fleet could not be read; hollow nodes do the same.

--- a/crates/mothpier-trials/src/scale/hollow.rs
+++ b/crates/mothpier-trials/src/scale/hollow.rs
@@ -10,8 +10,9 @@
 use std::time::{Duration, Instant};
 
 use mothpier_coordination::Change;
-use mothpier_coordination::fleet::ask::{FleetAsk, FleetRefusal, Report};
+use mothpier_coordination::fleet::ask::{FleetAsk, FleetRefusal};
 use mothpier_coordination::fleet::follow::{Effect, Follower};
+use mothpier_coordination::fleet::reporter::Reporter;
 use mothpier_coordination_client::{Client, Seen, Session};
 use mothpier_net::Net;
 
@@ -52,6 +53,16 @@
     in_danger: Cell<bool>,
 }
 
+/// Whose session has a node's name in the fleet.
+enum NameHolder {
+    /// Nobody's, or this node's own that has ended.
+    Nobody,
+    /// That of another process of the node.
+    AnotherProcess,
+    /// The fleet could not be read.
+    Unknown,
+}
+
 /// The address that a node's connections come from: ports of one address would not last for all.
 fn source(number: usize) -> Ipv4Addr {
     let [.., high, low] = (number as u32 + 1).to_be_bytes();
@@ -144,9 +155,16 @@
     async fn belong(self: Rc<Self>) {
         loop {
             let ttl = self.told.ttl;
-            if self.is_followed().await {
-                self.net().sleep(ttl).await;
-                continue;
+            match self.name_holder().await {
+                NameHolder::Nobody => {}
+                NameHolder::AnotherProcess => {
+                    self.net().sleep(ttl).await;
+                    continue;
+                }
+                NameHolder::Unknown => {
+                    self.net().sleep(AGAIN).await;
+                    continue;
+                }
             }
             let name = format!("node:{}:{}", self.plan.name, self.client.draw_name());
             if let Ok(session) = Session::open(self.client.clone(), name, ttl, ttl).await {
@@ -162,12 +180,14 @@
         }
     }
 
-    /// Whether another process has the node's name since this one joined.
-    async fn is_followed(&self) -> bool {
-        let Some(own) = self.joined.borrow().clone() else { return false };
-        let Ok(all) = self.client.fleet(self.net().now() + READ).await else { return true };
-        let holder = all.fleet.nodes.get(&self.plan.name).and_then(|n| n.session.clone());
-        holder.is_some_and(|holder| holder != own)
+    /// Who has the node's name since this one joined.
+    async fn name_holder(&self) -> NameHolder {
+        let Some(own) = self.joined.borrow().clone() else { return NameHolder::Nobody };
+        let Ok(all) = self.client.fleet(self.net().now() + READ).await else { return NameHolder::Unknown };
+        match all.fleet.nodes.get(&self.plan.name).and_then(|n| n.session.clone()) {
+            Some(holder) if holder != own => NameHolder::AnotherProcess,
+            _ => NameHolder::Nobody,
+        }
     }
 
     /// The list of cache servers, as its agent told it last: an agent that is cut off tells nothing new.
@@ -188,29 +208,16 @@
         *self.joined.borrow_mut() = Some(session.name.clone());
         self.follower.borrow_mut().joined();
         self.shared.update(self.plan.number, |state| state.joined = true);
-        let (mut told, mut reported): (Option<bool>, u64) = (None, 0);
+        let (mut reporter, mut list_held) = (Reporter::default(), 0);
         loop {
-            let list = self.list().filter(|list| list.number != reported);
-            let (knows, empties) = {
-                let follower = self.follower.borrow();
-                (follower.knows(), follower.empties())
-            };
-            let ready = knows && !empties;
-            if list.is_some() || told != Some(ready) {
-                let servers = list.as_ref().map(|list| list.servers.to_vec());
-                let report = Report { ready, refused_percent: 0, servers };
-                let taken = self.ask(session, FleetAsk::Report { report }).await?;
-                told = Some(ready);
-                self.shared.update(self.plan.number, |state| state.ready = taken && ready);
-                if let Some(list) = list {
-                    reported = list.number;
-                    if taken {
-                        self.happened(NodeEvent::Reported { list: reported });
-                        self.shared.update(self.plan.number, |state| state.reported = reported);
-                    }
-                }
+            if let Some(list) = self.list().filter(|list| list.number != list_held) {
+                list_held = list.number;
+                reporter.set_servers(list.servers);
             }
-            let effect = Effect { out: self.out.borrow().clone(), empty: empties && told == Some(false) };
+            let ready = self.is_ready();
+            self.report_changes(session, &mut reporter, ready, list_held).await?;
+            let empty = self.follower.borrow().empties() && !ready;
+            let effect = Effect { out: self.out.borrow().clone(), empty };
             let confirms = self.follower.borrow().confirms(&effect);
             for (drain, turn) in confirms {
                 self.ask(session, FleetAsk::Confirm { drain, turn }).await?;
@@ -222,6 +229,53 @@
         }
     }
 
+    /// It knows who is out, and takes work.
+    fn is_ready(&self) -> bool {
+        let follower = self.follower.borrow();
+        follower.knows() && !follower.empties()
+    }
+
+    /// Reports what has changed, if anything has.
+    async fn report_changes(
+        &self,
+        session: &Session<LinkNet>,
+        reporter: &mut Reporter,
+        ready: bool,
+        list: u64,
+    ) -> Result<(), String> {
+        let Some(report) = reporter.next(ready, 0) else { return Ok(()) };
+        let (number, ready) = (report.number, report.ready);
+        let answer = session.fleet(FleetAsk::NumberedReport { report }).await;
+        match answer.map_err(|lost| lost.to_string())? {
+            Ok(_) => {
+                reporter.accepted(number);
+                self.reported(ready, list);
+            }
+            Err(FleetRefusal::UnknownBase { last }) => {
+                self.happened(NodeEvent::Refused { why: "unknown base of a report".into() });
+                reporter.base_unknown(number, last);
+            }
+            Err(why @ FleetRefusal::NoNode) => return Err(why.to_string()),
+            Err(why) => {
+                self.happened(NodeEvent::Refused { why: why.to_string() });
+                reporter.rejected(number);
+            }
+        }
+        Ok(())
+    }
+
+    /// The coordinators have its report with that list.
+    fn reported(&self, ready: bool, list: u64) {
+        let mut is_new = false;
+        self.shared.update(self.plan.number, |state| {
+            is_new = state.reported != list;
+            (state.ready, state.reported) = (ready, list);
+        });
+        if is_new {
+            self.happened(NodeEvent::Reported { list });
+        }
+    }
+
     /// Counts once each time that a renewal is late by half of the session's time.
     fn look(&self, session: &Session<LinkNet>) {
         let in_danger = session.in_danger();
@@ -231,14 +285,13 @@
         self.in_danger.set(in_danger);
     }
 
-    /// Whether the fleet has taken it.
-    async fn ask(&self, session: &Session<LinkNet>, ask: FleetAsk) -> Result<bool, String> {
+    async fn ask(&self, session: &Session<LinkNet>, ask: FleetAsk) -> Result<(), String> {
         match session.fleet(ask).await.map_err(|lost| lost.to_string())? {
-            Ok(_) => Ok(true),
+            Ok(_) => Ok(()),
             Err(why @ FleetRefusal::NoNode) => Err(why.to_string()),
             Err(why) => {
                 self.happened(NodeEvent::Refused { why: why.to_string() });
-                Ok(false)
+                Ok(())
             }
         }
     }
--- a/crates/mothpier-trials/src/scale/kind.rs
+++ b/crates/mothpier-trials/src/scale/kind.rs
@@ -29,14 +29,15 @@
 }
 
 /// What marks a kind within the first bytes of a call; the first that fits counts.
-const MARKS: [(&str, CallKind); 9] = [
+const MARKS: [(&str, CallKind); 10] = [
     ("GET /v1/watch", CallKind::Watch),
     ("GET /v1/drains", CallKind::Drains),
     ("GET /v1/fleet", CallKind::Fleet),
     (r#""do":"open""#, CallKind::Open),
     (r#""do":"renew""#, CallKind::Renew),
     (r#""fleet":"join""#, CallKind::Join),
-    (r#""fleet":"report"#, CallKind::Report),
+    (r#""fleet":"report""#, CallKind::Report),
+    (r#""fleet":"numbered_report""#, CallKind::Report),
     (r#""fleet":"confirm""#, CallKind::Confirm),
     ("POST /v1/command", CallKind::OtherCommand),
 ];
--- a/crates/mothpier-trials/src/scale/kind/tests.rs
+++ b/crates/mothpier-trials/src/scale/kind/tests.rs
@@ -1,4 +1,4 @@
-use mothpier_coordination::fleet::ask::{FleetAsk, Report};
+use mothpier_coordination::fleet::ask::{FleetAsk, NumberedReport, Report, ReportedServers};
 use mothpier_coordination::wire::Call;
 use mothpier_coordination::{Command, Request};
 
@@ -26,6 +26,9 @@
     assert_eq!(CallKind::of(&sent(Command::Close { session: "s".into() })), CallKind::OtherCommand);
     let report = Report { ready: true, refused_percent: 0, servers: Some(Vec::new()) };
     assert_eq!(CallKind::of(&asked(FleetAsk::Report { report })), CallKind::Report);
+    let report =
+        NumberedReport { number: 1, ready: true, refused_percent: 0, servers: ReportedServers::Unknown };
+    assert_eq!(CallKind::of(&asked(FleetAsk::NumberedReport { report })), CallKind::Report);
     assert_eq!(CallKind::of(&asked(FleetAsk::Confirm { drain: 1, turn: 2 })), CallKind::Confirm);
     let join = FleetAsk::Join { node: "n".into(), zone: String::new() };
     assert_eq!(CallKind::of(&asked(join)), CallKind::Join);
--- a/crates/mothpier-trials/src/scale/mod.rs
+++ b/crates/mothpier-trials/src/scale/mod.rs
@@ -75,6 +75,9 @@
     /// A node's session time.
     #[arg(long, default_value_t = 10_000)]
     ttl_ms: u64,
+    /// Nodes that start in one second.
+    #[arg(long, default_value_t = 400)]
+    starts_per_s: u64,
     /// For how long the rest is measured.
     #[arg(long, default_value_t = 10_000)]
     rest_ms: u64,
@@ -103,7 +106,8 @@
         if self.nodes < region_nodes + 8 || self.servers < region_servers + 4 {
             return Err("outside of the region there are 8 nodes and 4 cache servers at least".into());
         }
-        Ok(Size { nodes: self.nodes, servers: self.servers, region_nodes, region_servers })
+        let Run { nodes, servers, starts_per_s, .. } = *self;
+        Ok(Size { nodes, servers, region_nodes, region_servers, starts_per_s })
     }
 
     fn play(&self, seed: u64, lane: u8, commit: &str) -> Result<Record, String> {
--- a/crates/mothpier-trials/src/scale/plan.rs
+++ b/crates/mothpier-trials/src/scale/plan.rs
@@ -14,8 +14,6 @@
 const NODE_DELAY_MS: (u64, u64) = (0, 5);
 /// After a change each node hears of it within this time, ms: agents look for changes once a second.
 const DISCOVERY_MS: (u64, u64) = (0, 1000);
-/// Nodes that start in one second.
-const STARTS_PER_S: u64 = 400;
 /// A member that is killed starts again after this time, ms.
 const KILLED_MS: (u64, u64) = (500, 2000);
 /// Nodes and cache servers were up at this time already.
@@ -32,6 +30,8 @@
     pub region_nodes: usize,
     /// Cache servers of it.
     pub region_servers: usize,
+    /// Nodes that start in one second.
+    pub starts_per_s: u64,
 }
 
 /// A hollow node.
@@ -82,7 +82,7 @@
         let dice = Dice::part(seed, 91);
         let regions: Vec<u64> =
             (0..REGIONS).map(|_| dice.within(REGION_DELAY_MS.0, REGION_DELAY_MS.1)).collect();
-        let ramp_ms = (size.nodes as u64 * 1000 / STARTS_PER_S).max(500);
+        let ramp_ms = (size.nodes as u64 * 1000 / size.starts_per_s.max(1)).max(500);
         let node = |number: usize| {
             let region = region_of(number, size.region_nodes);
             NodePlan {
--- a/crates/mothpier-trials/src/scale/plan/tests.rs
+++ b/crates/mothpier-trials/src/scale/plan/tests.rs
@@ -1,6 +1,6 @@
 use super::{CUT_REGION, Plan, Size};
 
-const SIZE: Size = Size { nodes: 60, servers: 12, region_nodes: 7, region_servers: 3 };
+const SIZE: Size = Size { nodes: 60, servers: 12, region_nodes: 7, region_servers: 3, starts_per_s: 400 };
 
 #[test]
 fn a_seed_draws_one_plan_and_seeds_differ() {
--- a/crates/mothpier-trials/src/scale/report.rs
+++ b/crates/mothpier-trials/src/scale/report.rs
@@ -53,6 +53,9 @@
     pub region_servers: usize,
     /// A node's session time, ms.
     pub ttl_ms: u64,
+    /// Nodes that started in one second.
+    #[serde(default)]
+    pub starts_per_s: u64,
     /// Threads of the hollow nodes.
     pub threads: usize,
     /// Number of the coordinator that led at the end of `rest`.
--- a/crates/mothpier-trials/src/scale/scenario.rs
+++ b/crates/mothpier-trials/src/scale/scenario.rs
@@ -493,6 +493,7 @@
         region_nodes: size.region_nodes,
         region_servers: size.region_servers,
         ttl_ms: how.ttl.as_millis() as u64,
+        starts_per_s: size.starts_per_s,
         threads: how.threads,
         leader: leader + 1,
         start,
--- a/crates/mothpier-trials/src/scale/shared.rs
+++ b/crates/mothpier-trials/src/scale/shared.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use mothpier_coordination::fleet::ask::Listed;
+use mothpier_coordination::fleet::reporter::{ReadyList, ready_list};
 
 use super::tally::Tally;
 
@@ -23,7 +24,7 @@
     /// When discovery knows it; each node hears of it after a delay of its own.
     pub at: Instant,
     /// All that are ready.
-    pub servers: Arc<Vec<Listed>>,
+    pub servers: ReadyList,
 }
 
 /// What a node has reached, as far as the coordinators have answered it.
@@ -102,7 +103,7 @@
 impl Shared {
     /// Nothing has happened yet, and this is the first list.
     pub fn new(nodes: usize, regions: usize, servers: Vec<Listed>) -> Arc<Shared> {
-        let first = ServerList { number: 1, at: Instant::now(), servers: Arc::new(servers) };
+        let first = ServerList { number: 1, at: Instant::now(), servers: ready_list(servers) };
         Arc::new(Shared {
             tally: Mutex::default(),
             events: Mutex::default(),
@@ -123,7 +124,7 @@
     pub fn tell(&self, servers: Vec<Listed>) -> u64 {
         let mut lists = self.lists.write().unwrap_or_else(PoisonError::into_inner);
         let number = lists.len() as u64 + 1;
-        lists.push(ServerList { number, at: Instant::now(), servers: Arc::new(servers) });
+        lists.push(ServerList { number, at: Instant::now(), servers: ready_list(servers) });
         number
     }
 
