--- a/crates/mothpier-trials/src/scale/staff.rs
+++ b/crates/mothpier-trials/src/scale/staff.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use mothpier_coordination::fleet::ask::{FleetAnswer, FleetAsk, Subject, Then, Word};
+use mothpier_coordination::fleet::ask::{AuditNote, FleetAnswer, FleetAsk, Subject, Then};
 use mothpier_coordination::fleet::limits::Limits;
 use mothpier_coordination_client::{Client, Session};
 use mothpier_net::Tokio;
@@ -17,8 +17,8 @@
     session: Rc<Session<Tokio>>,
 }
 
-fn word() -> Word {
-    Word { by: "scale".into(), reason: "trial".into(), at_ms: 0 }
+fn note() -> AuditNote {
+    AuditNote { by: "scale".into(), reason: "trial".into(), at_ms: 0 }
 }
 
 impl Staff {
@@ -43,7 +43,7 @@
     ///
     /// They are refused.
     pub async fn limits(&self, limits: Limits) -> Result<(), String> {
-        self.ask(FleetAsk::Limits { limits, word: word() }).await.map(drop)
+        self.ask(FleetAsk::Limits { limits, note: note() }).await.map(drop)
     }
 
     /// Asks for a drain that waits for its place; its number.
@@ -54,7 +54,7 @@
     pub async fn drain(&self, subject: Subject) -> Result<u64, String> {
         let ask = FleetAsk::Drain {
             subject,
-            word: word(),
+            note: note(),
             for_ms: None,
             then: Then::Stay,
             wait: true,
@@ -72,6 +72,6 @@
     ///
     /// It is refused.
     pub async fn back(&self, subject: Subject) -> Result<(), String> {
-        self.ask(FleetAsk::Back { subject, word: word() }).await.map(drop)
+        self.ask(FleetAsk::Back { subject, note: note() }).await.map(drop)
     }
 }
