--- a/crates/mothpier-trials/src/scale/judge/tests.rs
+++ b/crates/mothpier-trials/src/scale/judge/tests.rs
@@ -12,7 +12,7 @@
 fn reading(revision: u64, dead: &[&str], out_most: usize) -> Reading {
     Reading {
         revision,
-        dead_nodes: dead.iter().map(|d| (*d).to_owned()).collect(),
+        missing_nodes: dead.iter().map(|d| (*d).to_owned()).collect(),
         out_most: (out_most, 1),
         ..Reading::default()
     }
