Trials and simulation: hollow nodes ask who has their name as nodes do; clippy

Change: hollow nodes read the fleet for the holder of their name, as the node does; `is_multiple_of` in place of the remainder.

--- a/crates/mothpier-sim/src/cold_ramp/fleet.rs
+++ b/crates/mothpier-sim/src/cold_ramp/fleet.rs
@@ -204,7 +204,7 @@
         let mut settings = Settings { me: node as u32, ..self.scenario.settings.clone() };
         match self.twin {
             Some(Twin::IgnoresRamp) => settings.cold_share = 1.0,
-            Some(Twin::HalfIgnoreRamp) if node % 2 == 0 => settings.cold_share = 1.0,
+            Some(Twin::HalfIgnoreRamp) if node.is_multiple_of(2) => settings.cold_share = 1.0,
             _ => {}
         }
         Policy::new(settings, self.scenario.seed ^ (node as u64) << 20 ^ u64::from(life) << 40)
--- a/crates/mothpier-trials/src/scale/hollow.rs
+++ b/crates/mothpier-trials/src/scale/hollow.rs
@@ -183,10 +183,11 @@
     /// Who has the node's name since this one joined.
     async fn name_holder(&self) -> NameHolder {
         let Some(own) = self.joined.borrow().clone() else { return NameHolder::Nobody };
-        match self.client.node_holder(&self.plan.name, self.net().now() + READ).await {
-            Ok(Some(holder)) if holder != own => NameHolder::AnotherProcess,
-            Ok(_) => NameHolder::Nobody,
-            Err(_) => NameHolder::Unknown,
+        let Ok(all) = self.client.fleet(self.net().now() + READ).await else { return NameHolder::Unknown };
+        let holder = all.fleet.nodes.get(&self.plan.name).and_then(|node| node.session.clone());
+        match holder {
+            Some(holder) if holder != own => NameHolder::AnotherProcess,
+            _ => NameHolder::Nobody,
         }
     }
 
