Test: the good file at the bound of sockets states 276, which is the bound now

Cause: the checks reckoned with 16 descriptors that a node keeps for itself, the node with 20; since the reserve is stated both reckon with 20, and the good file that stands at the very bound for 128 connections (272) was refused.

Change: the file states 276, what the error's own advice names.

--- a/crates/mothpier-config/corpus/good/MP0701-few.hcl
+++ b/crates/mothpier-config/corpus/good/MP0701-few.hcl
@@ -16,7 +16,7 @@
 
 limits {
   memory = "64 MiB"
-  sockets = 272
+  sockets = 276
   connections = 128
   open = 512
 }
