Discovery: asked again within 1.5 s of a failure, and beside a silent call

Cause, by reading: Policy::discovery_failed waited askWithin/16, doubled up to three times, drawn from half to one and a half of that: 2.5 to 7.5 s with askWithin of 10 s, without bound beyond. discovery.rs gave a silent call at a service for all 3.5 s, then the next one as long: where discovery returned and was silent again, the third came after 7 s.

--- a/crates/mothpier-world/src/outages.rs
+++ b/crates/mothpier-world/src/outages.rs
@@ -200,7 +200,9 @@
                 state.calls.push(Instant::now());
             }
         }
-        match next(&mut shared.lock().unwrap(), opened, call.as_ref()) {
+        // Decided under the lock, done without it.
+        let decided = next(&mut shared.lock().unwrap(), opened, call.as_ref());
+        match decided {
             Next::Wait => {}
             Next::Answer(bytes) => {
                 call = None;
--- a/crates/mothpier/src/discovery.rs
+++ b/crates/mothpier/src/discovery.rs
@@ -31,6 +31,8 @@
 /// An agent that owes an answer is asked again after this part of the time in which a drain must be done, and within
 /// these bounds.
 const AGAIN: (u32, Duration, Duration) = (4, Duration::from_millis(20), PAUSE);
+/// Calls that are out at once at a service for all, which may have lost the first of them.
+const SERVICE_CALLS: usize = 3;
 const MAX_LIST: usize = 4 << 20;
 
 /// The numbers by which the module knows servers. They are made from the ids alone, so that every node has
@@ -208,8 +210,43 @@
 /// A list and the connection that it came on.
 type Answer<N> = Result<(List, Connection<N>), String>;
 
-/// Asks once, or an agent that owes an answer again and again, each time on a new connection and for the whole list,
-/// until one of the calls is answered or the first has had its time.
+/// How a call that is owed an answer is made again beside those that are out: a call made in a silence may never be
+/// answered.
+#[derive(Clone, Copy)]
+struct Repeats {
+    /// The first of them, so long after the call itself, and the others after each other.
+    first: Duration,
+    every: Duration,
+    /// Calls that are out at once.
+    most: usize,
+    /// All are given up by then.
+    within: Duration,
+}
+
+impl Repeats {
+    fn of(way: Way, is_watch: bool, pause: Duration) -> Self {
+        match way {
+            // It costs nothing to ask an agent.
+            Way::Agent { .. } => Repeats {
+                first: if is_watch { WAIT + pause } else { pause },
+                every: pause,
+                most: CALLS,
+                within: WAIT + LATE,
+            },
+            // The call before may only wait for its turn, and stays out. What a lost one would have told counts as told
+            // 6 s later, also where the next one is lost as well.
+            Way::Service => Repeats {
+                first: WAIT + LATE / 2,
+                every: LATE,
+                most: SERVICE_CALLS,
+                within: (WAIT + LATE) * 2,
+            },
+        }
+    }
+}
+
+/// Asks, and again as it is owed an answer, each time on a new connection, until one of the calls is answered or all have
+/// had their time. An agent is asked for the whole list then, a service for what has changed.
 async fn ask<N: Net>(
     net: &N,
     open: Option<Connection<N>>,
@@ -219,43 +256,58 @@
     pause: Duration,
 ) -> Answer<N> {
     let first = call(net, open, address, after, way);
-    if matches!(way, Way::Service) || planted(Plant::SilentCallWaits) {
-        return match first.await {
-            // A watch that has fallen silent is broken, which is no failure of the service: it is opened anew at once, for
-            // what it misses counts as told soon.
-            Err(why) if why == SILENT && after.is_some() => call(net, None, address, after, way).await,
-            answer => answer,
-        };
+    if planted(Plant::SilentCallWaits) {
+        return first.await;
     }
-    let mut calls: VecDeque<Pin<Box<dyn Future<Output = Answer<N>> + '_>>> = VecDeque::new();
+    let repeats = Repeats::of(way, after.is_some(), pause);
+    let again = after.filter(|_| matches!(way, Way::Service));
+    let mut calls: Calls<'_, N> = Calls::default();
     calls.push_back(Box::pin(first));
-    let mut owed = if after.is_some() { WAIT + pause } else { pause };
+    let until = net.now() + repeats.within + LATE;
+    let mut next = net.now() + repeats.first;
     loop {
-        let answered = poll_fn(|cx| {
-            let mut at = 0;
-            while let Some(one) = calls.get_mut(at) {
-                match one.as_mut().poll(cx) {
-                    Poll::Ready(Ok(answer)) => return Poll::Ready(Ok(answer)),
-                    // The first has had its time, or none is left that could be answered.
-                    Poll::Ready(Err(e)) if at == 0 => return Poll::Ready(Err(e)),
-                    Poll::Ready(Err(_)) => drop(calls.remove(at)),
-                    Poll::Pending => at += 1,
-                }
-            }
-            Poll::Pending
-        });
-        if let Some(answer) = net.timeout(owed, answered).await {
+        if let Some(answer) = net.timeout_at(next.min(until), any_answer(&mut calls, way)).await {
             return answer;
         }
-        owed = pause;
+        if net.now() >= until {
+            return Err(SILENT.into());
+        }
+        next = net.now() + repeats.every;
         // The first keeps its place for as long as an answer may take; of the others the oldest gives way.
-        if calls.len() >= CALLS {
+        if calls.len() >= repeats.most {
             drop(calls.remove(1));
         }
-        calls.push_back(Box::pin(call(net, None, address, None, way)));
+        calls.push_back(Box::pin(call(net, None, address, again, way)));
     }
 }
 
+/// Calls that are out, the oldest first.
+type Calls<'a, N> = VecDeque<Pin<Box<dyn Future<Output = Answer<N>> + 'a>>>;
+
+/// The first good answer, or the failure after which the call begins anew: of an agent's first call, or of the last that
+/// is out. Safe to drop and call again.
+async fn any_answer<N: Net>(calls: &mut Calls<'_, N>, way: Way) -> Answer<N> {
+    poll_fn(|cx| {
+        let mut at = 0;
+        while let Some(one) = calls.get_mut(at) {
+            match one.as_mut().poll(cx) {
+                Poll::Ready(Ok(answer)) => return Poll::Ready(Ok(answer)),
+                Poll::Ready(Err(e)) => {
+                    drop(calls.remove(at));
+                    let begins_anew = at == 0 && matches!(way, Way::Agent { .. });
+                    // That a service does not answer in time is no failure yet: it is asked again.
+                    if begins_anew || (calls.is_empty() && e != SILENT) {
+                        return Poll::Ready(Err(e));
+                    }
+                }
+                Poll::Pending => at += 1,
+            }
+        }
+        Poll::Pending
+    })
+    .await
+}
+
 async fn call<N: Net>(
     net: &N,
     open: Option<Connection<N>>,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -64,6 +64,8 @@
 /// held against the origin until the next; the time of calls before the first, part of the shortest aim.
 const TURN: (f64, f64, f64, f64, f64) = (0.1, 0.3, 0.02, 0.02, 0.25);
 
+/// Mean time to the next call after a failed one: a change counts as told 6 s after discovery is back.
+const ASK_AGAIN: Micros = 1_000_000;
 /// Calls of a stated rate that a balancer may save up: with one it would refuse a second request that comes
 /// soon after the first, though both are within its rate.
 const SAVED: f64 = 4.0;
@@ -108,7 +110,6 @@
     last_told: u32,
     wakes: Wakes,
     subscribed: bool,
-    subscribe_tries: u32,
     ask_at: Micros,
 }
 
@@ -730,7 +731,7 @@
 
     fn server_list(&mut self, kind: ListKind, lines: Vec<ServerLine>, out: &mut Vec<Action>) {
         if kind != ListKind::Cached {
-            (self.subscribed, self.subscribe_tries) = (true, 0);
+            self.subscribed = true;
         }
         if kind != ListKind::Delta {
             self.servers.values_mut().for_each(|s| s.line.condition = Condition::Gone);
@@ -776,11 +777,10 @@
         }
     }
 
-    /// Discovery has little capacity: it is asked again later each time, and not by all at once.
+    /// Discovery has little capacity: not all ask it again at once, but all before its changes count as told.
     fn discovery_failed(&mut self, out: &mut Vec<Action>) {
-        let base = (self.settings.ask_within / 16) << self.subscribe_tries.min(3);
+        let base = self.settings.ask_within.min(ASK_AGAIN);
         let delay = (base as f64 * (0.5 + self.rng.unit())) as Micros;
-        self.subscribe_tries += 1;
         (self.subscribed, self.ask_at) = (false, self.now + delay);
         self.wake(delay, Wake::Subscribe);
         out.push(Action::Log("discovery call failed or subscription lost: asking again".into()));
