--- a/crates/mothpier-world/src/loopback.rs
+++ b/crates/mothpier-world/src/loopback.rs
@@ -7,10 +7,12 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, Once};
 use std::thread;
 use std::time::Duration;
 
+use mothpier_fault_control::FaultControl;
+
 /// Only what has hung waits for so long; nothing is measured by it.
 pub const HUNG: Duration = Duration::from_secs(30);
 
@@ -217,6 +219,29 @@
     test.parent().and_then(|deps| deps.parent()).unwrap().to_owned()
 }
 
+/// The folder with the fault injection library, which is built here: Cargo builds no library of a kind that no test
+/// links.
+pub fn fault_library_folder() -> PathBuf {
+    static BUILT: Once = Once::new();
+    BUILT.call_once(|| {
+        let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
+        let mut build = Command::new(cargo);
+        build.args(["build", "--quiet", "--locked", "-p", "mothpier-fault-preload"]);
+        if built().ends_with("release") {
+            build.arg("--release");
+        }
+        assert!(build.status().unwrap().success(), "the fault injection library can't be built");
+    });
+    built()
+}
+
+/// The control file of a process under faults, which injects nothing yet, and the environment for the process.
+pub fn faults(name: &str) -> (FaultControl, [(String, String); 2]) {
+    let control = FaultControl::create(&config_path(name).with_extension("faults")).unwrap();
+    let environment = control.environment(&fault_library_folder());
+    (control, environment)
+}
+
 /// Where the configuration of a node of this name is written.
 pub fn config_path(name: &str) -> PathBuf {
     let folder = built().join("loopback");
