Network: a partial read or write no longer ends a socket's readiness

Cause: tokio's poll_read and poll_write take a partial result for a drained or full socket, clear its readiness and wait for the next edge of epoll. Where the call was cut for another reason no edge comes, and the connection stops for good.

Change: the seam's streams (mothpier-net, stream_io) wait for readiness and then read or write as try_read and try_write do, which clear it on WouldBlock alone; vectored writes too. All of clients, cache servers, origin, discovery, admin API and coordinators go through it. A read that is interrupted (EINTR) is made again instead of counting as the connection's end.

--- a/crates/mothpier-net/src/lib.rs
+++ b/crates/mothpier-net/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod inherited;
 mod limits;
+mod stream_io;
 mod tokio_net;
 mod unix;
 
--- a/crates/mothpier-net/src/tokio_net.rs
+++ b/crates/mothpier-net/src/tokio_net.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Display;
 use std::future::Future;
-use std::io::{self, Write};
+use std::io::{self, ErrorKind, Write};
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::task::{Context, Poll, Waker};
@@ -14,6 +14,7 @@
 use tokio::net::{TcpListener, TcpStream, UdpSocket, UnixStream, tcp, unix};
 use tokio::task::AbortHandle;
 
+use crate::stream_io;
 use crate::unix::{Bound, UnixPlace, bind};
 use crate::{Listener, Net, Reading, Socket, Stream, Task};
 
@@ -136,16 +137,16 @@
 
 impl AsyncRead for Duplex {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, to: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        either!(Duplex, self.get_mut(), s => Pin::new(s).poll_read(cx, to))
+        either!(Duplex, self.get_mut(), s => stream_io::poll_read(s, cx, to))
     }
 }
 
-/// Both ends write alike.
+/// Both ends write alike; the one that was split off through the stream that it is a half of.
 macro_rules! writes {
-    ($of:ident) => {
+    ($of:ident, $s:ident => $stream:expr) => {
         impl AsyncWrite for $of {
             fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-                either!($of, self.get_mut(), s => Pin::new(s).poll_write(cx, bytes))
+                either!($of, self.get_mut(), $s => stream_io::poll_write($stream, cx, bytes))
             }
 
             fn poll_write_vectored(
@@ -153,7 +154,7 @@
                 cx: &mut Context<'_>,
                 parts: &[io::IoSlice<'_>],
             ) -> Poll<io::Result<usize>> {
-                either!($of, self.get_mut(), s => Pin::new(s).poll_write_vectored(cx, parts))
+                either!($of, self.get_mut(), $s => stream_io::poll_write_vectored($stream, cx, parts))
             }
 
             fn is_write_vectored(&self) -> bool {
@@ -171,8 +172,8 @@
     };
 }
 
-writes!(Duplex);
-writes!(DuplexWriting);
+writes!(Duplex, s => &*s);
+writes!(DuplexWriting, s => s.as_ref());
 
 impl Stream for Duplex {
     type Reading = DuplexReading;
@@ -211,7 +212,12 @@
     }
 
     fn try_read_buf(&self, buffer: &mut BytesMut) -> io::Result<usize> {
-        either!(DuplexReading, self, s => s.try_read_buf(buffer))
+        loop {
+            match either!(DuplexReading, self, s => s.try_read_buf(buffer)) {
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                read => return read,
+            }
+        }
     }
 
     fn closed(&self) -> bool {
