Decisions: the sum of what all nodes send a cold server keeps to its budget

Change: each node sends a cold server another part of the keys; its rate there is reckoned from no more than its part of the quotas; the bucket is 2 deep for keys asked for again and 5 for those asked for once (a tier of many nodes that see little needs that: tests/fleet.rs failed with 2 for both, and stays as it was).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -48,10 +48,14 @@
 const TELL: (u32, u32, u32) = (4, 2, 16);
 /// Each part of a key has at most this part of a server's mean share; longest aims over which shares fade.
 const HEAT: (f64, f64) = (1.0, 10.0);
-/// Least depth of the bucket of attempts at a cold server. A balancer of a large tier sends it less than one
-/// in a window, at odd times: a bucket of one turns two in five of them away (M/D/1 loss at 2/3 of the rate),
-/// and all balancers' together leave it idle; one of four turns away one in thirty.
-const COLD_DEPTH: f64 = 4.0;
+/// Least depth of the bucket of attempts at a cold server, for keys that are asked for once and for those
+/// asked for again. A balancer of a large tier sends it less than one in a window, at odd times: a bucket of
+/// one turns two in five of them away (M/D/1 loss at 2/3 of the rate), and all balancers' together leave it
+/// idle; one of five turns away few. Keys that are asked for again may be so at all balancers at once, and
+/// the buckets add up.
+const COLD_DEPTH: (f64, f64) = (5.0, 2.0);
+/// Sets the keys that a balancer sends a cold server apart from those of the others.
+const OWN_KEYS: u64 = 7_919;
 /// Retry budget, a token bucket: it holds so many times what each request adds.
 const RETRY: f64 = 25.0;
 /// A connection rests after this part of the longest aim; part of the attempts whose connection is not made
@@ -236,15 +240,9 @@
         let Some(sender) = self.senders.get_mut(tenant) else { return true };
         sender.rate.count();
         let worth = (self.settings.classes[class].worth / self.least_worth).max(1.0);
-        let mut share = 1.0;
-        if let Some(quota) = self.settings.tenants.get(tenant) {
-            // Peers that tell of their traffic show the whole of it; without them all are taken as alike.
-            let alike = sender.rate.per_s * f64::from(self.settings.balancers.max(1));
-            let others = self.settings.balancers.max(2) - 1;
-            let unheard = f64::from(others) / f64::from(others.min(TELL.1 * TELL.2));
-            let whole = self.peers.sum(tenant).map_or(alike, |told| sender.rate.per_s + told * unheard);
-            share = quota.quota_per_s / whole.max(1.0);
-        }
+        let quota = self.settings.tenants.get(tenant);
+        let share = quota.map_or(1.0, |quota| quota.quota_per_s / self.whole_traffic(tenant).max(1.0));
+        let Some(sender) = self.senders.get_mut(tenant) else { return true };
         // Below 1 the level bites at once, also on tenants that are far below their quotas.
         let part = (self.level.max(1.0) * share).min(1.0) * self.level.min(1.0) * worth;
         sender.credit += if self.level >= LEVEL.2 { 1.0 } else { part.min(1.0) };
@@ -311,7 +309,7 @@
     /// Whether a redirection leads on: not back to where this request was, nor past what a cold server takes.
     fn may_follow(&self, id: RequestId, to: ServerId) -> bool {
         let (Some(h), Some(s)) = (self.held.get(&id), self.servers.get(&to)) else { return false };
-        let (level, depth) = self.cold_bucket(s, self.weights[h.class]);
+        let (level, depth) = self.cold_bucket(h, s, self.weights[h.class]);
         s.line.condition == Condition::Ready
             && !s.origin
             && self.may_use(h.class, s)
@@ -388,26 +386,52 @@
         if s.line.started == 0 { 1.0 } else { (share + (1.0 - share) * age).min(1.0) }
     }
 
-    /// Against pushing a cold server over: it gets a part of its keys that grows as it warms, the same keys
-    /// from every balancer, no more than a part of a warm server's requests, and nothing turned away
-    /// elsewhere. A key that alone brings more than that part stays away: of it all balancers' buckets
-    /// together hold too much.
+    /// Against pushing a cold server over: it gets a part of its keys that grows as it warms, each balancer
+    /// another part, for a new key that all are asked for at once would come from all of them together; no
+    /// more than a part of a warm server's requests, and nothing turned away elsewhere. A key that alone
+    /// brings more than that part stays away: of it all balancers' buckets together hold too much.
     fn warm_enough(&self, h: &Held, s: &Server, total: f64) -> bool {
-        let (warmth, (level, depth)) = (self.warmth(s), self.cold_bucket(s, total));
-        let fits = unit_hash(h.order, s.line.id, 1) < warmth && h.heat <= warmth && level + 1.0 <= depth;
+        let (warmth, (level, depth)) = (self.warmth(s), self.cold_bucket(h, s, total));
+        let keys = 1 + u64::from(self.settings.me) * OWN_KEYS;
+        let fits = unit_hash(h.order, s.line.id, keys) < warmth && h.heat <= warmth && level + 1.0 <= depth;
         warmth >= 1.0 || (h.tried.is_empty() && fits)
     }
 
+    /// What this balancer admits a second, but no more than its part of what all tenants may send together:
+    /// in a burst over the quotas all balancers' parts at a cold server would add up to more than the servers
+    /// can do.
+    fn traffic_within_quotas(&self) -> f64 {
+        let balancers = f64::from(self.settings.balancers.max(1));
+        let quotas = self.gate.quota_share * balancers;
+        if quotas <= 0.0 {
+            return self.admitted.per_s;
+        }
+        let own: f64 = self.senders.iter().map(|s| s.rate.per_s).sum();
+        let whole: f64 = (0..self.senders.len()).map(|tenant| self.whole_traffic(tenant)).sum();
+        self.admitted.per_s.min(own * quotas / whole.max(1.0))
+    }
+
+    /// What a tenant sends to all balancers a second. Peers that tell of their traffic show the whole of it;
+    /// without them all are taken as alike.
+    fn whole_traffic(&self, tenant: usize) -> f64 {
+        let own = self.senders[tenant].rate.per_s;
+        let others = self.settings.balancers.max(2) - 1;
+        let unheard = f64::from(others) / f64::from(others.min(TELL.1 * TELL.2));
+        let alike = own * f64::from(self.settings.balancers.max(1));
+        self.peers.sum(tenant).map_or(alike, |told| own + told * unheard)
+    }
+
     /// Level and depth of the bucket of attempts at a server, as cold as it is.
-    fn cold_bucket(&self, s: &Server, total: f64) -> (f64, f64) {
-        let part = self.settings.cold_rate * self.warmth(s) * self.admitted.per_s * self.weight(s);
+    fn cold_bucket(&self, h: &Held, s: &Server, total: f64) -> (f64, f64) {
+        let part = self.settings.cold_rate * self.warmth(s) * self.traffic_within_quotas() * self.weight(s);
         let rate = part / total.max(0.01) / 1e6;
         let level = s.cold_level - rate * (self.now - s.used) as f64;
         let (span, depth) = (self.settings.fall_after / 2, rate * self.settings.fall_after as f64 / 2.0);
+        let least_depth = if h.heat > 0.0 { COLD_DEPTH.1 } else { COLD_DEPTH.0 };
         // Of hundreds of balancers each may have no more than a part of one attempt.
         let depth = match self.settings.shares {
             Some(_) if depth < 1.0 => self.turns(depth, span, u64::from(s.line.id)),
-            _ => depth.max(COLD_DEPTH * self.part),
+            _ => depth.max(least_depth * self.part),
         };
         (level.max(0.0), depth)
     }
@@ -500,7 +524,7 @@
         if !allowed {
             return false;
         }
-        let cold_level = self.cold_bucket(s, self.weights[h.class]).0 + 1.0;
+        let cold_level = self.cold_bucket(h, s, self.weights[h.class]).0 + 1.0;
         let (attempt, sent, aim) = (h.sent, self.now, self.settings.classes[h.class].aim);
         let asking = h.follow.is_some_and(|(to, ask)| ask && to == server);
         let slow_after = (PATIENCE.1 * self.quarters[h.class].value).max(aim as f64 * PATIENCE.0);
@@ -746,7 +770,7 @@
                 // Many balancers that may each send one at once would be a burst: they begin out of step, and
                 // one that has just started, and knows of no key that it is hot, with none to send.
                 let level =
-                    if young { COLD_DEPTH - 1.0 + self.rng.unit() } else { COLD_DEPTH * self.rng.unit() };
+                    if young { COLD_DEPTH.0 - 1.0 + self.rng.unit() } else { COLD_DEPTH.0 * self.rng.unit() };
                 (s.cold_level, s.used) = (level, self.now);
             }
             let id = line.id;
