Node: the kernel is asked for a client's end before an attempt that is held up

Change: cancellation.rs holds guard and token. Right before the first byte of an attempt the token asks the kernel (poll with POLLRDHUP) whether the client's connection stands, unless it was seen to stand within 10 ms: no system call where a request is passed on at once.

--- a/crates/mothpier-net/src/lib.rs
+++ b/crates/mothpier-net/src/lib.rs
@@ -151,6 +151,12 @@
 
     /// Whether the other end is known to have closed, also where what it sent before is still unread.
     fn closed(&self) -> bool;
+
+    /// Whether the other end has closed as of now: asked of the machine, where [`Reading::closed`] knows what was heard of
+    /// it last.
+    fn hung_up(&self) -> bool {
+        self.closed()
+    }
 }
 
 /// A TCP listener.
--- a/crates/mothpier-net/src/tokio_net.rs
+++ b/crates/mothpier-net/src/tokio_net.rs
@@ -4,11 +4,13 @@
 use std::future::Future;
 use std::io::{self, ErrorKind, Write};
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::pin::{Pin, pin};
 use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::BytesMut;
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use socket2::{Domain, Protocol, Socket as Socket2, Type};
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::{TcpListener, TcpStream, UdpSocket, UnixStream, tcp, unix};
@@ -225,6 +227,18 @@
         let polled = either!(DuplexReading, self, s => pin!(s.ready(Interest::READABLE)).poll(&mut cx));
         matches!(polled, Poll::Ready(Ok(ready)) if ready.is_read_closed())
     }
+
+    fn hung_up(&self) -> bool {
+        const AT_ONCE: Timespec = Timespec { tv_sec: 0, tv_nsec: 0 };
+        let gone = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        let socket = either!(DuplexReading, self, s => PollFd::from_borrowed_fd(s.as_ref().as_fd(), gone));
+        let mut sockets = [socket];
+        match poll(&mut sockets, Some(&AT_ONCE)) {
+            Ok(_) => sockets[0].revents().intersects(gone),
+            // What can't be asked is as it was last heard.
+            Err(_) => self.closed(),
+        }
+    }
 }
 
 impl Listener for Door {
--- a/crates/mothpier/src/clients.rs
+++ b/crates/mothpier/src/clients.rs
@@ -22,9 +22,10 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::binding::{self, Binding};
+use crate::cancellation::{CancelGuard, CancelToken, ConnectionProbe};
 use crate::figures::{Ended, Figures};
 use crate::membership::Membership;
-use crate::messages::{Answer, CancelGuard, CancelToken, Claim, ClientEvent, Command, Ids, Input, Passing};
+use crate::messages::{Answer, Claim, ClientEvent, Command, Ids, Input, Passing};
 use crate::phase::Phase;
 use crate::resp::{self, MAX_PASSED, MAX_VALUE, Malformed};
 use crate::succession::Share;
@@ -284,8 +285,11 @@
         let net = self.net.clone();
         net.spawn(async move {
             stream.set_nodelay();
+            let (reading, writing) = stream.split();
+            let reading = Rc::new(reading);
             let pending = VecDeque::new();
             let told = Told::new(number);
+            let probe = Rc::new(ConnectionProbe::new(reading.clone(), self.net.now()));
             let mut session = Session {
                 clients: self.clone(),
                 number,
@@ -296,11 +300,15 @@
                 large: None,
                 skip: 0,
                 told,
+                probe,
             };
-            session.run(stream, evict).await;
+            session.run(&*reading, writing, evict).await;
+            // All that holds the connection is let go of, so that it closes now.
+            drop(reading);
+            let Session { pending, .. } = session;
             // All are let go of before the first word of it waits for the queue: the node sees that by itself.
             let asked = |slot: Slot| if let Wait::Node(id, ..) = slot.wait { Some(id) } else { None };
-            let gone: Vec<RequestId> = session.pending.drain(..).filter_map(asked).collect();
+            let gone: Vec<RequestId> = pending.into_iter().filter_map(asked).collect();
             for id in gone {
                 let _ = self.events.send(Input::Client(ClientEvent::Gone(id))).await;
             }
@@ -455,13 +463,19 @@
     skip: usize,
     /// What a slot-aware client has told of its connection.
     told: Told,
+    /// Asked right before anything is written for this client.
+    probe: Rc<ConnectionProbe>,
 }
 
 impl<N: Net> Session<N> {
-    async fn run(&mut self, stream: N::Stream, evict: Rc<Notify>) {
+    async fn run<R: Reading, W: AsyncWrite + Unpin>(
+        &mut self,
+        reading: &R,
+        mut writing: W,
+        evict: Rc<Notify>,
+    ) {
         let clients = self.clients.clone();
         let net = clients.net.clone();
-        let (reading, mut writing) = stream.split();
         let mut buffer = BytesMut::new();
         let mut came = (clients.now)();
         let connected = net.now();
@@ -485,7 +499,7 @@
                         tokio::select! {
                             biased;
                             () = self.command(frame, came) => {}
-                            () = gone(&net, &reading, Unread::Left) => return,
+                            () = gone(&net, reading, Unread::Left) => return,
                         }
                         self.large = None;
                     }
@@ -514,7 +528,7 @@
                 (entry.idle, entry.known) = (idle.then_some(rests), self.known);
             }
             if self.ended && idle {
-                return part(&net, &reading, &mut writing, Unread::Dropped).await;
+                return part(&net, reading, &mut writing, Unread::Dropped).await;
             }
             let word = clients.phase.word();
             let closing = clients.phase.closing() && !planted(Plant::KeptIdle);
@@ -525,7 +539,7 @@
                 Some(begun) => self.known && begun >= *cut && !self.ended,
             });
             if idle && cut.is_some() {
-                return part(&net, &reading, &mut writing, Unread::Left).await;
+                return part(&net, reading, &mut writing, Unread::Left).await;
             }
             let reads = !self.ended && cut.is_none_or(|cut| now < cut);
             let first = (!self.known && idle).then_some(connected + HALF);
@@ -548,8 +562,10 @@
                 ready = ready_answers(&mut self.pending), if !idle => {
                     let bytes = self.take_answers(ready);
                     let (held, mut came_meanwhile) = (!buffer.is_empty(), None);
+                    let probe = self.probe.clone();
                     let mut note = || {
                         came_meanwhile.get_or_insert_with(|| (clients.now)());
+                        probe.stands(net.now());
                     };
                     let unread = match (self.ended, reads) {
                         (true, _) => Unread::Dropped,
@@ -566,7 +582,7 @@
                     let whole = tokio::select! {
                         biased;
                         whole = write => whole,
-                        () = gone(&net, &reading, unread) => return,
+                        () = gone(&net, reading, unread) => return,
                     };
                     if let Some(at) = came_meanwhile.filter(|_| !held) {
                         came = at;
@@ -581,22 +597,23 @@
                     if cut.is_some_and(|cut| begun.map_or(buffer.is_empty(), |begun| begun >= cut))
                         && self.pending.is_empty()
                     {
-                        return part(&net, &reading, &mut writing, Unread::Left).await;
+                        return part(&net, reading, &mut writing, Unread::Left).await;
                     }
                 }
-                more = read(&reading, &mut buffer), if reads => {
+                more = read(reading, &mut buffer), if reads => {
                     // A client that closes has gone away: what it asked for is not wanted any more.
                     if !more {
                         return;
                     }
                     (came, rests) = ((clients.now)(), net.now());
+                    self.probe.stands(rests);
                 }
                 // What is not read is watched all the same, for the requests that wait.
-                () = gone(&net, &reading, if self.ended { Unread::Dropped } else { Unread::Left }), if !reads => {
+                () = gone(&net, reading, if self.ended { Unread::Dropped } else { Unread::Left }), if !reads => {
                     return;
                 }
                 () = evict.notified(), if idle => {
-                    if quiet(&net, &reading, &mut buffer).await {
+                    if quiet(&net, reading, &mut buffer).await {
                         return;
                     }
                     (came, rests) = ((clients.now)(), net.now());
@@ -604,7 +621,7 @@
                 () = net.sleep_until(limit.unwrap_or(now)), if limit.is_some() => {
                     if cut.is_some_and(|cut| cut <= net.now()) {
                         // Read no further from here on.
-                    } else if !quiet(&net, &reading, &mut buffer).await {
+                    } else if !quiet(&net, reading, &mut buffer).await {
                         (came, rests) = ((clients.now)(), net.now());
                     } else if half.is_some_and(|half| half <= net.now()) {
                         self.protocol_error(Malformed("the rest of the command has not come"));
@@ -759,7 +776,7 @@
             return self.pending.push_back(Slot { wait, taken: Some(taken) });
         }
         let (answer, receiver) = oneshot::channel();
-        let guard = CancelGuard::default();
+        let guard = CancelGuard::new(self.probe.clone());
         command.cancel = guard.token();
         let (id, read) = (request.id, self.clients.net.now());
         if self
--- a/crates/mothpier/src/lib.rs
+++ b/crates/mothpier/src/lib.rs
@@ -4,6 +4,7 @@
 //! other; `node` owns the decision module and drives them; [`run`] puts all together.
 
 mod binding;
+mod cancellation;
 mod clients;
 mod clock;
 pub mod config;
--- a/crates/mothpier/src/messages.rs
+++ b/crates/mothpier/src/messages.rs
@@ -3,7 +3,7 @@
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashSet};
-use std::rc::{Rc, Weak};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use brassrouter::{Request, RequestId, ServerId, Status};
@@ -14,7 +14,8 @@
 use serde::{Deserialize, Deserializer, Serialize};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::{Plant, planted, resp};
+use crate::cancellation::CancelToken;
+use crate::resp;
 
 /// Parts of a value that wait between the one who reads and the one who writes.
 const PARTS: usize = 3;
@@ -240,29 +241,6 @@
     pub claim: Claim,
 }
 
-/// Held by a client's connection for as long as it waits for an answer: dropping it cancels the request.
-#[derive(Debug, Default)]
-pub struct CancelGuard(Rc<()>);
-
-impl CancelGuard {
-    /// The token by which the rest of the node sees whether the request is cancelled.
-    pub fn token(&self) -> CancelToken {
-        CancelToken(Some(Rc::downgrade(&self.0)))
-    }
-}
-
-/// Tells whether a request is cancelled, for what is about to be sent for it. The default never is.
-#[derive(Clone, Debug, Default)]
-pub struct CancelToken(Option<Weak<()>>);
-
-impl CancelToken {
-    /// Whether the client no longer waits: it is so as soon as its connection knows.
-    pub fn is_cancelled(&self) -> bool {
-        let sent_all_the_same = planted(Plant::SentAfterLeft) || planted(Plant::SentAfterAnswer);
-        self.0.as_ref().is_some_and(|guard| guard.strong_count() == 0) && !sent_all_the_same
-    }
-}
-
 /// The ids of all open requests.
 pub type Ids = Rc<RefCell<HashSet<Bytes>>>;
 
--- a/crates/mothpier/src/node/tests.rs
+++ b/crates/mothpier/src/node/tests.rs
@@ -67,7 +67,7 @@
             extras: Bytes::new(),
             value: None,
             write: false,
-            cancel: crate::messages::CancelToken::default(),
+            cancel: crate::cancellation::CancelToken::default(),
             claim,
         };
         let (answer, _receiver) = oneshot::channel();
--- a/crates/mothpier/src/origin.rs
+++ b/crates/mothpier/src/origin.rs
@@ -100,8 +100,8 @@
 
 impl Outgoing {
     /// Whether its client no longer waits.
-    fn is_cancelled(&self) -> bool {
-        self.budget.as_ref().is_some_and(|budget| budget.command.cancel.is_cancelled())
+    fn is_cancelled(&self, now: Instant) -> bool {
+        self.budget.as_ref().is_some_and(|budget| budget.command.cancel.is_cancelled(now))
     }
 
     /// Tells the origin how much time is left as of now. Done right before the first byte is written: a call may have been
@@ -286,7 +286,7 @@
         (None, Err(_)) => return Ended::with(Status::ConnectFailed),
     };
     // While the connection was made it may have begun to drain, or the client may have left: nothing new goes there then.
-    if !pool.ready.get() || outgoing.is_cancelled() {
+    if !pool.ready.get() || outgoing.is_cancelled(net.now()) {
         return Ended::with(Status::NotSent);
     }
     if outgoing.stamp(net.now()).is_err() {
--- a/crates/mothpier/src/servers/command.rs
+++ b/crates/mothpier/src/servers/command.rs
@@ -38,8 +38,8 @@
     }
 
     /// Whether nobody waits for it any more, so that it is not begun.
-    pub(super) fn is_cancelled(&self) -> bool {
-        matches!(&self.payload, Payload::Request(budget) if budget.command.cancel.is_cancelled())
+    pub(super) fn is_cancelled(&self, now: Instant) -> bool {
+        matches!(&self.payload, Payload::Request(budget) if budget.command.cancel.is_cancelled(now))
     }
 
     /// What its server owes for it.
--- a/crates/mothpier/src/servers/connection.rs
+++ b/crates/mothpier/src/servers/connection.rs
@@ -119,7 +119,7 @@
             }
         }
         loop {
-            if !self.shared.has_unsent() {
+            if !self.shared.has_unsent(self.net.now()) {
                 self.shared.wake.notified().await;
             }
             // Once round the runtime: a close that has come in is read before anything more is written.
--- a/crates/mothpier/src/servers/line.rs
+++ b/crates/mothpier/src/servers/line.rs
@@ -47,8 +47,8 @@
     }
 
     /// The place of the first command to begin.
-    fn next_unsent(&self) -> Option<usize> {
-        self.unsent.iter().position(|command| !command.is_cancelled())
+    fn next_unsent(&self, now: Instant) -> Option<usize> {
+        self.unsent.iter().position(|command| !command.is_cancelled(now))
     }
 
     /// Whether something given up is ahead: what is written behind it may wait for ever.
@@ -112,8 +112,8 @@
     }
 
     /// Whether there is a command to begin. One that is cancelled stays on record until the node takes it back.
-    pub(super) fn has_unsent(&self) -> bool {
-        self.line.borrow().next_unsent().is_some()
+    pub(super) fn has_unsent(&self, now: Instant) -> bool {
+        self.line.borrow().next_unsent(now).is_some()
     }
 
     /// Whether something else waits on the connection.
@@ -131,7 +131,7 @@
         now: Instant,
     ) -> Poll<Option<std::io::Result<Begun>>> {
         let mut line = self.line.borrow_mut();
-        let Some(next) = line.next_unsent() else { return Poll::Ready(None) };
+        let Some(next) = line.next_unsent(now) else { return Poll::Ready(None) };
         let mut bytes = line.unsent[next].bytes(now);
         let written = match Pin::new(writing).poll_write(cx, &bytes) {
             Poll::Pending => return Poll::Pending,
--- a/crates/mothpier/src/servers/tests.rs
+++ b/crates/mothpier/src/servers/tests.rs
@@ -76,7 +76,7 @@
         extras: "k".into(),
         value,
         write,
-        cancel: messages::CancelToken::default(),
+        cancel: crate::cancellation::CancelToken::default(),
         claim,
     };
     let deadline = Instant::now() + Duration::from_secs(60);
