Node: starts of cache servers age by the monotonic clock from when they are told

Cause: the age of a start was the wall clock's time at the node's start, plus the monotonic time since, less the stated Unix time. A clock that was ahead made a cold server warm at once, one behind kept it cold for as long as it was behind, and a server that restarted on a stepped clock was either.

Change: start_times.rs, pure, puts each stated start on the node's clock. Told while the node runs: it begins at that moment. From before the node's first whole list: as young as its distance from the newest start of the list, and no older than the wall clock says; warm where no step explains its age; the wall clock is believed where the careful reading would take most servers for cold that are warm by it.

--- a/crates/mothpier/src/lib.rs
+++ b/crates/mothpier/src/lib.rs
@@ -28,6 +28,7 @@
 mod resp;
 mod servers;
 mod shelf;
+mod start_times;
 mod succession;
 mod time_budget;
 mod topology;
--- a/crates/mothpier/src/node.rs
+++ b/crates/mothpier/src/node.rs
@@ -30,6 +30,7 @@
 use crate::peers::Peers;
 use crate::phase::Phase;
 use crate::servers::{self, Ended, Payload, Servers};
+use crate::start_times::StartTimes;
 use crate::time_budget::TimeBudget;
 use crate::topology::Asker;
 use crate::{Plant, planted, resp};
@@ -103,6 +104,7 @@
     clock: Clock<N>,
     parts: Parts<N>,
     numbers: Numbers,
+    start_times: StartTimes,
     /// Who is out by hand, before anything is made of the list.
     hand: Hand,
     /// How many lists and changes of it have come.
@@ -126,6 +128,7 @@
 impl<N: Net> Node<N> {
     pub fn new(net: N, site: Site, seed: u64, clock: Clock<N>, parts: Parts<N>) -> Self {
         let origin = site.decisions.origin_kind.and_then(|k| site.kinds.get(usize::from(k)).cloned());
+        let start_times = StartTimes::new(site.decisions.warm_up);
         Node {
             hand: Hand::new(origin),
             lists: 0,
@@ -135,6 +138,7 @@
             clock,
             parts,
             numbers: Numbers::default(),
+            start_times,
             origin_ids: HashSet::new(),
             open: HashMap::new(),
             flights: HashMap::new(),
@@ -239,6 +243,9 @@
                 self.parts.phase.listed();
                 let kind = if list.complete { ListKind::Full } else { ListKind::Delta };
                 self.heard_list(list, kind);
+                if kind == ListKind::Full {
+                    self.start_times.listed();
+                }
             }
             Input::Discovery(Heard::Failed) => {
                 if let Some(membership) = &self.parts.membership {
@@ -395,7 +402,8 @@
     }
 
     fn take(&mut self, mut list: List, kind: ListKind) {
-        let lines = self.numbers.lines(&self.net, &mut list, &self.site);
+        let mut lines = self.numbers.lines(&self.net, &mut list, &self.site);
+        self.start_times.place(self.clock.now(), lines.iter_mut().map(|(line, _)| line));
         let named: HashSet<ServerId> = lines.iter().map(|(line, _)| line.id).collect();
         let gone = lines.iter().map(|(line, _)| line).filter(|line| line.condition == Condition::Gone);
         let gone: HashSet<ServerId> = gone.map(|line| line.id).collect();
@@ -418,10 +426,9 @@
                 self.parts.origins.gone(id);
             }
         }
-        // Ids are ever new: what the list has no longer is not kept.
         match kind {
-            ListKind::Delta => self.numbers.forget(|id| gone.contains(&id)),
-            _ => self.numbers.forget(|id| !named.contains(&id) || gone.contains(&id)),
+            ListKind::Delta => self.forget(|id| gone.contains(&id)),
+            _ => self.forget(|id| !named.contains(&id) || gone.contains(&id)),
         }
         let servers = lines.into_iter().map(|(line, _)| line).collect();
         self.events.push_back(Event::ServerList { kind, servers });
@@ -442,6 +449,12 @@
         }
     }
 
+    /// Ids are ever new: nothing is kept of servers that have left.
+    fn forget(&mut self, left: impl Fn(ServerId) -> bool) {
+        self.numbers.forget(&left);
+        self.start_times.forget(&left);
+    }
+
     fn act(&mut self, action: Action) {
         match action {
             Action::Send { request, server, give_up_after, asking } => {
