Origin: whether the client still waits is asked in the moment of the write

A call is handed to the HTTP client, whose task writes it after all others that are ready; a stop in between left the look at the client behind it.

Change: write_gate.rs, a stream that asks before the first byte of a request; a refused call ends its connection with nothing written and counts as not sent.

--- a/crates/mothpier/src/http.rs
+++ b/crates/mothpier/src/http.rs
@@ -11,12 +11,16 @@
 use hyper_util::rt::TokioIo;
 use mothpier_net::{Net, Stream, Task};
 
+use crate::write_gate::{GatedStream, WriteGate};
+
 /// Read ahead of one connection; a head without end goes no further.
 const MAX_HEAD: usize = 64 * 1024;
 
 /// An open connection; dropping it closes the socket, also under a request that is out.
 pub struct Connection<N: Net> {
     pub sender: SendRequest<Full<Bytes>>,
+    /// Asked before the first byte of a request is written.
+    pub gate: WriteGate,
     driver: N::Task,
 }
 
@@ -34,11 +38,13 @@
 ) -> std::io::Result<Connection<N>> {
     let stream = net.timeout(within, net.connect(address)).await.ok_or(ErrorKind::TimedOut)??;
     stream.set_nodelay();
-    let handshake = http1::Builder::new().max_buf_size(MAX_HEAD).handshake(TokioIo::new(stream)).await;
+    let gate = WriteGate::default();
+    let stream = TokioIo::new(GatedStream { stream, gate: gate.clone() });
+    let handshake = http1::Builder::new().max_buf_size(MAX_HEAD).handshake(stream).await;
     let (sender, connection) = handshake.map_err(std::io::Error::other)?;
     // Driving the connection also while it is idle is what notices that the peer has closed it.
     let driver = net.spawn(async move { drop(connection.await) });
-    Ok(Connection { sender, driver })
+    Ok(Connection { sender, gate, driver })
 }
 
 /// Reads a body of at most `most` bytes.
--- a/crates/mothpier/src/lib.rs
+++ b/crates/mothpier/src/lib.rs
@@ -32,6 +32,7 @@
 mod succession;
 mod time_budget;
 mod topology;
+mod write_gate;
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
--- a/crates/mothpier/src/origin.rs
+++ b/crates/mothpier/src/origin.rs
@@ -292,11 +292,16 @@
     if outgoing.stamp(net.now()).is_err() {
         return Ended::with(Status::NotSent);
     }
+    if let Some(budget) = &outgoing.budget {
+        let (cancel, net) = (budget.command.cancel.clone(), net.clone());
+        connection.gate.ask(move || !cancel.is_cancelled(net.now()));
+    }
     progress.begun.set(true);
     let mut sending = std::pin::pin!(connection.sender.try_send_request(outgoing.request));
     // It is written whole by then, or its connection has ended.
     let early = net.timeout(WRITTEN, sending.as_mut()).await;
-    if !matches!(&early, Some(Err(e)) if e.message().is_some()) {
+    let unsent = connection.gate.has_refused() || matches!(&early, Some(Err(e)) if e.message().is_some());
+    if !unsent {
         progress.counts.iter().for_each(|figures| figures.attempt());
     }
     let sent = match early {
@@ -307,6 +312,7 @@
         Ok(response) => response,
         // Given back: the connection had ended before any of it was written.
         Err(e) if e.message().is_some() => return Ended::with(Status::ConnectFailed),
+        Err(_) if connection.gate.has_refused() => return Ended::with(Status::NotSent),
         Err(_) if planted(Plant::ResetNeverRan) => return Ended::with(Status::ConnectFailed),
         Err(_) => return Ended::with(Status::Reset),
     };
