Coordinator: a failing disk is waited for, and the store written anew

Change: on a failing write the member closes its store and takes part in nothing: it neither votes, grants nor confirms, says so in one line, in its status, its metrics and to whoever asks. Each 200 ms it opens the store anew: what can be read back is written to another file, synced and named in its place, since a second sync of the same file proves nothing after a failed one. It goes on from there as after a restart of the process, with a new life's numbers; a start with a failing disk waits likewise.

The model of leases is untouched: to it this is a crash and a restart.

--- a/crates/mothpier-coordination/src/wire.rs
+++ b/crates/mothpier-coordination/src/wire.rs
@@ -155,4 +155,7 @@
     pub learners: Vec<u64>,
     /// Those that vote, and by how many lines each lags; known to a leader.
     pub members: Vec<(u64, Option<u64>)>,
+    /// Why its store can't be written, while that is so: it takes part in nothing then.
+    #[serde(default)]
+    pub store_failure: Option<String>,
 }
--- a/crates/mothpier-coordinator/src/core.rs
+++ b/crates/mothpier-coordinator/src/core.rs
@@ -101,7 +101,8 @@
 pub struct Core {
     raft: RawNode<Log>,
     log: Log,
-    store: Store,
+    /// `None` once its disk has failed: this member says nothing more.
+    store: Option<Store>,
     conf: ConfState,
     agreed: Agreed,
     keeper: Keeper,
@@ -134,13 +135,13 @@
     ///
     /// A state that a newer program wrote, and one that is damaged.
     pub fn new(store: Store, found: Found, life: u64) -> Result<Core, Trouble> {
-        let refused = |e: raft::Error| Trouble(format!("the store's parts don't fit: {e}"));
+        let refused = |e: raft::Error| Trouble::Unusable(format!("the store's parts don't fit: {e}"));
         let meta = found.snapshot.get_metadata().clone();
         let joins = meta.index == 0;
         let agreed = match joins {
             true => Agreed::default(),
             false => Agreed::from_bytes(found.snapshot.get_data())
-                .map_err(|e| Trouble(format!("the snapshot in the store: {e}")))?,
+                .map_err(|e| Trouble::Unusable(format!("the snapshot in the store: {e}")))?,
         };
         let lines = MemStorage::new();
         {
@@ -170,7 +171,7 @@
         Ok(Core {
             raft,
             log,
-            store,
+            store: Some(store),
             conf: meta.get_conf_state().clone(),
             agreed,
             keeper: Keeper::default(),
@@ -210,6 +211,19 @@
         self.raft.tick();
     }
 
+    /// Ends this member's part: its store is closed, who waits for something is told that it is not known, and nothing is
+    /// voted, granted or confirmed any more.
+    pub fn halt(&mut self) {
+        self.store = None;
+        self.outgoing.clear();
+        self.led(self.since, false, 0);
+    }
+
+    fn keep(&self, change: &Kept<'_>) -> Result<(), Trouble> {
+        let closed = || Trouble::DiskFails("the store is closed since its disk failed".into());
+        self.store.as_ref().ok_or_else(closed)?.keep(change)
+    }
+
     /// A message of another member. One that is of no use is dropped: the library's own rule.
     pub fn message(&mut self, message: Message) {
         let _ = self.raft.step(message);
@@ -375,14 +389,14 @@
         let snapshot = ready.snapshot();
         let taken = (!snapshot.is_empty()).then(|| snapshot.clone());
         if taken.is_some() || !ready.entries().is_empty() || ready.hs().is_some() {
-            self.store.keep(&Kept {
+            self.keep(&Kept {
                 vote: ready.hs(),
                 entries: ready.entries(),
                 snapshot: taken.as_ref(),
                 replaces: taken.is_some(),
                 keep_from: 0,
             })?;
-            let refused = |e: raft::Error| Trouble(format!("the log's parts don't fit: {e}"));
+            let refused = |e: raft::Error| Trouble::Unusable(format!("the log's parts don't fit: {e}"));
             if let Some(taken) = taken {
                 self.take_over(taken)?;
             }
@@ -442,12 +456,13 @@
 
     fn take_over(&mut self, snapshot: Snapshot) -> Result<(), Trouble> {
         self.agreed = Agreed::from_bytes(snapshot.get_data())
-            .map_err(|e| Trouble(format!("a snapshot of the leader's: {e}")))?;
+            .map_err(|e| Trouble::Unusable(format!("a snapshot of the leader's: {e}")))?;
         let meta = snapshot.get_metadata();
         (self.applied, self.snapshot_at) = (meta.index, meta.index);
         self.conf = meta.get_conf_state().clone();
         self.synced += 1;
-        let refused = |e: raft::Error| Trouble(format!("a snapshot of the leader's does not fit: {e}"));
+        let refused =
+            |e: raft::Error| Trouble::Unusable(format!("a snapshot of the leader's does not fit: {e}"));
         self.log.lines.wl().apply_snapshot(snapshot.clone()).map_err(refused)?;
         *self.log.snapshot.borrow_mut() = snapshot;
         Ok(())
@@ -459,7 +474,10 @@
             match entry.get_entry_type() {
                 EntryType::EntryNormal if !entry.data.is_empty() => {
                     let command: Command = serde_json::from_slice(&entry.data).map_err(|e| {
-                        Trouble(format!("line {} of the log is of a newer program: {e}", entry.index))
+                        Trouble::Unusable(format!(
+                            "line {} of the log is of a newer program: {e}",
+                            entry.index
+                        ))
                     })?;
                     let answer = self.agreed.apply(&command);
                     self.keep_time(now, &command, &answer);
@@ -472,9 +490,10 @@
                 EntryType::EntryNormal => {}
                 EntryType::EntryConfChange => {
                     let change = raft::eraftpb::ConfChange::parse_from_bytes(&entry.data);
-                    let change = change.map_err(|e| Trouble(format!("a change of members: {e}")))?;
+                    let change =
+                        change.map_err(|e| Trouble::Unusable(format!("a change of members: {e}")))?;
                     let conf = self.raft.apply_conf_change(&change);
-                    self.conf = conf.map_err(|e| Trouble(format!("a change of members: {e}")))?;
+                    self.conf = conf.map_err(|e| Trouble::Unusable(format!("a change of members: {e}")))?;
                     self.log.lines.wl().set_conf_state(self.conf.clone());
                     // A snapshot from before does not name who has just come: that one would refuse it.
                     self.log.wanted.set(true);
@@ -487,7 +506,9 @@
                     }
                 }
                 EntryType::EntryConfChangeV2 => {
-                    return Err(Trouble("the log holds a change of members of a newer program".into()));
+                    return Err(Trouble::Unusable(
+                        "the log holds a change of members of a newer program".into(),
+                    ));
                 }
             }
             self.synced += 1;
@@ -523,7 +544,7 @@
         if self.applied < self.snapshot_at + SNAPSHOT_EVERY && !(wanted && self.applied > self.snapshot_at) {
             return Ok(());
         }
-        let refused = |e: raft::Error| Trouble(format!("the log's parts don't fit: {e}"));
+        let refused = |e: raft::Error| Trouble::Unusable(format!("the log's parts don't fit: {e}"));
         let mut snapshot = Snapshot::default();
         snapshot.mut_metadata().index = self.applied;
         snapshot.mut_metadata().term = self.log.lines.term(self.applied).map_err(refused)?;
@@ -533,7 +554,7 @@
         // What a snapshot stands for is committed: the vote that is kept must say no less.
         let vote = self.log.lines.rl().hard_state().clone();
         let kept = Kept { vote: Some(&vote), snapshot: Some(&snapshot), keep_from, ..Kept::default() };
-        self.store.keep(&kept)?;
+        self.keep(&kept)?;
         let first = self.log.lines.first_index().map_err(refused)?;
         if keep_from > first {
             self.log.lines.wl().compact(keep_from).map_err(refused)?;
--- a/crates/mothpier-coordinator/src/door.rs
+++ b/crates/mothpier-coordinator/src/door.rs
@@ -153,7 +153,10 @@
     match ended {
         Ended::Answered(answer) => said(StatusCode::OK, &json!({"answer": answer})),
         Ended::Changed => said(StatusCode::OK, &json!({"answer": "changed"})),
-        Ended::NotLeading => failed(member, Error::NotLeader, "another member leads, or none".into()),
+        Ended::NotLeading => {
+            let no_leader = || "another member leads, or none".into();
+            failed(member, Error::NotLeader, member.store_failure().unwrap_or_else(no_leader))
+        }
         Ended::Unknown => {
             failed(member, Error::Unknown, "not confirmed in time: it may have been done".into())
         }
@@ -199,8 +202,8 @@
 /// Shows something of what is agreed, once a majority has confirmed that this member leads.
 async fn shown<N: Net, T: Serialize>(member: &Member<N>, show: impl FnOnce(&Core) -> T) -> Reply {
     if !member.confirmed(COMMIT).await {
-        let why = "a majority did not confirm that this member leads";
-        return failed(member, Error::NotLeader, why.into());
+        let unconfirmed = || "a majority did not confirm that this member leads".into();
+        return failed(member, Error::NotLeader, member.store_failure().unwrap_or_else(unconfirmed));
     }
     said(StatusCode::OK, &show(&member.core.borrow()))
 }
--- a/crates/mothpier-coordinator/src/lib.rs
+++ b/crates/mothpier-coordinator/src/lib.rs
@@ -22,10 +22,12 @@
 
 use crate::config::Config;
 use crate::core::{Core, Ended};
-use crate::store::{Store, Trouble};
+use crate::store::{Found, Store, Trouble};
 
 /// Ticks that are made up for after a wait: a process that was stopped for long must not stand for election at once.
 const MADE_UP: u32 = 3;
+/// Between two tries to open a store whose disk has failed.
+const REOPEN: Duration = Duration::from_millis(200);
 
 /// A running member.
 pub struct Member<N: Net> {
@@ -39,6 +41,8 @@
     /// Made when there is something to send; where a member is, its own file has the last word on.
     peers: RefCell<BTreeMap<u64, mpsc::Sender<Vec<Message>>>>,
     began: Instant,
+    /// Why the store can't be written, while that is so.
+    store_failure: RefCell<Option<String>>,
 }
 
 /// Makes a store for a new fleet's member.
@@ -62,15 +66,15 @@
     Store::init(&config.folder, &config.cluster, config.member, &[], &[])
 }
 
-/// Runs a member until it fails.
+/// Runs a member until it fails. A disk that fails is waited for.
 ///
 /// # Errors
 ///
-/// A store that can't be opened, read or written; an address that is taken.
+/// A store that can't be opened or read; an address that is taken.
 pub async fn run<N: Net>(net: N, config: Config) -> Result<(), Trouble> {
-    let (store, found) = Store::open(&config.folder)?;
+    let (store, found) = open(&net, &config).await?;
     if found.about.cluster != config.cluster || found.about.member != config.member {
-        return Err(Trouble(format!(
+        return Err(Trouble::Unusable(format!(
             "{}: the store is that of member {} of {}, the file says member {} of {}",
             config.folder.display(),
             found.about.member,
@@ -83,11 +87,8 @@
     let listener = net
         .listen(config.listen)
         .await
-        .map_err(|e| Trouble(format!("can't listen at {}: {e}", config.listen)))?;
-    let entropy = net.entropy().map_err(|e| Trouble(format!("no entropy: {e}")))?;
-    let life =
-        u64::from_be_bytes([entropy[0], entropy[1], entropy[2], entropy[3], entropy[4], entropy[5], 0, 0]);
-    let mut core = Core::new(store, found, life)?;
+        .map_err(|e| Trouble::Unusable(format!("can't listen at {}: {e}", config.listen)))?;
+    let mut core = Core::new(store, found, life(&net)?)?;
     core.lead_if_alone();
 
     net.log(format_args!("coordinator {} of {} listens at {}", config.member, config.cluster, config.listen));
@@ -100,9 +101,37 @@
         changed: Notify::new(),
         peers: RefCell::default(),
         began,
+        store_failure: RefCell::default(),
     });
     net.spawn(door::run(member.clone(), listener));
-    member.drive().await
+    loop {
+        match member.drive().await {
+            Err(Trouble::DiskFails(why)) => member.recover(&why).await?,
+            ended => return ended,
+        }
+    }
+}
+
+/// Opens the store; while its disk fails that is tried again.
+async fn open<N: Net>(net: &N, config: &Config) -> Result<(Store, Found), Trouble> {
+    let mut said = false;
+    loop {
+        match Store::open(&config.folder) {
+            Err(Trouble::DiskFails(why)) => {
+                if !std::mem::replace(&mut said, true) {
+                    net.log(format_args!("{why}; tried again until the disk takes it"));
+                }
+                net.sleep(REOPEN).await;
+            }
+            opened => return opened,
+        }
+    }
+}
+
+/// Draws what sets this life's numbers apart from those of all others.
+fn life<N: Net>(net: &N) -> Result<u64, Trouble> {
+    let drawn = net.entropy().map_err(|e| Trouble::Unusable(format!("no entropy: {e}")))?;
+    Ok(u64::from_be_bytes([drawn[0], drawn[1], drawn[2], drawn[3], drawn[4], drawn[5], 0, 0]))
 }
 
 impl<N: Net> Member<N> {
@@ -133,6 +162,35 @@
         }
     }
 
+    /// Waits until the store can be written again, and goes on from what it holds, as after a restart of the process.
+    /// Meanwhile this member takes part in nothing.
+    async fn recover(self: &Rc<Self>, why: &str) -> Result<(), Trouble> {
+        self.net.log(format_args!("{why}; neither votes nor grants until its store can be written again"));
+        *self.store_failure.borrow_mut() = Some(why.to_owned());
+        self.core.borrow_mut().halt();
+        self.changed.notify_waiters();
+        let failed_at = self.net.now();
+        let (store, found) = loop {
+            self.net.sleep(REOPEN).await;
+            match Store::reopen(&self.config.folder) {
+                Ok(opened) => break opened,
+                Err(again) => *self.store_failure.borrow_mut() = Some(again.to_string()),
+            }
+        };
+        let mut core = Core::new(store, found, life(&self.net)?)?;
+        core.lead_if_alone();
+        *self.core.borrow_mut() = core;
+        *self.store_failure.borrow_mut() = None;
+        let after = self.net.since(failed_at);
+        self.net.log(format_args!("the store can be written again, after {after:.1?}"));
+        Ok(())
+    }
+
+    /// Why this member takes part in nothing, while that is so.
+    fn store_failure(&self) -> Option<String> {
+        self.store_failure.borrow().clone()
+    }
+
     /// Hands messages for a member to whoever carries them there; whether they were taken.
     fn send(self: &Rc<Self>, to: u64, batch: Vec<Message>) -> bool {
         let mut peers = self.peers.borrow_mut();
@@ -174,6 +232,9 @@
     }
 
     fn take(&self, messages: Vec<Message>) {
+        if self.store_failure.borrow().is_some() {
+            return;
+        }
         messages.into_iter().for_each(|m| self.core.borrow_mut().message(m));
         self.wake.notify_one();
     }
@@ -224,6 +285,7 @@
             leases: core.agreed().leases().len(),
             learners: core.learners().to_vec(),
             members: core.members().into_iter().map(lag).collect(),
+            store_failure: self.store_failure(),
         }
     }
 
@@ -240,6 +302,12 @@
         };
         gauge("leads", "Whether this member leads.", f64::from(u8::from(core.leads())));
         gauge("has_leader", "Whether it knows of a leader.", f64::from(u8::from(core.leader() != 0)));
+        let fails = f64::from(u8::from(status.store_failure.is_some()));
+        gauge(
+            "store_failing",
+            "Whether its store can't be written, so that it takes part in nothing.",
+            fails,
+        );
         gauge("term", "The present term.", status.term as f64);
         gauge("committed_index", "The last line that is committed.", status.committed as f64);
         gauge("applied_index", "The last line that is applied.", status.applied as f64);
--- a/crates/mothpier-coordinator/src/main.rs
+++ b/crates/mothpier-coordinator/src/main.rs
@@ -62,8 +62,9 @@
 }
 
 fn read(file: &PathBuf) -> Result<Config, Trouble> {
-    let text = std::fs::read_to_string(file).map_err(|e| Trouble(format!("{}: {e}", file.display())))?;
-    config::parse(&text).map_err(|e| Trouble(format!("{}:\n{e}", file.display())))
+    let text =
+        std::fs::read_to_string(file).map_err(|e| Trouble::Unusable(format!("{}: {e}", file.display())))?;
+    config::parse(&text).map_err(|e| Trouble::Unusable(format!("{}:\n{e}", file.display())))
 }
 
 fn prepared(command: Command) -> Result<Option<Config>, Trouble> {
--- a/crates/mothpier-coordinator/src/store.rs
+++ b/crates/mothpier-coordinator/src/store.rs
@@ -55,20 +55,39 @@
 
 /// What can't be done with a store, in words that say what to do.
 #[derive(Debug)]
-pub struct Trouble(pub String);
+pub enum Trouble {
+    /// The disk fails or is full: it may be better later, and what is on it has to be read back then.
+    DiskFails(String),
+    /// The store, or something else that is needed, can't be used as it is.
+    Unusable(String),
+}
 
 impl std::fmt::Display for Trouble {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(&self.0)
+        let (Trouble::DiskFails(why) | Trouble::Unusable(why)) = self;
+        f.write_str(why)
     }
 }
 
+/// Whether an error is one of a disk that is full or broken, which may pass.
+fn is_of_the_disk(error: &std::io::Error) -> bool {
+    const INPUT_OUTPUT_ERROR: i32 = 5;
+    error.kind() == std::io::ErrorKind::StorageFull || error.raw_os_error() == Some(INPUT_OUTPUT_ERROR)
+}
+
 fn trouble<E: std::fmt::Display>(what: &'static str) -> impl Fn(E) -> Trouble {
-    move |e| Trouble(format!("{what}: {e}"))
+    move |e| Trouble::Unusable(format!("{what}: {e}"))
 }
 
 /// Fills a new store.
 fn found(db: &Database, cluster: &str, member: u64, members: &[u64], state: &[u8]) -> Result<(), Trouble> {
+    let about = About { format: FORMAT, cluster: cluster.into(), member };
+    let found = first(about, members, state);
+    fill(db, &found).map_err(trouble("the store can't be made"))
+}
+
+/// What a new member of a fleet, or one that joins it, begins with.
+fn first(about: About, members: &[u64], state: &[u8]) -> Found {
     let (mut snapshot, mut vote) = (Snapshot::default(), HardState::default());
     // One that joins knows nothing, not even who votes: the leader tells it.
     if !members.is_empty() {
@@ -80,21 +99,36 @@
         snapshot.set_data(state.to_vec().into());
         (vote.term, vote.commit) = (FIRST, FIRST);
     }
-    let about = About { format: FORMAT, cluster: cluster.into(), member };
-    let about = serde_json::to_vec(&about).map_err(trouble("the store can't be made"))?;
-    let write = || -> Result<(), Box<dyn std::error::Error>> {
-        let txn = db.begin_write()?;
-        txn.open_table(ABOUT)?.insert("about", about.as_slice())?;
-        txn.open_table(LOG)?;
-        {
-            let mut table = txn.open_table(STATE)?;
-            table.insert("vote", vote.write_to_bytes()?.as_slice())?;
-            table.insert("snapshot", snapshot.write_to_bytes()?.as_slice())?;
+    Found { about, vote, snapshot, entries: Vec::new() }
+}
+
+/// Writes all that a store holds, synced before it returns.
+fn fill(db: &Database, all: &Found) -> Result<(), Box<dyn std::error::Error>> {
+    let about = serde_json::to_vec(&all.about)?;
+    let txn = db.begin_write()?;
+    txn.open_table(ABOUT)?.insert("about", about.as_slice())?;
+    {
+        let mut log = txn.open_table(LOG)?;
+        for entry in &all.entries {
+            log.insert(entry.index, entry.write_to_bytes()?.as_slice())?;
         }
-        txn.commit()?;
-        Ok(())
-    };
-    write().map_err(trouble("the store can't be made"))
+        let mut state = txn.open_table(STATE)?;
+        state.insert("vote", all.vote.write_to_bytes()?.as_slice())?;
+        state.insert("snapshot", all.snapshot.write_to_bytes()?.as_slice())?;
+    }
+    txn.commit()?;
+    Ok(())
+}
+
+/// Fills a store aside and gives it its name when it is whole: a crash in between leaves the one before.
+fn replace(folder: &Path, fill: impl FnOnce(&Database) -> Result<(), Trouble>) -> Result<(), Trouble> {
+    let aside = folder.join(format!("{FILE}.new"));
+    let _ = std::fs::remove_file(&aside);
+    let db = Database::create(&aside).map_err(trouble("the store can't be made"))?;
+    fill(&db)?;
+    drop(db);
+    std::fs::rename(&aside, folder.join(FILE)).map_err(trouble("the store can't be named"))?;
+    std::fs::File::open(folder).and_then(|f| f.sync_all()).map_err(trouble("the folder can't be synced"))
 }
 
 impl Store {
@@ -141,22 +175,29 @@
         state: &[u8],
     ) -> Result<(), Trouble> {
         std::fs::create_dir_all(folder)
-            .map_err(|e| Trouble(format!("{} can't be made: {e}", folder.display())))?;
+            .map_err(|e| Trouble::Unusable(format!("{} can't be made: {e}", folder.display())))?;
         let file = folder.join(FILE);
         if file.exists() {
-            return Err(Trouble(format!(
+            return Err(Trouble::Unusable(format!(
                 "{} is there already: a member's store is made once, and a member that lost its own comes as a new one",
                 file.display()
             )));
         }
-        // Made aside and named when it is whole: a crash in between leaves no half of a store.
-        let aside = folder.join(format!("{FILE}.new"));
-        let _ = std::fs::remove_file(&aside);
-        let db = Database::create(&aside).map_err(trouble("the store can't be made"))?;
-        found(&db, cluster, member, members, state)?;
-        drop(db);
-        std::fs::rename(&aside, &file).map_err(trouble("the store can't be named"))?;
-        std::fs::File::open(folder).and_then(|f| f.sync_all()).map_err(trouble("the folder can't be synced"))
+        replace(folder, |db| found(db, cluster, member, members, state))
+    }
+
+    /// Opens a store whose disk has failed. What can be read back is written anew, to another file that takes the place of
+    /// the first: after a failed sync the kernel may hold as clean what never reached the disk, and a second sync of the
+    /// same file would say nothing of it.
+    ///
+    /// # Errors
+    ///
+    /// As [`Store::open`], and a disk that fails still.
+    pub fn reopen(folder: &Path) -> Result<(Store, Found), Trouble> {
+        let (store, found) = Store::open(folder)?;
+        drop(store);
+        replace(folder, |db| fill(db, &found).map_err(trouble("the store can't be written anew")))?;
+        Store::open(folder)
     }
 
     /// Whether a folder holds a store.
@@ -173,23 +214,30 @@
         let file = folder.join(FILE);
         let name = file.display();
         if !file.exists() {
-            return Err(Trouble(format!(
+            return Err(Trouble::Unusable(format!(
                 "{name} is not there: `init` makes one for a new fleet; a member that has lost its store must not come \
                  back under its number, for it may have voted"
             )));
         }
-        let db = Database::open(&file).map_err(|e| {
-            Trouble(match e {
-                DatabaseError::DatabaseAlreadyOpen => format!("{name}: another process has it open"),
-                DatabaseError::Storage(StorageError::Corrupted(why)) => format!("{name} is damaged: {why}"),
-                e => format!("{name} can't be opened: {e}"),
-            })
+        let db = Database::open(&file).map_err(|e| match e {
+            DatabaseError::DatabaseAlreadyOpen => {
+                Trouble::Unusable(format!("{name}: another process has it open"))
+            }
+            DatabaseError::Storage(StorageError::Corrupted(why)) => {
+                Trouble::Unusable(format!("{name} is damaged: {why}"))
+            }
+            DatabaseError::Storage(StorageError::Io(e)) if is_of_the_disk(&e) => {
+                Trouble::DiskFails(format!("{name} can't be opened: {e}"))
+            }
+            e => Trouble::Unusable(format!("{name} can't be opened: {e}")),
         })?;
         let store = Store { db };
-        let found = store.read().map_err(|e| Trouble(format!("{name} can't be read: {e}")))?;
+        let found = store.read().map_err(|e| Trouble::Unusable(format!("{name} can't be read: {e}")))?;
         if found.about.format != FORMAT {
             let format = found.about.format;
-            return Err(Trouble(format!("{name} has format {format}; this program reads {FORMAT}")));
+            return Err(Trouble::Unusable(format!(
+                "{name} has format {format}; this program reads {FORMAT}"
+            )));
         }
         Ok((store, found))
     }
@@ -229,9 +277,10 @@
     ///
     /// # Errors
     ///
-    /// A disk that is full or broken: the process must end, for what it would say next would not be true after a crash.
+    /// A disk that is full or broken: nothing may be said any more by what this store should hold, and the store has to be
+    /// opened anew ([`Store::reopen`]).
     pub fn keep(&self, change: &Kept<'_>) -> Result<(), Trouble> {
-        self.write(change).map_err(|e| Trouble(format!("the store can't be written: {e}")))
+        self.write(change).map_err(|e| Trouble::DiskFails(format!("the store can't be written: {e}")))
     }
 
     fn write(&self, change: &Kept<'_>) -> Result<(), Box<dyn std::error::Error>> {
--- a/crates/mothpierctl/src/lease.rs
+++ b/crates/mothpierctl/src/lease.rs
@@ -236,7 +236,7 @@
                         lag.filter(|l| *l > 0).map(|l| format!(", {id} lags by {l}"))
                     });
                     format!(
-                        "{address}  member {} of {}  {role} since {} s, term {}, committed {}, {} sessions, {} leases{}\n",
+                        "{address}  member {} of {}  {role} since {} s, term {}, committed {}, {} sessions, {} leases{}{}\n",
                         s.member,
                         s.cluster,
                         s.since_ms / 1000,
@@ -244,7 +244,11 @@
                         s.committed,
                         s.sessions,
                         s.leases,
-                        behind.collect::<String>()
+                        behind.collect::<String>(),
+                        s.store_failure
+                            .iter()
+                            .map(|why| format!(", takes part in nothing: {why}"))
+                            .collect::<String>()
                     )
                 }
             };
