--- a/crates/mothpier/src/handover/tests.rs
+++ b/crates/mothpier/src/handover/tests.rs
@@ -61,3 +61,16 @@
     }
     assert_eq!(Word::read("\0garbage"), Word::default());
 }
+
+#[test]
+fn a_list_held_later_counts_also_where_the_wall_clock_was_set_back() {
+    const HOUR_MS: u64 = 3_600_000;
+    let list = |revision| List { revision, complete: true, members: Vec::new() };
+    let mut state = State::new("n0");
+    state.list(10 * HOUR_MS, list(1));
+    let on_disk = State::read(&state.bytes(), "n0").unwrap();
+    state.list(9 * HOUR_MS, list(2));
+    // The file still holds what was written before: it is read again before the next write.
+    state.merge(on_disk);
+    assert_eq!(state.take_list().map(|held| held.revision), Some(2));
+}
