Handoff: what staff said is kept once the disk takes it, and they are told until then

Cause: a failed write of the state was noted as written; the next look read the older file and wrote again, with a line of the log each 0.1 s, and staff were told a plain yes. The list was marked with the wall clock's time: after a step back the file's older list was taken for the newer one, for as long as the step was.

Change: a failed write is tried again with each look, said once in the log and in every answer to staff until it is kept; marks of the list only rise, as those of staff's words did already.

--- a/crates/mothpier/src/drains.rs
+++ b/crates/mothpier/src/drains.rs
@@ -156,7 +156,8 @@
             (follower.out(), follower.empties())
         };
         if let Some(succession) = &self.operations.succession {
-            succession.said(self.net(), |state, now| state.drained(now, out.clone(), own));
+            // Logged where it can't be kept, and tried again.
+            let _ = succession.said(self.net(), |state, now| state.drained(now, out.clone(), own));
         }
         self.take(out, own).await;
     }
--- a/crates/mothpier/src/handover.rs
+++ b/crates/mothpier/src/handover.rs
@@ -133,7 +133,8 @@
 
     /// The list as it is held now.
     pub fn list(&mut self, now: u64, list: List) {
-        (self.list, self.listed) = (Some(list), now);
+        // Later than what was held before, whatever the clock does.
+        (self.list, self.listed) = (Some(list), now.max(self.listed + 1));
     }
 
     /// Who is out by hand, and since when.
--- a/crates/mothpier/src/obeying.rs
+++ b/crates/mothpier/src/obeying.rs
@@ -77,7 +77,8 @@
         if let (Some(succession), Some(floors)) =
             (&self.succession, self.obeyer.borrow().handed_over().cloned())
         {
-            succession.said(&self.net, |state, _| state.obeyed(&floors));
+            // Logged where it can't be kept, and tried again.
+            let _ = succession.said(&self.net, |state, _| state.obeyed(&floors));
         }
     }
 
--- a/crates/mothpier/src/operations.rs
+++ b/crates/mothpier/src/operations.rs
@@ -11,6 +11,7 @@
 
 use crate::clients::Clients;
 use crate::figures::{Figures, States};
+use crate::handover::State;
 use crate::messages::Order;
 use crate::obeying::Obeying;
 use crate::phase::{Phase, Whose};
@@ -104,18 +105,14 @@
             Call::Include(id) => self.by_hand(id, false).await,
             Call::Evacuate => {
                 self.clone().empty(Whose::Hand);
-                if let Some(succession) = &self.succession {
-                    succession.said(&self.net, |state, now| state.empty(now, true));
-                }
-                Reply::Yes("evacuating\n".into())
+                let kept = self.keep(|state, now| state.empty(now, true));
+                Reply::Yes(format!("evacuating\n{kept}"))
             }
             Call::Rejoin => {
                 self.refill(Whose::Hand);
-                if let Some(succession) = &self.succession {
-                    succession.said(&self.net, |state, now| state.empty(now, false));
-                }
+                let kept = self.keep(|state, now| state.empty(now, false));
                 match self.phase.ready() {
-                    Ok(()) => Reply::Yes("at work\n".into()),
+                    Ok(()) => Reply::Yes(format!("at work\n{kept}")),
                     Err(why) => Reply::No(format!("not at work: {why}\n")),
                 }
             }
@@ -133,6 +130,15 @@
         }
     }
 
+    /// Keeps what staff said for the next process; a line for them where that is not possible now.
+    fn keep(&self, change: impl FnOnce(&mut State, u64)) -> String {
+        let Some(succession) = &self.succession else { return String::new() };
+        match succession.said(&self.net, change) {
+            Ok(()) => String::new(),
+            Err(not_kept) => format!("{not_kept}\n"),
+        }
+    }
+
     async fn by_hand(&self, id: String, out: bool) -> Reply {
         let (tell, told) = oneshot::channel();
         let asked = self.orders.send(Order::Hand { id: id.clone(), out, tell }).await;
@@ -140,13 +146,11 @@
         let what = if out { "out by hand" } else { "may serve" };
         match done {
             Ok(changed) => {
-                if let Some(succession) = &self.succession {
-                    succession.said(&self.net, |state, now| state.hand(now, &id, out));
-                }
+                let kept = self.keep(|state, now| state.hand(now, &id, out));
                 if changed {
                     self.net.log(format_args!("cache server {id} {what}"));
                 }
-                Reply::Yes(format!("{id} {what}\n"))
+                Reply::Yes(format!("{id} {what}\n{kept}"))
             }
             Err(why @ Refused::Unknown) => Reply::NotFound(format!("{id:?}: {}\n", why.name())),
             Err(why) => Reply::No(format!("{id:?}: {}\n", why.name())),
--- a/crates/mothpier/src/succession.rs
+++ b/crates/mothpier/src/succession.rs
@@ -40,6 +40,16 @@
     }
 }
 
+/// What staff said holds in this process, but could not be kept for the next one yet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NotKept(String);
+
+impl std::fmt::Display for NotKept {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "not kept for the next process yet, tried again: {}", self.0)
+    }
+}
+
 /// What this process knows of the others of its node.
 pub struct Succession {
     node: String,
@@ -48,6 +58,8 @@
     /// As it was last read or written.
     left: RefCell<Option<Vec<u8>>>,
     sockets: usize,
+    /// Why the last write failed, until one succeeds.
+    not_kept: RefCell<Option<String>>,
     /// Held from a word of the staff to its mark, and while marks are obeyed: an older mark must not undo a newer word.
     turn: Mutex<()>,
 }
@@ -56,7 +68,8 @@
     /// Takes over what is on the shelf.
     pub fn open(net: &impl Net, shelf: Rc<dyn Shelf>, node: &str, sockets: usize) -> Self {
         let (state, left) = (RefCell::new(State::new(node)), RefCell::default());
-        let succession = Succession { node: node.into(), shelf, state, left, sockets, turn: Mutex::new(()) };
+        let (not_kept, turn) = (RefCell::default(), Mutex::new(()));
+        let succession = Succession { node: node.into(), shelf, state, left, sockets, not_kept, turn };
         succession.look(net);
         succession
     }
@@ -81,18 +94,33 @@
         if self.left.borrow().as_ref() == Some(&bytes) {
             return;
         }
-        if let Err(e) = self.shelf.write(&bytes) {
-            net.log(format_args!("nothing can be left for the next process: {e}"));
+        match self.shelf.write(&bytes) {
+            Ok(()) => {
+                *self.left.borrow_mut() = Some(bytes);
+                if self.not_kept.borrow_mut().take().is_some() {
+                    net.log("what is left for the next process is kept again");
+                }
+            }
+            // Tried again with each look; a failure that lasts is said once.
+            Err(e) => {
+                let said_before = self.not_kept.borrow_mut().replace(e.to_string()).is_some();
+                if !said_before {
+                    net.log(format_args!("nothing can be left for the next process: {e}; tried again"));
+                }
+            }
         }
-        // Also where it failed: that is said once.
-        *self.left.borrow_mut() = Some(bytes);
     }
 
     /// Takes in what staff said, and leaves it before they are told yes.
-    pub fn said(&self, net: &impl Net, change: impl FnOnce(&mut State, u64)) {
+    ///
+    /// # Errors
+    ///
+    /// It holds in this process, but could not be kept for the next one yet.
+    pub fn said(&self, net: &impl Net, change: impl FnOnce(&mut State, u64)) -> Result<(), NotKept> {
         self.look(net);
         change(&mut self.state.borrow_mut(), net.wall().as_millis() as u64);
         self.leave(net);
+        self.not_kept.borrow().clone().map_or(Ok(()), |why| Err(NotKept(why)))
     }
 
     /// Waits for its turn between words and marks.
--- a/crates/mothpier/tests/handoff_faults.rs
+++ b/crates/mothpier/tests/handoff_faults.rs
@@ -51,7 +51,7 @@
     control.set(Setting::FailingDisk, 1000).unwrap();
     let (status, said) = first.call("POST", "/api/exclude", "s-1");
     assert_eq!(status, 200, "{said}");
-    assert!(said.contains("not kept for the next process"), "staff are not told: {said}");
+    assert!(said.contains("not kept for the next process yet"), "staff are not told: {said}");
     thread::sleep(FAILS_FOR);
     control.set(Setting::FailingDisk, 0).unwrap();
     let returned = Instant::now();
