--- a/crates/mothpier-fault-control/src/lib.rs
+++ b/crates/mothpier-fault-control/src/lib.rs
@@ -33,6 +33,8 @@
     Interrupts,
     /// Rate of failing accepts: `ECONNABORTED`, `ENFILE`, `ENOBUFS`, `EPROTO`.
     FailingAccepts,
+    /// The error of a failing accept; 0 draws one.
+    AcceptError,
     /// Rate of failing connects and sockets: `EADDRNOTAVAIL`, `ENETUNREACH`, `ENOBUFS`.
     FailingConnects,
     /// Rate of failing writes, truncations and syncs of regular files.
--- a/crates/mothpier-fault-preload/src/sockets.rs
+++ b/crates/mothpier-fault-preload/src/sockets.rs
@@ -3,7 +3,7 @@
 use libc::{c_int, c_void, epoll_event, iovec, size_t, sockaddr, socklen_t, ssize_t};
 use mothpier_fault_control::Setting;
 
-use crate::control::{draw, drawn, one_of};
+use crate::control::{draw, drawn, one_of, value};
 use crate::real::real;
 use crate::{disk, set_errno};
 
@@ -177,7 +177,10 @@
     flags: c_int,
 ) -> c_int {
     if drawn(Setting::FailingAccepts) {
-        let error = one_of(&ACCEPT);
+        let error = match value(Setting::AcceptError) {
+            0 => one_of(&ACCEPT),
+            error => error as c_int,
+        };
         if error == libc::ECONNABORTED {
             let aborted = real!(c"accept4" as Accept, file, from, length, flags);
             if aborted < 0 {
