Clients: an aborted connection is no lack of room; the kernel's time-out ends a read

Cause: every failed accept was taken for lack of descriptors: the client that had rested longest was closed, and accepting paused for 20 ms. And a read behind half an answer that ended in ETIMEDOUT was taken for the node's own limit (by reading; both ends are counted as may have run, so no test tells them apart).

Change: accept_failure.rs, pure, tells errors of one connection (ECONNABORTED, EINTR and the network errors that accept(2) names) from those of resources; the first are passed over, also as the node ends. The reader tells its own limit from the kernel's.

--- a/crates/mothpier/src/clients.rs
+++ b/crates/mothpier/src/clients.rs
@@ -21,6 +21,7 @@
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::accept_failure::AcceptFailure;
 use crate::binding::{self, Binding};
 use crate::cancellation::{CancelGuard, CancelToken, ConnectionProbe};
 use crate::figures::{Ended, Figures};
@@ -228,6 +229,10 @@
                         self.evict();
                     }
                 }
+                // Of one that is gone already: it says nothing about the room for others.
+                Err(e) if AcceptFailure::from(&e) == AcceptFailure::ConnectionLost => {
+                    self.net.yield_now().await;
+                }
                 Err(e) => {
                     // Out of descriptors (EMFILE) or the like: it passes, and the listener must outlive it.
                     if !std::mem::replace(&mut failing, true) {
@@ -258,6 +263,7 @@
                     number += 1;
                     self.clone().start(stream, number);
                 }
+                Some(Err(e)) if AcceptFailure::from(&e) == AcceptFailure::ConnectionLost => {}
                 // Out of descriptors: who waits is let in as others close.
                 Some(Err(_)) => self.net.sleep(ACCEPT_PAUSE).await,
             }
--- a/crates/mothpier/src/lib.rs
+++ b/crates/mothpier/src/lib.rs
@@ -3,6 +3,7 @@
 //! Arrows point one way: `clients`, `servers`, `origin`, `discovery`, `names` and `peers` know `messages` and not each
 //! other; `node` owns the decision module and drives them; [`run`] puts all together.
 
+mod accept_failure;
 mod binding;
 mod cancellation;
 mod clients;
--- a/crates/mothpier/src/servers/reader.rs
+++ b/crates/mothpier/src/servers/reader.rs
@@ -104,16 +104,15 @@
             self.reading.try_read_buf(&mut self.buffer)
         };
         let read = match until {
-            None => read.await,
-            Some(until) => {
-                net.timeout_at(until, read).await.unwrap_or_else(|| Err(ErrorKind::TimedOut.into()))
-            }
+            None => Some(read.await),
+            Some(until) => net.timeout_at(until, read).await,
         };
         match read {
-            Ok(n) if n > 0 => ReadMore::Continued,
-            Err(e) if e.kind() == ErrorKind::WouldBlock => ReadMore::Continued,
-            Err(e) if e.kind() == ErrorKind::TimedOut && until.is_some() => ReadMore::Late,
-            _ => ReadMore::Ended,
+            // The node's own limit: a connection that the kernel gave up (ETIMEDOUT) has ended.
+            None => ReadMore::Late,
+            Some(Ok(1..)) => ReadMore::Continued,
+            Some(Err(e)) if e.kind() == ErrorKind::WouldBlock => ReadMore::Continued,
+            Some(_) => ReadMore::Ended,
         }
     }
 
