Trials: a randomized fault soak; guards that count; closes and retries by reason

New counters: connection closes by reason, retries by how the attempt before ended. Ten more planted mistakes, which a node built with the feature plants takes from the environment.

figures/tests.rs counted all figures at 0; it counts those of each name now, the new ones with them.

--- a/crates/mothpier-trials/src/main.rs
+++ b/crates/mothpier-trials/src/main.rs
@@ -12,6 +12,7 @@
 mod process;
 mod programs;
 mod scale;
+mod soak;
 mod trial;
 
 use std::ops::Range;
@@ -54,6 +55,9 @@
     /// Hollow nodes by the hundred or thousand against real coordinators: what coordination costs, and slopes of that.
     #[command(subcommand)]
     Scale(scale::Scale),
+    /// A randomized fault soak of nodes before stand-ins, troubles overlapping in time, judged at the far ends.
+    #[command(subcommand)]
+    Soak(soak::Soak),
     /// Becomes a program that ends when the trial does.
     #[command(hide = true)]
     Bound {
@@ -384,6 +388,7 @@
             }
         }),
         Command::Scale(scale) => scale::run(&scale),
+        Command::Soak(soak) => soak::run(&soak),
         Command::Run(Run::Leases { seeds, jobs, options }) => run(seeds, jobs, &options),
         Command::Run(Run::Drains { seeds, jobs, of }) => run_drains(seeds, jobs, &of),
         Command::Replay { seed, keep, options } => options.how(keep.clone(), 0).and_then(|how| {
--- a/crates/mothpier-trials/src/process.rs
+++ b/crates/mothpier-trials/src/process.rs
@@ -88,6 +88,11 @@
         format!("{}: {error}", program.display())
     }
 
+    /// A variable of its environment.
+    pub fn environment_of(&self, name: &str) -> Option<String> {
+        self.environment.iter().find(|(n, _)| n == name).map(|(_, value)| value.clone())
+    }
+
     /// Its number while it runs.
     pub fn id(&self) -> Option<u32> {
         self.child.borrow().as_ref().and_then(Child::id)
--- a/crates/mothpier/src/clients.rs
+++ b/crates/mothpier/src/clients.rs
@@ -24,7 +24,8 @@
 use crate::accept_failure::AcceptFailure;
 use crate::binding::{self, Binding};
 use crate::cancellation::{CancelGuard, CancelToken, ConnectionProbe};
-use crate::figures::{Ended, Figures};
+use crate::figures::{CloseReason, Ended, Figures};
+use crate::guards::{self, Invariant};
 use crate::membership::Membership;
 use crate::messages::{Answer, Claim, ClientEvent, Command, Ids, Input, Passing};
 use crate::phase::Phase;
@@ -217,6 +218,7 @@
                 accepted = listener.accept() => accepted,
             };
             match accepted {
+                Err(_) if planted(Plant::AcceptLoopEnds) => return,
                 Ok((stream, _)) => {
                     failing = false;
                     number += 1;
@@ -283,7 +285,17 @@
         }
     }
 
+    /// A rule was found broken: it is counted, and told in a log that no flood of them fills.
+    fn violated(&self, invariant: Invariant, connection: u64) {
+        if self.figures.violated(invariant) {
+            self.net.log(format_args!("invariant {} is broken by connection {connection}", invariant.name()));
+        }
+    }
+
     fn start(self: Rc<Self>, stream: N::Stream, number: u64) {
+        if let Err(invariant) = guards::may_start(self.phase.knows_who_is_out()) {
+            self.violated(invariant, number);
+        }
         self.connections.set(self.connections.get() + 1);
         let evict = Rc::new(Notify::new());
         let entry = Entry { idle: Some(self.net.now()), known: false, evict: evict.clone() };
@@ -308,7 +320,8 @@
                 told,
                 probe,
             };
-            session.run(&*reading, writing, evict).await;
+            let reason = session.run(&*reading, writing, evict).await;
+            self.figures.closed(reason);
             // All that holds the connection is let go of, so that it closes now.
             drop(reading);
             let Session { pending, .. } = session;
@@ -479,7 +492,7 @@
         reading: &R,
         mut writing: W,
         evict: Rc<Notify>,
-    ) {
+    ) -> CloseReason {
         let clients = self.clients.clone();
         let net = clients.net.clone();
         let mut buffer = BytesMut::new();
@@ -505,7 +518,7 @@
                         tokio::select! {
                             biased;
                             () = self.command(frame, came) => {}
-                            () = gone(&net, reading, Unread::Left) => return,
+                            () = gone(&net, reading, Unread::Left) => return CloseReason::ClientGone,
                         }
                         self.large = None;
                     }
@@ -534,7 +547,8 @@
                 (entry.idle, entry.known) = (idle.then_some(rests), self.known);
             }
             if self.ended && idle {
-                return part(&net, reading, &mut writing, Unread::Dropped).await;
+                part(&net, reading, &mut writing, Unread::Dropped).await;
+                return CloseReason::Ended;
             }
             let word = clients.phase.word();
             let closing = clients.phase.closing() && !planted(Plant::KeptIdle);
@@ -545,13 +559,16 @@
                 Some(begun) => self.known && begun >= *cut && !self.ended,
             });
             if idle && cut.is_some() {
-                return part(&net, reading, &mut writing, Unread::Left).await;
+                part(&net, reading, &mut writing, Unread::Left).await;
+                return CloseReason::Draining;
             }
             let reads = !self.ended && cut.is_none_or(|cut| now < cut);
             let first = (!self.known && idle).then_some(connected + HALF);
             // A large value may take as long as it goes on coming.
             let coming = self.large.is_some() || self.skip > 0;
-            let half = begun.filter(|_| !self.ended).map(|since| if coming { rests } else { since } + HALF);
+            let half = begun
+                .filter(|_| !self.ended && !planted(Plant::HalfCommandKept))
+                .map(|since| if coming { rests } else { since } + HALF);
             // A connection that has only just come is about to ask: it may be a front that asks whether the node is back.
             let asks = !self.known && (!clients.phase.is_shut() || clients.phase.is_left());
             let rest = idle.then_some(if closing && begun.is_none() {
@@ -588,39 +605,42 @@
                     let whole = tokio::select! {
                         biased;
                         whole = write => whole,
-                        () = gone(&net, reading, unread) => return,
+                        () = gone(&net, reading, unread) => return CloseReason::ClientGone,
                     };
                     if let Some(at) = came_meanwhile.filter(|_| !held) {
                         came = at;
                     }
                     rests = net.now();
                     let ended = self.pending.drain(..ready).filter_map(|slot| slot.taken);
-                    if !matches!(whole, Some(Ok(()))) {
-                        return;
+                    match whole {
+                        Some(Ok(())) => {}
+                        Some(Err(_)) => return CloseReason::ClientGone,
+                        None => return CloseReason::SlowReader,
                     }
                     ended.for_each(|taken| clients.figures.ended(taken.class, taken.ended));
                     let cut = clients.phase.cut().filter(|cut| *cut <= net.now());
                     if cut.is_some_and(|cut| begun.map_or(buffer.is_empty(), |begun| begun >= cut))
                         && self.pending.is_empty()
                     {
-                        return part(&net, reading, &mut writing, Unread::Left).await;
+                        part(&net, reading, &mut writing, Unread::Left).await;
+                return CloseReason::Draining;
                     }
                 }
                 more = read(reading, &mut buffer), if reads => {
                     // A client that closes has gone away: what it asked for is not wanted any more.
                     if !more {
-                        return;
+                        return CloseReason::ClientGone;
                     }
                     (came, rests) = ((clients.now)(), net.now());
                     self.probe.stands(rests);
                 }
                 // What is not read is watched all the same, for the requests that wait.
                 () = gone(&net, reading, if self.ended { Unread::Dropped } else { Unread::Left }), if !reads => {
-                    return;
+                    return CloseReason::ClientGone;
                 }
                 () = evict.notified(), if idle => {
                     if quiet(&net, reading, &mut buffer).await {
-                        return;
+                        return self.closes(CloseReason::Evicted);
                     }
                     (came, rests) = ((clients.now)(), net.now());
                 }
@@ -632,7 +652,7 @@
                     } else if half.is_some_and(|half| half <= net.now()) {
                         self.protocol_error(Malformed("the rest of the command has not come"));
                     } else if !self.known || closing || clients.crowded() || net.since(rests) >= IDLE.0 {
-                        return;
+                        return self.closes(if closing { CloseReason::Draining } else { CloseReason::Idle });
                     }
                 }
                 () = word, if !closing => {}
@@ -640,6 +660,14 @@
         }
     }
 
+    /// The node closes the connection by its own choice.
+    fn closes(&self, reason: CloseReason) -> CloseReason {
+        if let Err(invariant) = guards::may_close(self.pending.len()) {
+            self.clients.violated(invariant, self.number);
+        }
+        reason
+    }
+
     /// Marks the answers as taken and gives their bytes.
     fn take_answers(&mut self, ready: usize) -> Bytes {
         let mut all = BytesMut::new();
@@ -896,6 +924,9 @@
 /// Whether nothing has come in that is not read yet: a connection is closed only then, or a request would be lost
 /// with it.
 async fn quiet(net: &impl Net, reading: &impl Reading, buffer: &mut BytesMut) -> bool {
+    if planted(Plant::CloseOverUnread) {
+        return true;
+    }
     // Once round the runtime, which looks at the sockets then.
     net.yield_now().await;
     buffer.reserve(READ);
--- a/crates/mothpier/src/figures.rs
+++ b/crates/mothpier/src/figures.rs
@@ -1,6 +1,7 @@
 //! What a node reports of itself, in the text form of Prometheus. One owner for each figure: what is counted is counted
 //! where it happens, and what is a state is asked of its keeper at the time of the scrape.
 
+use crate::guards::Invariant;
 use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
 
 /// What stands before every name.
@@ -17,6 +18,45 @@
     Failed,
 }
 
+/// Why a client's connection was closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CloseReason {
+    /// The client closed it, or ended its sending.
+    ClientGone,
+    /// Behind `QUIT` or a protocol error.
+    Ended,
+    /// It asked nothing for too long, or not soon enough.
+    Idle,
+    /// Others needed its place.
+    Evicted,
+    /// The client took nothing of its answer.
+    SlowReader,
+    /// The node ends, or is emptied.
+    Draining,
+}
+
+impl CloseReason {
+    const ALL: [CloseReason; 6] = [
+        CloseReason::ClientGone,
+        CloseReason::Ended,
+        CloseReason::Idle,
+        CloseReason::Evicted,
+        CloseReason::SlowReader,
+        CloseReason::Draining,
+    ];
+
+    fn name(self) -> &'static str {
+        match self {
+            CloseReason::ClientGone => "client_gone",
+            CloseReason::Ended => "ended",
+            CloseReason::Idle => "idle",
+            CloseReason::Evicted => "evicted",
+            CloseReason::SlowReader => "slow_reader",
+            CloseReason::Draining => "draining",
+        }
+    }
+}
+
 /// Figures that others keep, at the time of a scrape.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct States {
@@ -34,6 +74,11 @@
     /// By class, then by end: looked up once, for every request counts here.
     requests: Vec<[IntCounter; 3]>,
     upstream: IntCounter,
+    retries: IntCounterVec,
+    /// By reason.
+    closes: Vec<IntCounter>,
+    /// By invariant.
+    violations: Vec<IntCounter>,
     states: [IntGauge; 3],
 }
 
@@ -58,6 +103,27 @@
             "Attempts written whole to cache servers and the origin.",
         ))?;
         registry.register(Box::new(upstream.clone()))?;
+        let retries = IntCounterVec::new(
+            named("upstream_retries_total", "Attempts after a first one, by how the one before ended."),
+            &["after"],
+        )?;
+        registry.register(Box::new(retries.clone()))?;
+        let closes = IntCounterVec::new(
+            named("downstream_connection_closes_total", "Connections of clients that ended, by reason."),
+            &["reason"],
+        )?;
+        registry.register(Box::new(closes.clone()))?;
+        let violations = IntCounterVec::new(
+            named("invariant_violations_total", "Rules that were found broken at run time; each is a fault."),
+            &["invariant"],
+        )?;
+        registry.register(Box::new(violations.clone()))?;
+        let closes =
+            CloseReason::ALL.iter().map(|reason| closes.with_label_values(&[reason.name()])).collect();
+        let violations = Invariant::ALL
+            .iter()
+            .map(|invariant| violations.with_label_values(&[invariant.name()]))
+            .collect();
         let states = [
             ("pending", "Requests taken and not ended."),
             ("members", "Cache servers in the list."),
@@ -69,7 +135,8 @@
         for gauge in &states {
             registry.register(Box::new(gauge.clone()))?;
         }
-        Ok(Figures { requests: classes.iter().map(of).collect(), registry, upstream, states })
+        let requests = classes.iter().map(of).collect();
+        Ok(Figures { requests, registry, upstream, retries, closes, violations, states })
     }
 
     /// The last byte of a request's answer has been written.
@@ -92,6 +159,23 @@
         self.upstream.inc();
     }
 
+    /// An attempt was made behind another one that ended so; `copy` for one beside another that is still out.
+    pub fn retry(&self, after: &str) {
+        self.retries.with_label_values(&[after]).inc();
+    }
+
+    /// A client's connection has ended.
+    pub fn closed(&self, reason: CloseReason) {
+        self.closes[reason as usize].inc();
+    }
+
+    /// A rule was found broken; whether that is the first time, or as many as to be told again.
+    pub fn violated(&self, invariant: Invariant) -> bool {
+        let counter = &self.violations[invariant as usize];
+        counter.inc();
+        counter.get().is_power_of_two()
+    }
+
     /// All of them, as they are scraped.
     ///
     /// # Errors
--- a/crates/mothpier/src/figures/tests.rs
+++ b/crates/mothpier/src/figures/tests.rs
@@ -25,5 +25,8 @@
     ] {
         assert!(text.contains(line), "{text}");
     }
-    assert_eq!(text.matches("} 0\n").count(), 5, "{text}");
+    let unused = |name: &str| text.lines().filter(|l| l.starts_with(name) && l.ends_with("} 0")).count();
+    assert_eq!(unused("edge_router_downstream_requests_total{"), 5, "{text}");
+    assert_eq!(unused("edge_router_invariant_violations_total{"), Invariant::ALL.len(), "{text}");
+    assert_eq!(unused("edge_router_downstream_connection_closes_total{"), CloseReason::ALL.len(), "{text}");
 }
--- a/crates/mothpier/src/lib.rs
+++ b/crates/mothpier/src/lib.rs
@@ -14,6 +14,7 @@
 mod door;
 mod drains;
 mod figures;
+mod guards;
 mod handover;
 mod http;
 mod membership;
@@ -199,6 +200,7 @@
         peers,
         wanted,
         phase: phase.clone(),
+        figures: figures.clone(),
     };
     let revision = config.known.as_ref().map(|l| l.revision);
     let inherits = config.inherited.is_some();
--- a/crates/mothpier/src/main.rs
+++ b/crates/mothpier/src/main.rs
@@ -10,6 +10,8 @@
 use tokio::task::LocalSet;
 
 fn main() -> ExitCode {
+    #[cfg(feature = "plants")]
+    plant_named_in_the_environment();
     let config = match config::read(Precedence::Environment) {
         Ok(config) => config,
         Err(e) => {
@@ -28,6 +30,18 @@
     }
 }
 
+/// Plants the mistake that `MOTHPIER_PLANT` names: trials show that they find it.
+#[cfg(feature = "plants")]
+fn plant_named_in_the_environment() {
+    let Ok(name) = std::env::var("MOTHPIER_PLANT") else { return };
+    let all = mothpier::Plant::ALL.into_iter().chain(mothpier::Plant::OF_THE_SOAK);
+    let plant = all.into_iter().find(|plant| format!("{plant:?}") == name);
+    if plant.is_none() {
+        Tokio.log(format_args!("no planted mistake is called {name}"));
+    }
+    mothpier::plant(plant);
+}
+
 async fn node(config: Config) -> Result<(), String> {
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| e.to_string())?;
--- a/crates/mothpier/src/node.rs
+++ b/crates/mothpier/src/node.rs
@@ -7,8 +7,8 @@
 
 use brassrouter::settings::Site;
 use brassrouter::{
-    Action, Condition, Event, ListKind, Load, LoadField, Micros, Note, Outcome, Policy, RequestId, ServerId,
-    SlotRange, Status,
+    Action, Condition, Effect, Event, ListKind, Load, LoadField, Micros, Note, Outcome, Policy, RequestId,
+    ServerId, SlotRange, Status,
 };
 use bytes::Bytes;
 use mothpier_membership::Line;
@@ -22,6 +22,8 @@
 
 use crate::clock::Clock;
 use crate::discovery::Numbers;
+use crate::figures::Figures;
+use crate::guards::{self, Invariant};
 use crate::membership::{self, Membership};
 use crate::messages::{
     Answer, AttemptId, Census, ClientEvent, Command, Heard, Input, List, Order, Passing, UNREADABLE, Wanted,
@@ -51,6 +53,11 @@
     answer: oneshot::Sender<Answer>,
     ends: Instant,
     attempts: u16,
+    /// Attempts that may have run, or may yet.
+    may_have_run: u32,
+    /// How the last one ended.
+    last: Option<Status>,
+    effect: Effect,
     /// Those without outcome.
     out: Vec<AttemptId>,
     /// The slot of its key, where the servers form a cluster.
@@ -94,6 +101,8 @@
     pub membership: Option<Membership>,
     pub wanted: watch::Sender<Wanted>,
     pub phase: Rc<Phase>,
+    /// Where retries and broken rules are counted.
+    pub figures: Rc<Figures>,
 }
 
 /// The node.
@@ -215,11 +224,26 @@
             Input::Client(ClientEvent::Asked { mut request, command, answer, read }) => {
                 let waited = self.net.since(read).as_micros() as Micros;
                 request.time_left = request.time_left.saturating_sub(waited);
+                if planted(Plant::TimeLeftGrows) {
+                    request.time_left += 1_000_000;
+                }
                 let ends = self.net.now() + Duration::from_micros(request.time_left);
                 let slot = self.parts.cluster.is_some().then(|| slot_of(&command.key));
                 request.slot = slot;
                 let command = command.into();
-                let open = Open { command, answer, ends, attempts: 0, out: Vec::new(), slot, moved: None };
+                let effect = self.site.decisions.classes[request.class].effect;
+                let open = Open {
+                    command,
+                    answer,
+                    ends,
+                    attempts: 0,
+                    may_have_run: 0,
+                    last: None,
+                    effect,
+                    out: Vec::new(),
+                    slot,
+                    moved: None,
+                };
                 self.open.insert(request.id, open);
                 self.events.push_back(Event::Request(request));
             }
@@ -239,6 +263,7 @@
                 let load = load(&self.site, &ended.load);
                 self.end(attempt, ended.status, Note::None, load, Some(ended.value));
             }
+            Input::Discovery(Heard::List(_)) if planted(Plant::ListHeardOnce) && self.lists > 1 => {}
             Input::Discovery(Heard::List(list)) => {
                 self.parts.phase.listed();
                 let kind = if list.complete { ListKind::Full } else { ListKind::Delta };
@@ -495,6 +520,9 @@
 
     fn answer(&mut self, request: RequestId, answer: Answer) {
         if let Some(open) = self.open.remove(&request) {
+            if planted(Plant::LostAnswer) && request.is_multiple_of(100) {
+                return std::mem::forget(open);
+            }
             // A client that has just gone needs none.
             let _ = open.answer.send(answer);
             self.withdraw(open.out);
@@ -535,10 +563,19 @@
         self.last_attempt += 1;
         let (id, sent) = (self.last_attempt, self.net.now());
         let Some(open) = self.open.get_mut(&request) else {
-            return self.net.log(format_args!("an attempt of request {request}, which is over"));
+            return self.violated(Invariant::SendAfterEnd, request);
         };
         let number = open.attempts;
+        let most = self.site.decisions.max_attempts;
+        let (may_have_run, effect) = (open.may_have_run, open.effect);
+        let attempt = guards::Attempt { made: number.into(), most, may_have_run, effect };
+        let allowed = guards::may_send(&attempt);
+        if number > 0 && allowed.is_ok() {
+            let after = if open.out.is_empty() { open.last.map_or("unknown", status_name) } else { "copy" };
+            self.parts.figures.retry(after);
+        }
         open.attempts += 1;
+        open.may_have_run += 1;
         open.out.push(id);
         let (command, left) = (open.command.clone(), open.ends.saturating_duration_since(sent));
         let wait = if give_up_after == 0 { left } else { left.min(Duration::from_micros(give_up_after)) };
@@ -550,7 +587,10 @@
         if gone {
             self.gone(request);
         }
-        if gone || u32::from(number) >= self.site.decisions.max_attempts || wait.is_zero() {
+        if let Err(invariant) = allowed {
+            self.violated(invariant, request);
+        }
+        if gone || allowed.is_err() || wait.is_zero() {
             return self.end(id, Status::NotSent, Note::None, Load::default(), None);
         }
         let budget = TimeBudget { command, deadline: sent + wait };
@@ -573,6 +613,13 @@
         }
     }
 
+    /// A rule was found broken: it is counted, and told in a log that no flood of them fills.
+    fn violated(&self, invariant: Invariant, request: RequestId) {
+        if self.parts.figures.violated(invariant) {
+            self.net.log(format_args!("invariant {} is broken by request {request}", invariant.name()));
+        }
+    }
+
     fn probe(&mut self, server: ServerId) {
         self.last_attempt += 1;
         let (id, sent) = (self.last_attempt, self.net.now());
@@ -597,6 +644,7 @@
             Some(call) => call.give_up(),
             None => self.parts.servers.give_up(server, id),
         };
+        let written = written && !planted(Plant::UnsentByGuess);
         let status = if written { status } else { Status::NotSent };
         self.end(id, status, Note::None, Load::default(), None);
     }
@@ -774,6 +822,8 @@
 
     /// The end of an attempt or probe, whatever brought it; the first value served is the request's answer.
     fn end(&mut self, id: AttemptId, status: Status, note: Note, load: Load, value: Option<Bytes>) {
+        let may_have_run = matches!(status, Status::Reset | Status::TimedOut | Status::Error);
+        let status = if may_have_run && planted(Plant::RepeatsUnsafe) { Status::NotSent } else { status };
         let Some(flight) = self.flights.remove(&id).filter(|f| !f.began) else { return };
         if let Some((pool, _)) = &mut self.parts.cluster
             && matches!(status, Status::Served | Status::Miss)
@@ -788,6 +838,11 @@
         let Some((request, attempt)) = flight.attempt else {
             return self.events.push_back(Event::Probed { server, ok: status == Status::Served, took, load });
         };
+        if let Some(open) = self.open.get_mut(&request) {
+            open.last = Some(status);
+            open.out.retain(|out| *out != id);
+            open.may_have_run -= u32::from(status.proves_not_run());
+        }
         if status == Status::Served {
             self.answer(request, value.map_or(Answer::Failed, Answer::Value));
         }
@@ -810,6 +865,22 @@
     open.get(&request).is_some_and(|open| open.answer.is_closed())
 }
 
+/// How an attempt ended, as figures name it.
+fn status_name(status: Status) -> &'static str {
+    match status {
+        Status::Served => "served",
+        Status::Miss => "miss",
+        Status::Error => "error",
+        Status::Full => "full",
+        Status::TimedOut => "timed_out",
+        Status::ConnectFailed => "connect_failed",
+        Status::Reset => "reset",
+        Status::Cancelled => "cancelled",
+        Status::NotSent => "not_sent",
+        Status::Redirected { .. } => "redirected",
+    }
+}
+
 fn slot_ranges(held: Vec<Held>) -> Vec<SlotRange> {
     held.into_iter().map(|h| SlotRange { first: h.first, last: h.last, servers: h.boxes }).collect()
 }
--- a/crates/mothpier/src/node/tests.rs
+++ b/crates/mothpier/src/node/tests.rs
@@ -47,6 +47,7 @@
         membership: None,
         wanted: watch::channel(Wanted::default()).0,
         phase: Rc::default(),
+        figures,
     };
     let site = brassrouter::settings::read(SITE.as_bytes()).unwrap();
     Node::new(Tokio, site, 1, Clock::start(Tokio), parts)
--- a/crates/mothpier/src/phase.rs
+++ b/crates/mothpier/src/phase.rs
@@ -74,6 +74,11 @@
         self.untold.set(true);
     }
 
+    /// Whether it is known who of the fleet is out, or that is waited for no longer.
+    pub fn knows_who_is_out(&self) -> bool {
+        !self.untold.get()
+    }
+
     /// The fleet has said who is out, or is waited for no longer.
     pub fn told(&self) {
         if self.untold.replace(false) {
--- a/crates/mothpier/src/plants.rs
+++ b/crates/mothpier/src/plants.rs
@@ -62,10 +62,44 @@
     SilentCallWaits,
     /// The origin is told the time that the client stated, however much of it has passed.
     StaleTimeLeft,
+    /// The start of a cache server is aged by the wall clock.
+    StartByWall,
+    /// The first failed accept ends the listener's loop.
+    AcceptLoopEnds,
+    /// After the first lists nothing more is taken from discovery: as if no watch were opened again.
+    ListHeardOnce,
+    /// A connection is closed without a look whether something has come on it.
+    CloseOverUnread,
+    /// An attempt that is given up counts as never sent.
+    UnsentByGuess,
+    /// A client that stops in the middle of a command is kept.
+    HalfCommandKept,
+    /// What was reset, late or failed counts as never run.
+    RepeatsUnsafe,
+    /// One answer in a hundred is never given.
+    LostAnswer,
+    /// A command of which the socket took a part counts as written.
+    HalfWriteIsWhole,
+    /// A request is given a second more than its client waits.
+    TimeLeftGrows,
 }
 
 impl Plant {
-    /// All of them.
+    /// Those that only the soak of real processes plays.
+    pub const OF_THE_SOAK: [Plant; 10] = [
+        Plant::StartByWall,
+        Plant::AcceptLoopEnds,
+        Plant::ListHeardOnce,
+        Plant::CloseOverUnread,
+        Plant::UnsentByGuess,
+        Plant::HalfCommandKept,
+        Plant::RepeatsUnsafe,
+        Plant::LostAnswer,
+        Plant::HalfWriteIsWhole,
+        Plant::TimeLeftGrows,
+    ];
+
+    /// Those that the simulation plays.
     pub const ALL: [Plant; 29] = [
         Plant::ResetNeverRan,
         Plant::DoubleAnswer,
--- a/crates/mothpier/src/servers/line.rs
+++ b/crates/mothpier/src/servers/line.rs
@@ -15,6 +15,7 @@
 
 use super::command::{Command, Owed};
 use crate::messages::{AttemptId, ServerEvent};
+use crate::{Plant, planted};
 
 /// A command that was written whole, or a word before one.
 pub(super) struct Sent {
@@ -145,7 +146,7 @@
             // On record already: it may be answered while the command behind it is still being written.
             line.sent.push_back(Sent { attempt: command.attempt, owed: Owed::Word, given_up: false });
         }
-        bytes.advance(written);
+        bytes.advance(if planted(Plant::HalfWriteIsWhole) { bytes.len() } else { written });
         Poll::Ready(Some(Ok(Begun { command, rest: bytes })))
     }
 }
--- a/crates/mothpier/src/start_times.rs
+++ b/crates/mothpier/src/start_times.rs
@@ -15,6 +15,8 @@
 
 use brassrouter::{Condition, Micros, ServerId, ServerLine};
 
+use crate::{Plant, planted};
+
 /// A wall clock is stepped by no more than this.
 const LARGEST_STEP: Micros = 2 * 3_600_000_000;
 /// Starts that are remembered of a server: a late list may name an earlier one again.
@@ -57,6 +59,9 @@
 
     /// Replaces the stated starts of a list's lines by those on the node's clock.
     pub fn place<'a>(&mut self, now: Micros, lines: impl IntoIterator<Item = &'a mut ServerLine>) {
+        if planted(Plant::StartByWall) {
+            return;
+        }
         let mut lines: Vec<&mut ServerLine> = lines.into_iter().collect();
         let newest = lines.iter().map(|line| line.started).max().unwrap_or_default();
         let wall_is_believed = !self.listed && self.careful_takes_most_for_cold(now, newest, &lines);
