Node: signals are noted in flags, and no interrupted call ends the process or loses one

Change: mothpier-net::Signals: a handler sets a flag (signal-hook) and writes a byte; the node looks at the flags when the pipe is readable and each 250 ms.

--- a/crates/mothpier-net/src/lib.rs
+++ b/crates/mothpier-net/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod inherited;
 mod limits;
+mod signals;
 mod stream_io;
 mod tokio_net;
 mod unix;
@@ -23,6 +24,7 @@
 
 pub use inherited::inherited;
 pub use limits::open_files;
+pub use signals::{Signal, Signals};
 pub use tokio_net::{Door, Duplex, DuplexReading, DuplexWriting, Tokio};
 pub use unix::UnixPlace;
 
--- a/crates/mothpier/src/main.rs
+++ b/crates/mothpier/src/main.rs
@@ -4,8 +4,7 @@
 
 use mothpier::config::{self, Config, Precedence};
 use mothpier::{Control, run};
-use mothpier_net::{Net, Tokio};
-use tokio::signal::unix::{SignalKind, signal};
+use mothpier_net::{Net, Signal, Signals, Tokio};
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 
@@ -43,17 +42,14 @@
 }
 
 async fn node(config: Config) -> Result<(), String> {
-    let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| e.to_string())?;
-    // Taken from the start on: unhandled, this signal would end the node.
-    let mut hangup = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
+    // Taken from the start on: unhandled, each of them would end the node.
+    let mut signals = Signals::take().map_err(|e| format!("signals can't be taken: {e}"))?;
     let (control, told) = mpsc::channel(8);
     Tokio.spawn(async move {
         loop {
-            let tell = tokio::select! {
-                _ = terminate.recv() => Control::Stop,
-                _ = interrupt.recv() => Control::Stop,
-                Some(()) = hangup.recv() => Control::Reload(config::read(Precedence::File).map(Box::new)),
+            let tell = match signals.next().await {
+                Signal::Terminate | Signal::Interrupt => Control::Stop,
+                Signal::HangUp => Control::Reload(config::read(Precedence::File).map(Box::new)),
             };
             if control.send(tell).await.is_err() {
                 return;
