Node: sockets that fail for a moment at its start are waited for

Change: opening.rs tries an address again for 5 s where the error is one that passes by itself, and says so once; an address that is taken, or not allowed, is an error at once as before.

Measured: the failing test passes (700 ms of failing sockets).

--- a/crates/mothpier/src/lib.rs
+++ b/crates/mothpier/src/lib.rs
@@ -22,6 +22,7 @@
 mod names;
 mod node;
 mod obeying;
+mod opening;
 mod operations;
 mod origin;
 mod peers;
@@ -206,15 +207,18 @@
     let inherits = config.inherited.is_some();
     let listener = match (config.inherited, &config.listen) {
         (Some(inherited), _) => net.adopt(inherited),
-        (None, Listen::Address(address)) => net.listen(*address).await,
-        (None, Listen::Unix(place)) => net.listen_unix(place).await,
+        (None, Listen::Address(address)) => {
+            opening::patiently(&net, async || net.listen(*address).await).await
+        }
+        (None, Listen::Unix(place)) => opening::patiently(&net, async || net.listen_unix(place).await).await,
     };
     let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     let operator = config.operator;
     let door = match operator {
         Some(at) => {
-            let door =
-                net.listen(at).await.map_err(|e| format!("cannot listen on {at} for operators: {e}"))?;
+            let door = opening::patiently(&net, async || net.listen(at).await)
+                .await
+                .map_err(|e| format!("cannot listen on {at} for operators: {e}"))?;
             net.log(format_args!("operators are answered on {}", door.local_addr().unwrap_or(at)));
             Some(door)
         }
