--- a/crates/mothpier-trials/src/soak/clients.rs
+++ b/crates/mothpier-trials/src/soak/clients.rs
@@ -15,7 +15,7 @@
 /// Between two requests of a client, in milliseconds.
 const PACE_MS: (u64, u64) = (10, 50);
 /// One in so many requests is left by its client.
-const LEAVES: f64 = 0.06;
+const LEAVES: f64 = 0.12;
 /// A client closes its connection behind one answer in so many.
 const CLOSES: f64 = 0.12;
 /// The time within which a client leaves, in milliseconds.
@@ -249,6 +249,10 @@
     /// A client that sends half a request and stays: it is owed an error or the end.
     pub async fn half_request(self: Rc<Self>, number: usize) {
         let Some(mut connection) = Connection::open(self.at).await else { return };
+        let ping = connection.stream.get_mut().write_all(&command(&["PING"])).await;
+        if ping.is_err() || !matches!(connection.answer().await, Heard::Error(_)) {
+            return;
+        }
         let bytes = command(&["CACHE.GET", "key-half", &format!("half{number}"), "c=read,t=acme,d=500"]);
         if connection.stream.get_mut().write_all(&bytes[..bytes.len() / 2]).await.is_err() {
             return;
--- a/crates/mothpier-trials/src/soak/mod.rs
+++ b/crates/mothpier-trials/src/soak/mod.rs
@@ -55,6 +55,10 @@
 const STOP_MS: (u64, u64) = (30, 150);
 /// The span after a start over which the share of a cold server is taken.
 const COLD_SPAN: Duration = Duration::from_millis(700);
+/// Keys are where they belong so long after the last trouble that moved them, in milliseconds.
+const KEYS_SETTLE_MS: u64 = 600;
+/// Clients with half a request have their error or end by then, or are kept.
+const HALF_REQUESTS_END: Duration = Duration::from_secs(4);
 /// How long after the change of a list all nodes have it where discovery is well.
 const LIST_REACHES: Duration = Duration::from_millis(200);
 /// Requests at each node in the end, which must all be served.
@@ -266,6 +270,10 @@
     discovery: Rc<Discovery>,
     ledger: Rc<RefCell<Ledger>>,
     dice: Dice,
+    /// When the plan's time began.
+    began: Cell<Instant>,
+    /// Clients that have sent half a request and stay.
+    half_requests: RefCell<Vec<tokio::task::JoinHandle<()>>>,
     over: Cell<bool>,
 }
 
@@ -307,6 +315,10 @@
         for client in clients {
             let _ = timeout(Duration::from_secs(6), client).await;
         }
+        let half_requests = std::mem::take(&mut *world.half_requests.borrow_mut());
+        for client in half_requests {
+            let _ = timeout(HALF_REQUESTS_END, client).await;
+        }
         world.over.set(true);
         world.read_invariants().await;
         world.look_at_processes();
@@ -394,7 +406,9 @@
             nodes.push(node);
         }
         let dice = Dice::part(plan.seed, 47);
-        Ok(World { plan, nodes, servers, origin, discovery, ledger, dice, over: Cell::new(false) })
+        let (began, half_requests) = (Cell::new(Instant::now()), RefCell::default());
+        let over = Cell::new(false);
+        Ok(World { plan, nodes, servers, origin, discovery, ledger, dice, began, half_requests, over })
     }
 
     /// Notes when this program did not run: what it saw late then is not the nodes' fault.
@@ -413,6 +427,7 @@
     /// Carries the plan out, and mends everything.
     async fn trouble(self: &Rc<Self>) {
         let began = Instant::now();
+        self.began.set(began);
         let mut tasks = Vec::new();
         for trouble in self.plan.troubles.clone() {
             let at = began + Duration::from_millis(trouble.at_ms);
@@ -476,7 +491,8 @@
             }
             Kind::HalfRequests => {
                 for number in 0..4 {
-                    spawn_local(node.crowd.clone().half_request(number));
+                    let client = spawn_local(node.crowd.clone().half_request(number));
+                    self.half_requests.borrow_mut().push(client);
                 }
             }
             Kind::Quiet => {
@@ -517,9 +533,10 @@
         self.discovery.change(server, |line| line.started_ms = wall_ms(step_ms));
         sleep(LIST_REACHES).await;
         // Only where the word reached all nodes, and nothing else moves keys.
-        let alone =
-            self.plan.troubles.iter().all(|t| matches!(t.kind, Kind::WallStep | Kind::Restart | Kind::Quiet));
-        if !alone {
+        let from_ms = self.began.get().elapsed().as_millis() as u64;
+        let window = from_ms.saturating_sub(KEYS_SETTLE_MS)..from_ms + COLD_SPAN.as_millis() as u64;
+        let touches = |t: &&Trouble| t.at_ms < window.end && window.start < t.at_ms + t.lasts_ms;
+        if self.plan.troubles.iter().filter(touches).any(Trouble::moves_keys) {
             return;
         }
         let from = self.ledger.borrow().arrivals.len();
--- a/crates/mothpier-trials/src/soak/oracle.rs
+++ b/crates/mothpier-trials/src/soak/oracle.rs
@@ -19,7 +19,7 @@
 /// A server that has just started gets less than this part of what the others get.
 const COLD_PART: f64 = 0.6;
 /// Attempts at each of the others, from which on that is judged.
-const COLD_COUNTS: f64 = 40.0;
+const COLD_COUNTS: f64 = 25.0;
 
 /// A broken rule.
 #[derive(Clone, Debug)]
--- a/crates/mothpier-trials/src/soak/plan.rs
+++ b/crates/mothpier-trials/src/soak/plan.rs
@@ -116,6 +116,26 @@
 }
 
 impl Trouble {
+    /// Whether it moves keys from one cache server to another, or keeps lists from nodes.
+    pub fn moves_keys(&self) -> bool {
+        use Kind::{
+            Closes, DiscoveryDown, DiscoverySilent, DiscoverySlow, Drain, Hang, Kill, Resets, Slow, Terminate,
+        };
+        matches!(
+            self.kind,
+            Closes
+                | DiscoveryDown
+                | DiscoverySilent
+                | DiscoverySlow
+                | Drain
+                | Hang
+                | Kill
+                | Resets
+                | Slow
+                | Terminate
+        )
+    }
+
     /// Whether two overlap in time.
     pub fn overlaps(&self, other: &Trouble) -> bool {
         self.at_ms < other.at_ms + other.lasts_ms && other.at_ms < self.at_ms + self.lasts_ms
--- a/crates/mothpier-trials/src/soak/servers.rs
+++ b/crates/mothpier-trials/src/soak/servers.rs
@@ -5,9 +5,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
+use tokio::io::{AsyncBufRead, AsyncBufReadExt, AsyncReadExt, AsyncWrite, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream, tcp};
+use tokio::sync::{Notify, mpsc};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -103,34 +103,57 @@
     }
 
     /// Sends an answer as it behaves now; whether the connection goes on.
-    async fn send(&self, stream: &mut BufReader<TcpStream>, answer: &[u8]) -> bool {
+    async fn send(&self, stream: &mut (impl AsyncWrite + Unpin), answer: &[u8]) -> bool {
         let sent = match self.way.get() {
             Way::Pieces => {
                 let mut sent = Ok(());
                 for piece in answer.chunks(answer.len().div_ceil(3).max(1)) {
-                    sent = sent.and(stream.get_mut().write_all(piece).await);
+                    sent = sent.and(stream.write_all(piece).await);
                     sleep(BETWEEN_PIECES).await;
                 }
                 sent
             }
-            _ => stream.get_mut().write_all(answer).await,
+            _ => stream.write_all(answer).await,
         };
         sent.is_ok() && self.way.get() != Way::Closes
     }
 
-    async fn cache(self: Rc<Self>, mut stream: BufReader<TcpStream>) {
-        while let Some(words) = words(&mut stream).await {
-            let [name, key, id, extras, ..] = &words[..] else {
-                if stream.get_mut().write_all(b"+OK\r\n").await.is_err() {
+    /// Commands are noted as they come and answered in their order, behind those that wait.
+    async fn cache(self: Rc<Self>, stream: BufReader<TcpStream>) {
+        let (reading, mut writing) = stream.into_inner().into_split();
+        let (put, mut commands) = mpsc::unbounded_channel();
+        let own = self.clone();
+        let reader = spawn_local(async move {
+            let mut reading = BufReader::new(reading);
+            while let Some(words) = words(&mut reading).await {
+                if let [_, _, id, extras, ..] = &words[..] {
+                    own.arrived(id, extras);
+                }
+                if put.send(words).is_err() {
+                    return;
+                }
+            }
+        });
+        self.answer_commands(&mut commands, &mut writing).await;
+        // What has come and is not answered is reset with the connection, as by a server that closes it.
+        reader.abort();
+    }
+
+    async fn answer_commands(
+        &self,
+        commands: &mut mpsc::UnboundedReceiver<Vec<String>>,
+        stream: &mut tcp::OwnedWriteHalf,
+    ) {
+        while let Some(words) = commands.recv().await {
+            let [_, key, id, ..] = &words[..] else {
+                if stream.write_all(b"+OK\r\n").await.is_err() {
                     return;
                 }
                 continue;
             };
-            debug_assert!(name.starts_with("CACHE."));
-            self.arrived(id, extras);
             match self.way.get() {
                 Way::Resets => {
-                    let _ = stream.get_mut().set_zero_linger();
+                    let _ = stream.as_ref().set_zero_linger();
                     return;
                 }
                 Way::Slow => sleep(SLOW).await,
@@ -142,7 +165,7 @@
                 _ if number.is_multiple_of(MISSING) => "*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n".to_owned(),
                 _ => format!("*3\r\n${}\r\n{id}\r\n$3\r\nhit\r\n$17\r\nlat_ms=5,busy=0.1\r\n", id.len()),
             };
-            if !self.send(&mut stream, answer.as_bytes()).await {
+            if !self.send(stream, answer.as_bytes()).await {
                 return;
             }
         }
@@ -171,7 +194,7 @@
                 Way::Fails => "HTTP/1.1 500 no\r\nContent-Length: 0\r\n\r\n".to_owned(),
                 _ => format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", call.id.len(), call.id),
             };
-            if !self.send(&mut stream, answer.as_bytes()).await {
+            if !self.send(stream.get_mut(), answer.as_bytes()).await {
                 return;
             }
         }
@@ -179,7 +202,7 @@
 }
 
 /// Reads a RESP command's words.
-async fn words(from: &mut BufReader<TcpStream>) -> Option<Vec<String>> {
+async fn words(from: &mut (impl AsyncBufRead + Unpin)) -> Option<Vec<String>> {
     let count: usize = line(from).await?.strip_prefix('*')?.parse().ok()?;
     let mut words = Vec::with_capacity(count);
     for _ in 0..count {
@@ -192,7 +215,7 @@
     Some(words)
 }
 
-async fn line(from: &mut BufReader<TcpStream>) -> Option<String> {
+async fn line(from: &mut (impl AsyncBufRead + Unpin)) -> Option<String> {
     let mut line = String::new();
     from.read_line(&mut line).await.ok().filter(|length| *length > 0)?;
     Some(line.trim_end().to_owned())
