--- a/crates/mothpier/src/start_times/tests.rs
+++ b/crates/mothpier/src/start_times/tests.rs
@@ -74,3 +74,22 @@
     starts.forget(|id| id == 0);
     assert_eq!(starts.known.len(), 1);
 }
+
+#[test]
+fn a_server_that_was_forgotten_and_is_named_again_is_as_old_as_before() {
+    let mut starts = StartTimes::new(WARM_UP);
+    let listed = [NOW - 600 * SECOND, NOW - 300 * SECOND, NOW - 60 * SECOND];
+    ages(&mut starts, NOW, &listed);
+    starts.listed();
+    starts.forget(|id| id == 1);
+    assert!(ages(&mut starts, NOW + 5 * SECOND, &listed)[1] >= 240 * SECOND);
+}
+
+#[test]
+fn a_new_server_is_cold_at_a_node_whose_clock_is_ahead() {
+    let mut starts = StartTimes::new(WARM_UP);
+    ages(&mut starts, NOW + 30 * SECOND, &[NOW - 600 * SECOND]);
+    starts.listed();
+    let joined = ages(&mut starts, NOW + 40 * SECOND, &[NOW - 600 * SECOND, NOW + 10 * SECOND]);
+    assert_eq!(joined[1], 0);
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -54,6 +54,10 @@
 /// idle; one of five turns away few. Keys that are asked for again may be so at all balancers at once, and
 /// the buckets add up.
 const COLD_DEPTH: (f64, f64) = (5.0, 2.0);
+/// So many balancers' buckets add up to little: each may be as deep as one that sees the same key again needs, and
+/// they send a cold server the same keys, which it then holds.
+const FEW_BALANCERS: u32 = 12;
+const COLD_DEPTH_OF_FEW: f64 = 4.0;
 /// Sets the keys that a balancer sends a cold server apart from those of the others.
 const OWN_KEYS: u64 = 7_919;
 /// Retry budget, a token bucket: it holds so many times what each request adds.
@@ -392,7 +396,8 @@
     /// brings more than that part stays away: of it all balancers' buckets together hold too much.
     fn warm_enough(&self, h: &Held, s: &Server, total: f64) -> bool {
         let (warmth, (level, depth)) = (self.warmth(s), self.cold_bucket(h, s, total));
-        let keys = 1 + u64::from(self.settings.me) * OWN_KEYS;
+        let own = if self.settings.balancers > FEW_BALANCERS { OWN_KEYS } else { 0 };
+        let keys = 1 + u64::from(self.settings.me) * own;
         let fits = unit_hash(h.order, s.line.id, keys) < warmth && h.heat <= warmth && level + 1.0 <= depth;
         warmth >= 1.0 || (h.tried.is_empty() && fits)
     }
@@ -421,13 +426,22 @@
         self.peers.sum(tenant).map_or(alike, |told| own + told * unheard)
     }
 
+    /// Least depth of the bucket at a cold server, for a key that was asked for before or not.
+    fn least_cold_depth(&self, asked_before: bool) -> f64 {
+        match (self.settings.balancers > FEW_BALANCERS, asked_before) {
+            (false, _) => COLD_DEPTH_OF_FEW,
+            (true, false) => COLD_DEPTH.0,
+            (true, true) => COLD_DEPTH.1,
+        }
+    }
+
     /// Level and depth of the bucket of attempts at a server, as cold as it is.
     fn cold_bucket(&self, h: &Held, s: &Server, total: f64) -> (f64, f64) {
         let part = self.settings.cold_rate * self.warmth(s) * self.traffic_within_quotas() * self.weight(s);
         let rate = part / total.max(0.01) / 1e6;
         let level = s.cold_level - rate * (self.now - s.used) as f64;
         let (span, depth) = (self.settings.fall_after / 2, rate * self.settings.fall_after as f64 / 2.0);
-        let least_depth = if h.heat > 0.0 { COLD_DEPTH.1 } else { COLD_DEPTH.0 };
+        let least_depth = self.least_cold_depth(h.heat > 0.0);
         // Of hundreds of balancers each may have no more than a part of one attempt.
         let depth = match self.settings.shares {
             Some(_) if depth < 1.0 => self.turns(depth, span, u64::from(s.line.id)),
