Slow start: one order of keys for all balancers again, shallower buckets

A cold server was asked by each balancer for other keys, so that it held few of any.

Change: all balancers send a cold server the same keys, as the design has it; the bucket of those that are asked for once is four deep in place of five, and a server's start fills it to five as before.

Tests of the library pass.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -51,15 +51,13 @@
 /// Least depth of the bucket of attempts at a cold server, for keys that are asked for once and for those
 /// asked for again. A balancer of a large tier sends it less than one in a window, at odd times: a bucket of
 /// one turns two in five of them away (M/D/1 loss at 2/3 of the rate), and all balancers' together leave it
-/// idle; one of five turns away few. Keys that are asked for again may be so at all balancers at once, and
+/// idle; one of four turns away few. Keys that are asked for again may be so at all balancers at once, and
 /// the buckets add up.
-const COLD_DEPTH: (f64, f64) = (5.0, 2.0);
-/// So many balancers' buckets add up to little: each may be as deep as one that sees the same key again needs, and
-/// they send a cold server the same keys, which it then holds.
+const COLD_DEPTH: (f64, f64) = (4.0, 2.0);
+/// The bucket's level at the start of a server is drawn up to this: some balancers wait for a first place.
+const COLD_FIRST: f64 = COLD_DEPTH.0 + 1.0;
+/// So many balancers' buckets add up to little: each may be as deep for all keys.
 const FEW_BALANCERS: u32 = 12;
-const COLD_DEPTH_OF_FEW: f64 = 4.0;
-/// Sets the keys that a balancer sends a cold server apart from those of the others.
-const OWN_KEYS: u64 = 7_919;
 /// Retry budget, a token bucket: it holds so many times what each request adds.
 const RETRY: f64 = 25.0;
 /// A connection rests after this part of the longest aim; part of the attempts whose connection is not made
@@ -390,15 +388,13 @@
         if s.line.started == 0 { 1.0 } else { (share + (1.0 - share) * age).min(1.0) }
     }
 
-    /// Against pushing a cold server over: it gets a part of its keys that grows as it warms, each balancer
-    /// another part, for a new key that all are asked for at once would come from all of them together; no
-    /// more than a part of a warm server's requests, and nothing turned away elsewhere. A key that alone
-    /// brings more than that part stays away: of it all balancers' buckets together hold too much.
+    /// Against pushing a cold server over: it gets a part of its keys that grows as it warms, the same keys
+    /// from every balancer, no more than a part of a warm server's requests, and nothing turned away
+    /// elsewhere. A key that alone brings more than that part stays away: of it all balancers' buckets
+    /// together hold too much.
     fn warm_enough(&self, h: &Held, s: &Server, total: f64) -> bool {
         let (warmth, (level, depth)) = (self.warmth(s), self.cold_bucket(h, s, total));
-        let own = if self.settings.balancers > FEW_BALANCERS { OWN_KEYS } else { 0 };
-        let keys = 1 + u64::from(self.settings.me) * own;
-        let fits = unit_hash(h.order, s.line.id, keys) < warmth && h.heat <= warmth && level + 1.0 <= depth;
+        let fits = unit_hash(h.order, s.line.id, 1) < warmth && h.heat <= warmth && level + 1.0 <= depth;
         warmth >= 1.0 || (h.tried.is_empty() && fits)
     }
 
@@ -428,11 +424,7 @@
 
     /// Least depth of the bucket at a cold server, for a key that was asked for before or not.
     fn least_cold_depth(&self, asked_before: bool) -> f64 {
-        match (self.settings.balancers > FEW_BALANCERS, asked_before) {
-            (false, _) => COLD_DEPTH_OF_FEW,
-            (true, false) => COLD_DEPTH.0,
-            (true, true) => COLD_DEPTH.1,
-        }
+        if asked_before && self.settings.balancers > FEW_BALANCERS { COLD_DEPTH.1 } else { COLD_DEPTH.0 }
     }
 
     /// Level and depth of the bucket of attempts at a server, as cold as it is.
@@ -783,8 +775,8 @@
                 s.part = 1.0;
                 // Many balancers that may each send one at once would be a burst: they begin out of step, and
                 // one that has just started, and knows of no key that it is hot, with none to send.
-                let level =
-                    if young { COLD_DEPTH.0 - 1.0 + self.rng.unit() } else { COLD_DEPTH.0 * self.rng.unit() };
+                let out_of_step = self.rng.unit();
+                let level = if young { COLD_DEPTH.0 + out_of_step } else { COLD_FIRST * out_of_step };
                 (s.cold_level, s.used) = (level, self.now);
             }
             let id = line.id;
