--- a/src/policy.rs
+++ b/src/policy.rs
@@ -51,11 +51,12 @@
 /// Least depth of the bucket of attempts at a cold server, for keys that are asked for once and for those
 /// asked for again. A balancer of a large tier sends it less than one in a window, at odd times: a bucket of
 /// one turns two in five of them away (M/D/1 loss at 2/3 of the rate), and all balancers' together leave it
-/// idle; one of four turns away few. Keys that are asked for again may be so at all balancers at once, and
-/// the buckets add up.
+/// idle; one of four or five turns away few. Keys that are asked for again may be so at all balancers at
+/// once, and the buckets add up.
 const COLD_DEPTH: (f64, f64) = (4.0, 2.0);
-/// The bucket's level at the start of a server is drawn up to this: some balancers wait for a first place.
-const COLD_FIRST: f64 = COLD_DEPTH.0 + 1.0;
+/// The bucket's level at the start of a server is drawn up to this, so that most balancers wait for a first
+/// place; as deep it is for one that may send less than the second in a window, or it would wait too long.
+const COLD_FIRST: (f64, f64) = (5.0, 0.5);
 /// So many balancers' buckets add up to little: each may be as deep for all keys.
 const FEW_BALANCERS: u32 = 12;
 /// Retry budget, a token bucket: it holds so many times what each request adds.
@@ -422,9 +423,14 @@
         self.peers.sum(tenant).map_or(alike, |told| own + told * unheard)
     }
 
-    /// Least depth of the bucket at a cold server, for a key that was asked for before or not.
-    fn least_cold_depth(&self, asked_before: bool) -> f64 {
-        if asked_before && self.settings.balancers > FEW_BALANCERS { COLD_DEPTH.1 } else { COLD_DEPTH.0 }
+    /// Least depth of the bucket at a cold server of which this balancer may send so many in a window, for a
+    /// key that was asked for before or not.
+    fn least_cold_depth(&self, in_window: f64, asked_before: bool) -> f64 {
+        match (self.settings.balancers > FEW_BALANCERS, asked_before) {
+            (true, true) => COLD_DEPTH.1,
+            (true, false) if in_window < COLD_FIRST.1 => COLD_FIRST.0,
+            _ => COLD_DEPTH.0,
+        }
     }
 
     /// Level and depth of the bucket of attempts at a server, as cold as it is.
@@ -433,7 +439,7 @@
         let rate = part / total.max(0.01) / 1e6;
         let level = s.cold_level - rate * (self.now - s.used) as f64;
         let (span, depth) = (self.settings.fall_after / 2, rate * self.settings.fall_after as f64 / 2.0);
-        let least_depth = self.least_cold_depth(h.heat > 0.0);
+        let least_depth = self.least_cold_depth(2.0 * depth, h.heat > 0.0);
         // Of hundreds of balancers each may have no more than a part of one attempt.
         let depth = match self.settings.shares {
             Some(_) if depth < 1.0 => self.turns(depth, span, u64::from(s.line.id)),
@@ -776,7 +782,7 @@
                 // Many balancers that may each send one at once would be a burst: they begin out of step, and
                 // one that has just started, and knows of no key that it is hot, with none to send.
                 let out_of_step = self.rng.unit();
-                let level = if young { COLD_DEPTH.0 + out_of_step } else { COLD_FIRST * out_of_step };
+                let level = if young { COLD_FIRST.0 - 1.0 + out_of_step } else { COLD_FIRST.0 * out_of_step };
                 (s.cold_level, s.used) = (level, self.now);
             }
             let id = line.id;
