--- a/crates/mothpier-trials/src/soak/clients.rs
+++ b/crates/mothpier-trials/src/soak/clients.rs
@@ -11,6 +11,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::ledger::{Asked, End, Ledger};
+use super::servers::value_of;
 
 /// Between two requests of a client, in milliseconds.
 const PACE_MS: (u64, u64) = (10, 50);
@@ -37,6 +38,8 @@
     pub at: SocketAddr,
     /// Time of the class `brief`, in milliseconds.
     pub brief_ms: u64,
+    /// Requests that a client sends at once at the most.
+    pub pipeline: u64,
     /// What is seen.
     pub ledger: Rc<RefCell<Ledger>>,
     /// They all leave what they ask.
@@ -50,6 +53,7 @@
 /// A connection of a client.
 struct Connection {
     stream: BufReader<TcpStream>,
+    opened: Instant,
     /// Requests that were answered on it.
     answered: usize,
 }
@@ -62,11 +66,20 @@
     Ended(String),
 }
 
+/// Whether a request was answered.
+enum Answered {
+    Yes,
+    /// Not within its client's patience.
+    No,
+    /// Its connection has ended.
+    Ended(String),
+}
+
 impl Connection {
     async fn open(at: SocketAddr) -> Option<Connection> {
         let stream = timeout(Duration::from_secs(1), TcpStream::connect(at)).await.ok()?.ok()?;
         let _ = stream.set_nodelay(true);
-        Some(Connection { stream: BufReader::new(stream), answered: 0 })
+        Some(Connection { stream: BufReader::new(stream), opened: Instant::now(), answered: 0 })
     }
 
     async fn answer(&mut self) -> Heard {
@@ -97,6 +110,8 @@
 /// One request: its id, its bytes, and how long its client waits.
 struct Draft {
     id: String,
+    /// The value that is made for it.
+    value: String,
     bytes: Vec<u8>,
     deadline_ms: u64,
 }
@@ -118,7 +133,9 @@
             false => vec!["CACHE.GET", &key, &id, &extras],
         };
         let bytes = command(&words);
-        Draft { id, bytes, deadline_ms }
+        // A write's receipt, and what the origin gives, is the id alone.
+        let value = if once { id.clone() } else { value_of(&key, &id) };
+        Draft { id, value, bytes, deadline_ms }
     }
 
     /// One client, until all ends.
@@ -130,13 +147,14 @@
                 continue;
             }
             let Some(connection) = self.connection(&mut kept).await else { continue };
-            number += 1;
-            let draft = self.draft(client, number, &dice);
             let leaves = self.departing.get() || dice.chance(LEAVES);
+            let count = if leaves { 1 } else { 1 + dice.within(0, self.pipeline) as usize };
+            let drafts: Vec<Draft> = (1..=count).map(|n| self.draft(client, number + n, &dice)).collect();
+            number += count;
             if leaves {
-                self.leave(connection, &draft, &dice).await;
+                self.leave(connection, &drafts[0], &dice).await;
             } else {
-                kept = self.ask(connection, &draft).await.filter(|_| !dice.chance(CLOSES));
+                kept = self.ask_all(connection, &drafts).await.filter(|_| !dice.chance(CLOSES));
             }
         }
     }
@@ -152,10 +170,12 @@
         connection
     }
 
-    fn asked(&self, draft: &Draft) {
+    fn asked(&self, draft: &Draft, connection: &Connection) {
         let asked = Asked {
             node: self.node,
             at: Instant::now(),
+            connected: connection.opened,
+            ahead: None,
             deadline_ms: draft.deadline_ms,
             end: End::Waits,
             ended: None,
@@ -170,57 +190,86 @@
         }
     }
 
-    /// Asks and waits; the connection where it can be used again. A request that crosses the close of a connection that
-    /// has served before is sent once more on a new one.
-    async fn ask(&self, mut connection: Connection, draft: &Draft) -> Option<Connection> {
-        let mut crossed = false;
-        loop {
-            self.asked(draft);
-            let reused = connection.answered > 0;
-            let sent = connection.stream.get_mut().write_all(&draft.bytes).await;
-            let patience = Duration::from_millis(draft.deadline_ms) + PATIENCE;
-            let heard = match sent {
-                Err(e) => Heard::Ended(format!("as it was sent: {e}")),
-                Ok(()) => match timeout(patience, connection.answer()).await {
-                    Ok(heard) => heard,
-                    Err(_) => {
-                        self.ended(&draft.id, End::Lost, "no answer came");
-                        return None;
-                    }
-                },
-            };
-            match heard {
-                Heard::Value(value) if value == draft.id => self.ended(&draft.id, End::Served, ""),
-                Heard::Value(value) => {
-                    self.ended(&draft.id, End::Served, "");
-                    self.ledger.borrow_mut().wrong.push(format!("{} is answered with {value:.60}", draft.id));
-                }
-                Heard::Error(line) => self.ended(&draft.id, End::Refused, &line),
-                Heard::Ended(how) => {
-                    let begun = self.ledger.borrow().arrivals.iter().rev().any(|a| a.id == draft.id);
-                    // Read by the node, or on a connection that had served nobody: nothing excuses the close.
-                    if begun || !reused || crossed {
-                        let state = if begun { "an attempt was made, then " } else { "" };
-                        self.ended(&draft.id, End::Lost, &format!("{state}the connection ended: {how}"));
-                        return None;
+    /// Sends requests at once and waits for their answers, in their order; the connection where it can be used again.
+    async fn ask_all(&self, mut connection: Connection, drafts: &[Draft]) -> Option<Connection> {
+        let is_reused = connection.answered > 0;
+        drafts.iter().for_each(|draft| self.asked(draft, &connection));
+        let bytes: Vec<u8> = drafts.iter().flat_map(|draft| draft.bytes.iter().copied()).collect();
+        let sent = connection.stream.get_mut().write_all(&bytes).await;
+        let mut ended = sent.err().map(|e| format!("as it was sent: {e}"));
+        let (mut crossed, mut ahead): (Vec<&Draft>, Option<Instant>) = (Vec::new(), None);
+        for draft in drafts {
+            if let Some(asked) = self.ledger.borrow_mut().asked.get_mut(&draft.id) {
+                asked.ahead = ahead;
+            }
+            if ended.is_none() {
+                match self.answer_to(&mut connection, draft).await {
+                    Answered::Yes => {
+                        ahead = Some(Instant::now());
+                        continue;
                     }
-                    crossed = true;
-                    self.ended(&draft.id, End::AskedAgain, &how);
-                    match Connection::open(self.at).await {
-                        Some(new) => connection = new,
-                        None => return None,
+                    Answered::No => {
+                        // What stands behind it waits for it, and ends with this client's patience.
+                        ended = Some("an answer ahead of it did not come".into());
+                        continue;
                     }
-                    continue;
+                    Answered::Ended(how) => ended = Some(how),
                 }
             }
-            connection.answered += 1;
+            let how = ended.as_deref().unwrap_or_default();
+            let begun = self.ledger.borrow().arrivals.iter().rev().any(|a| a.id == draft.id);
+            // Read by the node, or on a connection that had served nobody: nothing excuses the close.
+            if begun || !is_reused {
+                let state = if begun { "an attempt was made, then " } else { "" };
+                self.ended(&draft.id, End::Lost, &format!("{state}the connection ended: {how}"));
+            } else {
+                self.ended(&draft.id, End::AskedAgain, how);
+                crossed.push(draft);
+            }
+        }
+        if ended.is_none() {
             return Some(connection);
         }
+        for draft in crossed {
+            let mut new = Connection::open(self.at).await?;
+            self.asked(draft, &new);
+            let sent = new.stream.get_mut().write_all(&draft.bytes).await;
+            let heard = match sent {
+                Ok(()) => self.answer_to(&mut new, draft).await,
+                Err(e) => Answered::Ended(format!("as it was sent: {e}")),
+            };
+            if let Answered::Ended(how) = heard {
+                self.ended(&draft.id, End::Lost, &format!("the second connection ended, too: {how}"));
+            }
+        }
+        None
+    }
+
+    /// Waits for the answer to a request that was sent.
+    async fn answer_to(&self, connection: &mut Connection, draft: &Draft) -> Answered {
+        let patience = Duration::from_millis(draft.deadline_ms) + PATIENCE;
+        match timeout(patience, connection.answer()).await {
+            Err(_) => {
+                self.ended(&draft.id, End::Lost, "no answer came");
+                return Answered::No;
+            }
+            Ok(Heard::Ended(how)) => return Answered::Ended(how),
+            Ok(Heard::Error(line)) => self.ended(&draft.id, End::Refused, &line),
+            Ok(Heard::Value(value)) => {
+                self.ended(&draft.id, End::Served, "");
+                if value != draft.value && value != draft.id {
+                    let wrong = format!("{} is answered with {value:.60}", draft.id);
+                    self.ledger.borrow_mut().wrong.push(wrong);
+                }
+            }
+        }
+        connection.answered += 1;
+        Answered::Yes
     }
 
     /// Asks and is gone before the answer comes.
     async fn leave(&self, mut connection: Connection, draft: &Draft, dice: &Dice) {
-        self.asked(draft);
+        self.asked(draft, &connection);
         let _ = connection.stream.get_mut().write_all(&draft.bytes).await;
         let wait = Duration::from_millis(dice.within(0, LEAVES_WITHIN_MS));
         if let Ok(Heard::Value(_) | Heard::Error(_)) = timeout(wait, connection.answer()).await {
--- a/crates/mothpier-trials/src/soak/ledger.rs
+++ b/crates/mothpier-trials/src/soak/ledger.rs
@@ -40,6 +40,10 @@
     pub node: usize,
     /// When its last byte was sent.
     pub at: Instant,
+    /// When its connection was opened.
+    pub connected: Instant,
+    /// When the answer to the one ahead of it on its connection came: until then it waited for that one.
+    pub ahead: Option<Instant>,
     /// How long its client waits, in milliseconds.
     pub deadline_ms: u64,
     /// How it ended, and when.
@@ -82,8 +86,12 @@
     pub processes: Vec<String>,
     /// When processes of a node were not to be reached: killed, or ending and starting.
     pub down: Vec<(usize, Instant, Instant)>,
+    /// When a node was told to end, and when it had.
+    pub terminated: Vec<(usize, Instant, Instant)>,
     /// When connections of a node were broken on purpose.
     pub broken: Vec<(usize, Instant, Instant)>,
+    /// What stand-ins did of their own accord, for the time line.
+    pub notes: Vec<(Instant, String)>,
     /// When this program itself did not run.
     pub stalls: Vec<(Instant, Instant)>,
     /// Shares of a cache server that had just started: its own attempts, and the mean of the others.
--- a/crates/mothpier-trials/src/soak/mod.rs
+++ b/crates/mothpier-trials/src/soak/mod.rs
@@ -61,6 +61,8 @@
 const HALF_REQUESTS_END: Duration = Duration::from_secs(4);
 /// How long after the change of a list all nodes have it where discovery is well.
 const LIST_REACHES: Duration = Duration::from_millis(200);
+/// How long a node's file can't be read.
+const BAD_FILE: Duration = Duration::from_millis(150);
 /// Requests at each node in the end, which must all be served.
 const LAST_REQUESTS: usize = 10;
 
@@ -394,6 +396,7 @@
                 node: number,
                 at: front,
                 brief_ms: plan.brief_ms,
+                pipeline: plan.pipeline,
                 ledger: ledger.clone(),
                 departing: Cell::new(false),
                 quiet: Cell::new(false),
@@ -483,6 +486,10 @@
             Kind::DiscoverySlow => self.discovery(discovery::Way::Slow, lasts).await,
             Kind::OriginFails => self.server(&self.origin, Way::Fails, lasts).await,
             Kind::OriginResets => self.server(&self.origin, Way::Resets, lasts).await,
+            Kind::OriginHangs => self.server(&self.origin, Way::Hangs, lasts).await,
+            Kind::SecondAnswers => self.server(&self.servers[server], Way::SecondAnswers, lasts).await,
+            Kind::SpoiltAnswers => self.server(&self.servers[server], Way::Spoils, lasts).await,
+            Kind::BadReload => self.bad_reload(node).await,
             Kind::OriginSlow => self.server(&self.origin, Way::Slow, lasts).await,
             Kind::Departures => {
                 node.crowd.departing.set(true);
@@ -569,6 +576,22 @@
         }
     }
 
+    /// It is told to read a file that holds half of a configuration, and a good one again.
+    async fn bad_reload(&self, node: &Node) {
+        // A process that starts meanwhile would find no configuration.
+        if node.restarts.replace(true) {
+            return;
+        }
+        if write(&node.file, &node.text[..node.text.len() / 2]).is_ok() {
+            node.process.signal(Signal::HUP);
+            sleep(BAD_FILE).await;
+        }
+        if node.name_entry(0).is_ok() {
+            node.process.signal(Signal::HUP);
+        }
+        node.restarts.set(false);
+    }
+
     async fn kill(&self, node: &Node, lasts: Duration) {
         if node.restarts.replace(true) {
             return;
@@ -596,6 +619,7 @@
         }
         // Clients who come in the last moment find the listener closed.
         let begun = Instant::now() - Duration::from_millis(5);
+        self.ledger.borrow_mut().terminated.push((node.number, told, Instant::now()));
         node.process.kill().await;
         self.start_again(node, begun).await;
     }
@@ -719,6 +743,7 @@
             format!("node {} told: server {} ready {}", told.node, told.server, told.ready),
         ));
     }
+    lines.extend(ledger.notes.iter().map(|(at, note)| (ms(*at), note.clone())));
     for (from, to) in &ledger.stalls {
         lines.push((ms(*from), format!("the harness did not run for {:?}", *to - *from)));
     }
--- a/crates/mothpier-trials/src/soak/oracle.rs
+++ b/crates/mothpier-trials/src/soak/oracle.rs
@@ -14,6 +14,10 @@
 const TOLD_SLACK_MS: u64 = 150;
 /// An answer later than this after the request's time is lost.
 const LATE: Duration = Duration::from_millis(500);
+/// Clients come for so long after a node was told to end: what is asked on their connections is owed its answer.
+const CLIENTS_COME: Duration = Duration::from_millis(400);
+/// A connection that a process closes as it ends may be crossed by a request for so long.
+const CROSSES: Duration = Duration::from_millis(20);
 /// Slack of a drain's grace.
 const GRACE_SLACK: Duration = Duration::from_millis(50);
 /// A server that has just started gets less than this part of what the others get.
@@ -63,12 +67,20 @@
 fn requests(ledger: &Ledger, note: &mut impl FnMut(&'static str, String)) {
     for (id, asked) in &ledger.asked {
         let until = asked.ended.unwrap_or(asked.at);
-        let excused = Ledger::touched(&ledger.down, asked.node, asked.at, until)
-            || Ledger::touched(&ledger.broken, asked.node, asked.at, until);
-        if excused {
+        let owed_at_the_end = ledger.terminated.iter().any(|(node, told, ended)| {
+            *node == asked.node
+                && asked.connected < *told + CLIENTS_COME
+                && asked.at + CROSSES < *ended
+                && until + CROSSES >= *told
+                && until <= *ended + CROSSES
+        });
+        let is_down = !owed_at_the_end && Ledger::touched(&ledger.down, asked.node, asked.at, until);
+        if is_down || Ledger::touched(&ledger.broken, asked.node, asked.at, until) {
             continue;
         }
-        let limit = Duration::from_millis(asked.deadline_ms) + LATE + ledger.stalled(asked.at, until);
+        let waits = asked.ahead.map_or(Duration::ZERO, |ahead| ahead.saturating_duration_since(asked.at));
+        let limit =
+            Duration::from_millis(asked.deadline_ms).max(waits) + LATE + ledger.stalled(asked.at, until);
         match asked.end {
             End::Lost => note("lost", format!("{id}: {}", asked.note)),
             End::Waits => note("lost", format!("{id}: no end was seen")),
--- a/crates/mothpier-trials/src/soak/plan.rs
+++ b/crates/mothpier-trials/src/soak/plan.rs
@@ -66,11 +66,19 @@
     HalfRequests,
     /// Clients of a node are silent.
     Quiet,
+    /// The origin answers nothing.
+    OriginHangs,
+    /// A cache server gives some of its answers twice, the second one some milliseconds later.
+    SecondAnswers,
+    /// A cache server's answers stop short, can't be read or have more behind them.
+    SpoiltAnswers,
+    /// A node's configuration can't be read as it is told to read it again.
+    BadReload,
 }
 
 impl Kind {
     /// All of them.
-    pub const ALL: [Kind; 26] = [
+    pub const ALL: [Kind; 30] = [
         Kind::WallStep,
         Kind::ShortCalls,
         Kind::BrokenStreams,
@@ -97,6 +105,10 @@
         Kind::Departures,
         Kind::HalfRequests,
         Kind::Quiet,
+        Kind::OriginHangs,
+        Kind::SecondAnswers,
+        Kind::SpoiltAnswers,
+        Kind::BadReload,
     ];
 }
 
@@ -119,7 +131,8 @@
     /// Whether it moves keys from one cache server to another, or keeps lists from nodes.
     pub fn moves_keys(&self) -> bool {
         use Kind::{
-            Closes, DiscoveryDown, DiscoverySilent, DiscoverySlow, Drain, Hang, Kill, Resets, Slow, Terminate,
+            Closes, DiscoveryDown, DiscoverySilent, DiscoverySlow, Drain, Hang, Kill, Resets, Slow,
+            SpoiltAnswers, Terminate,
         };
         matches!(
             self.kind,
@@ -132,6 +145,7 @@
                 | Kill
                 | Resets
                 | Slow
+                | SpoiltAnswers
                 | Terminate
         )
     }
@@ -169,6 +183,8 @@
     pub cold_ms: u64,
     /// The grace of a drain, in milliseconds.
     pub grace_ms: u64,
+    /// Requests that a client sends at once at the most.
+    pub pipeline: u64,
     /// The troubles, in the order of their beginning.
     pub troubles: Vec<Trouble>,
 }
@@ -192,6 +208,7 @@
             idle_close_ms: among(&[800, 2_000, 10_000]),
             cold_ms: 4_000,
             grace_ms: among(&[300, 500]),
+            pipeline: among(&[1, 1, 3, 8]),
             troubles: Vec::new(),
         };
         for _ in 0..dice.within(TROUBLES.0, TROUBLES.1) {
--- a/crates/mothpier-trials/src/soak/servers.rs
+++ b/crates/mothpier-trials/src/soak/servers.rs
@@ -1,15 +1,17 @@
 //! Stand-ins for cache servers and the origin, with what goes wrong at them.
 
 use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::{Duration, Instant};
 
-use tokio::io::{AsyncBufRead, AsyncBufReadExt, AsyncReadExt, AsyncWrite, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncBufRead, AsyncBufReadExt, AsyncReadExt, AsyncWrite, AsyncWriteExt, BufReader, ReadBuf};
 use tokio::net::{TcpListener, TcpStream, tcp};
 use tokio::sync::{Notify, mpsc};
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::ledger::{Arrival, Ledger};
 
@@ -19,6 +21,14 @@
 const ORIGIN_TAKES: Duration = Duration::from_millis(5);
 const ORIGIN_SLOW: Duration = Duration::from_millis(250);
 const BETWEEN_PIECES: Duration = Duration::from_millis(4);
+/// One key in so many has a value that a node passes on as it comes, of about this length.
+const LARGE: usize = 37;
+const LARGE_LENGTH: usize = 150_000;
+/// One answer in so many is given twice, or spoilt.
+const SECOND: usize = 4;
+const SPOILT: usize = 5;
+/// Second answers come so much later at the most, in milliseconds.
+const SECOND_LATER_MS: usize = 9;
 
 /// How a server behaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,6 +47,16 @@
     Closes,
     /// It fails; at the origin with and without effect in turn.
     Fails,
+    /// Some of its answers come twice, where no other command waits.
+    SecondAnswers,
+    /// Some of its answers stop short, can't be read or have more behind them.
+    Spoils,
+}
+
+/// The value of a key as it is made for a request.
+pub fn value_of(key: &str, id: &str) -> String {
+    let number: usize = key.rsplit('-').next().and_then(|n| n.parse().ok()).unwrap_or(0);
+    if number % LARGE == 5 { id.repeat(LARGE_LENGTH / id.len()) } else { id.to_owned() }
 }
 
 /// A server.
@@ -144,7 +164,15 @@
         commands: &mut mpsc::UnboundedReceiver<Vec<String>>,
         stream: &mut tcp::OwnedWriteHalf,
     ) {
-        while let Some(words) = commands.recv().await {
+        let mut next = None;
+        loop {
+            let words = match next.take() {
+                Some(words) => words,
+                None => match commands.recv().await {
+                    Some(words) => words,
+                    None => return,
+                },
+            };
             let [_, key, id, ..] = &words[..] else {
                 if stream.write_all(b"+OK\r\n").await.is_err() {
                     return;
@@ -163,11 +191,41 @@
             let answer = match self.way.get() {
                 Way::Fails => "-ERR failed\r\n".to_owned(),
                 _ if number.is_multiple_of(MISSING) => "*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n".to_owned(),
-                _ => format!("*3\r\n${}\r\n{id}\r\n$3\r\nhit\r\n$17\r\nlat_ms=5,busy=0.1\r\n", id.len()),
+                _ => {
+                    let value = value_of(key, id);
+                    let length = value.len();
+                    format!("*3\r\n${length}\r\n{value}\r\n$3\r\nhit\r\n$17\r\nlat_ms=5,busy=0.1\r\n")
+                }
             };
+            let turn = self.calls.get();
+            self.calls.set(turn + 1);
+            if self.way.get() == Way::Spoils && turn.is_multiple_of(SPOILT) {
+                if stream.write_all(&spoilt(&answer, turn / SPOILT, commands.is_empty())).await.is_err() {
+                    return;
+                }
+                continue;
+            }
             if !self.send(stream, answer.as_bytes()).await {
                 return;
             }
+            if self.way.get() == Way::SecondAnswers && turn.is_multiple_of(SECOND) {
+                let later = Duration::from_millis((turn / SECOND % SECOND_LATER_MS) as u64);
+                match timeout(later, commands.recv()).await {
+                    Ok(None) => return,
+                    Ok(words) => next = words,
+                    // One that has come and is not read yet counts as come: crossing is for what is on its way.
+                    Err(_) if has_unread(stream.as_ref()).await => {}
+                    Err(_) => {
+                        self.ledger
+                            .borrow_mut()
+                            .notes
+                            .push((Instant::now(), format!("{id} is answered again")));
+                        if stream.write_all(answer.as_bytes()).await.is_err() {
+                            return;
+                        }
+                    }
+                }
+            }
         }
     }
 
@@ -182,6 +240,7 @@
             if call.write && !never_ran && !reset_before {
                 *self.ledger.borrow_mut().effects.entry(call.id.clone()).or_default() += 1;
             }
+            self.until_it_answers().await;
             sleep(if way == Way::Slow { ORIGIN_SLOW } else { ORIGIN_TAKES }).await;
             let answer = match way {
                 Way::Resets => {
@@ -201,6 +260,31 @@
     }
 }
 
+/// A spoilt form of an answer. More than was asked for comes only where no other command waits: behind it the next answer
+/// could not be told from it.
+fn spoilt(answer: &str, turn: usize, is_alone: bool) -> Vec<u8> {
+    // Within the load report, so that what follows never completes the value.
+    let short = &answer[..answer.len().saturating_sub(8)];
+    match turn % 3 {
+        0 => short.into(),
+        1 => b"?3\r\n!\r\n".to_vec(),
+        _ if is_alone => [answer, "HTTP/1.1 200 OK\r\n\r\n"].concat().into_bytes(),
+        _ => answer.into(),
+    }
+}
+
+/// Whether something has come that is not read yet.
+async fn has_unread(stream: &TcpStream) -> bool {
+    // Once round the runtime, which looks at the sockets then.
+    tokio::task::yield_now().await;
+    poll_fn(|context| {
+        let mut byte = [0];
+        let peeked = stream.poll_peek(context, &mut ReadBuf::new(&mut byte));
+        Poll::Ready(matches!(peeked, Poll::Ready(Ok(1..))))
+    })
+    .await
+}
+
 /// Reads a RESP command's words.
 async fn words(from: &mut (impl AsyncBufRead + Unpin)) -> Option<Vec<String>> {
     let count: usize = line(from).await?.strip_prefix('*')?.parse().ok()?;
--- a/crates/mothpier/src/start_times/tests.rs
+++ b/crates/mothpier/src/start_times/tests.rs
@@ -93,3 +93,15 @@
     let joined = ages(&mut starts, NOW + 40 * SECOND, &[NOW - 600 * SECOND, NOW + 10 * SECOND]);
     assert_eq!(joined[1], 0);
 }
+
+#[test]
+fn the_first_restart_of_a_server_that_was_up_for_long_is_news_whatever_its_clock_says() {
+    for stated in [NOW + 2 * SECOND, NOW - 30 * SECOND, NOW - HOUR, NOW + HOUR] {
+        let mut starts = StartTimes::new(WARM_UP);
+        ages(&mut starts, NOW, &[0, 0]);
+        starts.listed();
+        ages(&mut starts, NOW + SECOND, &[NOW + SECOND, 0]);
+        assert_eq!(ages(&mut starts, NOW + 2 * SECOND, &[NOW + SECOND, stated])[1], 0, "{stated}");
+        assert_eq!(ages(&mut starts, NOW + 5 * SECOND, &[NOW + SECOND, stated])[1], 3 * SECOND, "{stated}");
+    }
+}
