--- a/crates/mothpier/src/start_times.rs
+++ b/crates/mothpier/src/start_times.rs
@@ -72,7 +72,12 @@
         let stated = lines.iter().map(|line| line.started).max().unwrap_or_default();
         let newest = stated.max(self.surely_come(now));
         let wall_is_believed = !self.listed && self.careful_takes_many_for_cold(now, newest, &lines);
-        for line in lines.iter_mut().filter(|line| line.started > 0) {
+        for line in &mut lines {
+            if line.started == 0 {
+                // Up for long: known all the same, and what it states one day is a restart.
+                self.known.entry(line.id).or_default();
+                continue;
+            }
             let stated = line.started;
             line.started = self.began(now, line.id, stated, newest, wall_is_believed);
         }
