Cache servers: a connection rests until a second answer to the last command has come

Change: behind an answer a connection rests for a quarter of the time that the answer took, 10 ms at the most, and not at all where that is under 1 ms, so that fast servers are asked as before. What waits is unsent and can be taken back.

--- a/crates/mothpier/src/servers/answer_times.rs
+++ b/crates/mothpier/src/servers/answer_times.rs
@@ -12,6 +12,18 @@
 /// So many answers make the least time known: of fewer the next one may well be much faster.
 const KNOWN_AFTER: u32 = 16;
 
+/// A connection that was answered rests for this part of the time that the answer took, and no longer than the next.
+const SETTLES: (f64, Duration) = (0.25, Duration::from_millis(10));
+/// Shorter rests are left out: servers that answer as fast as that would be asked much less.
+const LEAST_REST: Duration = Duration::from_millis(1);
+
+/// How long a connection rests behind an answer that took so long, so that a second answer comes before the next command
+/// is written and is seen for what it is.
+pub(super) fn settling_time(took: Duration) -> Option<Duration> {
+    let rest = took.mul_f64(SETTLES.0).min(SETTLES.1);
+    (rest >= LEAST_REST).then_some(rest)
+}
+
 /// The least time of answers that were seen.
 #[derive(Default)]
 pub(super) struct LeastTime {
--- a/crates/mothpier/src/servers/answer_times/tests.rs
+++ b/crates/mothpier/src/servers/answer_times/tests.rs
@@ -48,3 +48,10 @@
     assert!(!second.accept(MS, Some(2 * MS)));
     assert!(second.accept(6 * MS, Some(2 * MS)));
 }
+
+#[test]
+fn a_connection_rests_in_proportion_to_its_answers_and_not_at_all_behind_fast_ones() {
+    assert_eq!(settling_time(20 * MS), Some(5 * MS));
+    assert_eq!(settling_time(500 * MS), Some(SETTLES.1));
+    assert_eq!(settling_time(3 * MS), None);
+}
--- a/crates/mothpier/src/servers/connection.rs
+++ b/crates/mothpier/src/servers/connection.rs
@@ -125,6 +125,11 @@
             if !self.shared.has_unsent(self.net.now()) {
                 self.shared.wake.notified().await;
             }
+            if let Some(settled) = self.shared.unsettled_until(self.net.now()) {
+                // What waits here is unsent: it may be taken back meanwhile.
+                self.net.sleep_until(settled).await;
+                continue;
+            }
             // Once round the runtime: a close that has come in is read before anything more is written.
             self.net.yield_now().await;
             let begun = poll_fn(|cx| self.shared.begin(cx, writing, self.net.now())).await;
--- a/crates/mothpier/src/servers/line.rs
+++ b/crates/mothpier/src/servers/line.rs
@@ -100,6 +100,8 @@
     pub(super) server: Cell<ServerId>,
     pub(super) line: RefCell<Line>,
     pub(super) wake: Notify,
+    /// Until then a second answer to the last command may come: nothing is written that would take it for its own.
+    pub(super) settles_at: Cell<Option<Instant>>,
 }
 
 /// A command of which the socket has taken the first bytes, and the others.
@@ -119,6 +121,12 @@
         self.line.borrow().next_unsent(now).is_some()
     }
 
+    /// Until when the next command waits for a second answer to the one before; `None` where it need not.
+    pub(super) fn unsettled_until(&self, now: Instant) -> Option<Instant> {
+        let nothing_outstanding = self.line.borrow().sent.is_empty();
+        self.settles_at.get().filter(|at| nothing_outstanding && *at > now)
+    }
+
     /// Whether something else waits on the connection.
     pub(super) fn carries_more(&self) -> bool {
         self.line.borrow().load() > 1
--- a/crates/mothpier/src/servers/reader.rs
+++ b/crates/mothpier/src/servers/reader.rs
@@ -7,6 +7,7 @@
 use mothpier_net::{Net, Reading};
 use redis_protocol::resp2::types::BytesFrame;
 
+use super::answer_times::settling_time;
 use super::command::Owed;
 use super::connection::Driver;
 use super::large_value::pass_on;
@@ -134,6 +135,7 @@
         let word = shared.line.borrow().sent.front().is_some_and(|s| s.owed == Owed::Word);
         let place = if word { None } else { connection.events.reserve().await.ok() };
         let sent = shared.line.borrow_mut().sent.pop_front()?;
+        let took = connection.net.since(sent.written);
         let soon = sent.owed != Owed::Word && !self.in_time(sent.written);
         self.answered = Some(connection.net.now());
         let frame = taken.ok().flatten().filter(|frame| !soon && fits(frame, sent.owed, tier));
@@ -144,6 +146,9 @@
             }
             return frame.map(|_| ());
         }
+        if let Some(settles) = settling_time(took) {
+            shared.settles_at.set(Some(connection.net.now() + settles));
+        }
         let good = frame.is_some();
         let event = match frame {
             Some(frame) => ServerEvent::Answer(sent.attempt, frame),
