--- a/crates/mothpier-trials/src/soak/mod.rs
+++ b/crates/mothpier-trials/src/soak/mod.rs
@@ -387,6 +387,7 @@
                 ("ROUTER_CONFIG".to_owned(), file.display().to_string()),
                 ("ROUTER_LISTEN".to_owned(), front.to_string()),
                 ("ROUTER_OPERATOR".to_owned(), admin.to_string()),
+                ("MOTHPIER_EVENTS".to_owned(), "text".to_owned()),
             ];
             environment.extend(control.environment(programs));
             environment.extend(plant.iter().map(|name| ("MOTHPIER_PLANT".to_owned(), name.clone())));
--- a/crates/mothpier/src/clients.rs
+++ b/crates/mothpier/src/clients.rs
@@ -24,7 +24,8 @@
 use crate::accept_failure::AcceptFailure;
 use crate::binding::{self, Binding};
 use crate::cancellation::{CancelGuard, CancelToken, ConnectionProbe};
-use crate::figures::{CloseReason, Ended, Figures};
+use crate::event_log::{Event, EventLog};
+use crate::figures::{CloseReason, Ended, Figures, RefusalReason};
 use crate::guards::{self, Invariant};
 use crate::membership::Membership;
 use crate::messages::{Answer, Claim, ClientEvent, Command, Ids, Input, Passing};
@@ -79,6 +80,8 @@
     pub figures: Rc<Figures>,
     /// What this process may use of what the node has.
     pub share: Rc<Share>,
+    /// Where what befalls connections is logged.
+    pub event_log: Rc<EventLog>,
     /// Where slot-aware clients are served: the tier that they are shown.
     pub tier: Option<Rc<RefCell<Tier>>>,
     /// Where there are more sources of boxes than the list: what they say.
@@ -100,6 +103,7 @@
     /// Requests taken and not ended: each is counted by the guard in its slot.
     taken: Rc<Cell<usize>>,
     figures: Rc<Figures>,
+    event_log: Rc<EventLog>,
     share: Rc<Share>,
     /// When it began, and how many connections and commands came since.
     began: Instant,
@@ -130,7 +134,7 @@
         net: N,
         site: Site,
         now: Box<dyn Fn() -> Micros>,
-        State { phase, figures, share, tier, membership, binding }: State,
+        State { phase, figures, share, event_log, tier, membership, binding }: State,
         (most, memory): (usize, usize),
         events: mpsc::Sender<Input>,
     ) -> Rc<Self> {
@@ -146,6 +150,7 @@
             now,
             taken: Rc::default(),
             figures,
+            event_log,
             share,
             next_request: Cell::new(1),
             ids: Ids::default(),
@@ -285,6 +290,25 @@
         }
     }
 
+    /// Counts a request that is turned away before the node is asked, and logs it.
+    fn note_refusal(&self, command: &Command, open_on_connection: usize) {
+        let is_deep = open_on_connection >= MAX_PIPELINE;
+        let reason = if is_deep { RefusalReason::Pipeline } else { RefusalReason::Memory };
+        self.figures.refused(reason);
+        let (request, retry_after_ms) = (command.id_text(), FULL_RETRY_MS);
+        let event = Event::Refused { request: &request, reason, attempts: 0, retry_after_ms };
+        if let Some(line) = self.event_log.line(self.net.now(), &event) {
+            self.net.log(line);
+        }
+    }
+
+    fn log_close(&self, connection: u64, reason: CloseReason, unanswered: usize) {
+        let event = Event::ConnectionClosed { connection, reason, unanswered };
+        if let Some(line) = self.event_log.line(self.net.now(), &event) {
+            self.net.log(line);
+        }
+    }
+
     /// A rule was found broken: it is counted, and told in a log that no flood of them fills.
     fn violated(&self, invariant: Invariant, connection: u64) {
         if self.figures.violated(invariant) {
@@ -322,6 +346,7 @@
             };
             let reason = session.run(&*reading, writing, evict).await;
             self.figures.closed(reason);
+            self.log_close(number, reason, session.pending.len());
             // All that holds the connection is let go of, so that it closes now.
             drop(reading);
             let Session { pending, .. } = session;
@@ -782,8 +807,9 @@
         let known = matches!(words[0].as_ref(), b"CACHE.GET" | b"CACHE.SET");
         let parsed = known.then(|| self.clients.parse(&words, (self.clients.now)()));
         match parsed {
-            Some(Ok((request, _))) => {
+            Some(Ok((request, command))) => {
                 self.known = true;
+                self.clients.note_refusal(&command, self.asked);
                 let taken = Some(Taken::of(request.class, &self.clients.taken, None));
                 let wait = Wait::Ready(resp::error(&format!("BUSY {FULL_RETRY_MS}")));
                 self.pending.push_back(Slot { wait, taken });
@@ -806,6 +832,7 @@
         };
         let mut taken = Taken::of(request.class, &self.clients.taken, memory);
         if taken.memory.is_none() {
+            self.clients.note_refusal(&command, self.asked);
             let wait = Wait::Ready(resp::error(&format!("BUSY {FULL_RETRY_MS}")));
             return self.pending.push_back(Slot { wait, taken: Some(taken) });
         }
--- a/crates/mothpier/src/config.rs
+++ b/crates/mothpier/src/config.rs
@@ -9,13 +9,14 @@
 use std::time::Duration;
 
 use brassrouter::settings::{self, Site};
-use mothpier_config::{Form, Hosts, Severity};
+use mothpier_config::{Form as FileForm, Hosts, Severity};
 use mothpier_net::UnixPlace;
 pub use mothpier_slots::refresh::Budget as RefreshBudget;
 use serde::Deserialize;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::door;
+use crate::event_log::{self, Form};
 use crate::messages::List;
 use crate::shelf::{Folder, Shelf};
 
@@ -62,6 +63,8 @@
     pub coordination: Option<coordination::Coordination>,
     /// It is one application's sidecar.
     pub sidecar: Option<sidecar::Sidecar>,
+    /// How events of requests and connections are logged, where they are.
+    pub events: Option<Form>,
     /// What the checks of its file found that does not keep it from starting, a line each.
     pub warnings: Vec<String>,
 }
@@ -296,7 +299,7 @@
     env: &dyn Fn(&str) -> Option<String>,
     precedence: Precedence,
 ) -> Result<Config, String> {
-    let checked = mothpier_config::check(text, Form::Json, &Hosts::default());
+    let checked = mothpier_config::check(text, FileForm::Json, &Hosts::default());
     let lines = |of: Severity| -> Vec<String> {
         checked.findings.iter().filter(|f| f.severity == of).map(|f| f.line(&checked.text)).collect()
     };
@@ -362,6 +365,7 @@
         sources,
         coordination: None,
         sidecar,
+        events: env(event_log::VARIABLE).map(|form| form.parse()).transpose()?,
         warnings: lines(Severity::Warning),
     })
 }
--- a/crates/mothpier/src/figures.rs
+++ b/crates/mothpier/src/figures.rs
@@ -1,8 +1,10 @@
 //! What a node reports of itself, in the text form of Prometheus. One owner for each figure: what is counted is counted
 //! where it happens, and what is a state is asked of its keeper at the time of the scrape.
 
-use crate::guards::Invariant;
 use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use serde::Serialize;
+
+use crate::guards::Invariant;
 
 /// What stands before every name.
 const PREFIX: &str = "edge_router";
@@ -18,8 +20,45 @@
     Failed,
 }
 
+/// Why a request was turned away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RefusalReason {
+    /// Its connection has as many open requests as it may.
+    Pipeline,
+    /// The node's memory for open requests is full.
+    Memory,
+    /// At once, with no attempt: over a quota under strain, or all its servers are full.
+    Shed,
+    /// With no attempt, after it had waited for its turn.
+    Waited,
+    /// After attempts that can't have run, or may run again.
+    Attempts,
+}
+
+impl RefusalReason {
+    const ALL: [RefusalReason; 5] = [
+        RefusalReason::Pipeline,
+        RefusalReason::Memory,
+        RefusalReason::Shed,
+        RefusalReason::Waited,
+        RefusalReason::Attempts,
+    ];
+
+    fn name(self) -> &'static str {
+        match self {
+            RefusalReason::Pipeline => "pipeline",
+            RefusalReason::Memory => "memory",
+            RefusalReason::Shed => "shed",
+            RefusalReason::Waited => "waited",
+            RefusalReason::Attempts => "attempts",
+        }
+    }
+}
+
 /// Why a client's connection was closed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum CloseReason {
     /// The client closed it, or ended its sending.
     ClientGone,
@@ -77,6 +116,8 @@
     retries: IntCounterVec,
     /// By reason.
     closes: Vec<IntCounter>,
+    /// By reason.
+    refusals: Vec<IntCounter>,
     /// By invariant.
     violations: Vec<IntCounter>,
     states: [IntGauge; 3],
@@ -118,6 +159,13 @@
             &["invariant"],
         )?;
         registry.register(Box::new(violations.clone()))?;
+        let refusals = IntCounterVec::new(
+            named("downstream_refusals_total", "Requests that were turned away, by reason."),
+            &["reason"],
+        )?;
+        registry.register(Box::new(refusals.clone()))?;
+        let refusals =
+            RefusalReason::ALL.iter().map(|reason| refusals.with_label_values(&[reason.name()])).collect();
         let closes =
             CloseReason::ALL.iter().map(|reason| closes.with_label_values(&[reason.name()])).collect();
         let violations = Invariant::ALL
@@ -136,7 +184,7 @@
             registry.register(Box::new(gauge.clone()))?;
         }
         let requests = classes.iter().map(of).collect();
-        Ok(Figures { requests, registry, upstream, retries, closes, violations, states })
+        Ok(Figures { requests, registry, upstream, retries, closes, refusals, violations, states })
     }
 
     /// The last byte of a request's answer has been written.
@@ -164,6 +212,11 @@
         self.retries.with_label_values(&[after]).inc();
     }
 
+    /// A request was turned away.
+    pub fn refused(&self, reason: RefusalReason) {
+        self.refusals[reason as usize].inc();
+    }
+
     /// A client's connection has ended.
     pub fn closed(&self, reason: CloseReason) {
         self.closes[reason as usize].inc();
--- a/crates/mothpier/src/figures/tests.rs
+++ b/crates/mothpier/src/figures/tests.rs
@@ -29,4 +29,5 @@
     assert_eq!(unused("edge_router_downstream_requests_total{"), 5, "{text}");
     assert_eq!(unused("edge_router_invariant_violations_total{"), Invariant::ALL.len(), "{text}");
     assert_eq!(unused("edge_router_downstream_connection_closes_total{"), CloseReason::ALL.len(), "{text}");
+    assert_eq!(unused("edge_router_downstream_refusals_total{"), RefusalReason::ALL.len(), "{text}");
 }
--- a/crates/mothpier/src/lib.rs
+++ b/crates/mothpier/src/lib.rs
@@ -13,6 +13,7 @@
 mod discovery;
 mod door;
 mod drains;
+mod event_log;
 mod figures;
 mod guards;
 mod handover;
@@ -53,6 +54,7 @@
 use clock::Clock;
 use config::{Config, Listen};
 use descriptors::Descriptors;
+use event_log::EventLog;
 use figures::Figures;
 pub use handover::Word;
 use node::{Node, Parts};
@@ -116,6 +118,7 @@
     let connect_timeout = Duration::from_micros(site.decisions.connect_timeout);
     let figures = Rc::new(Figures::new(&site.classes).map_err(|e| format!("cannot count: {e}"))?);
     let share = Rc::new(Share::default());
+    let event_log = Rc::new(EventLog::new(config.events));
     let limits = servers::Limits {
         balancers: site.decisions.balancers as usize,
         // A request that may have one attempt out must close the connection of one given up, so that no other
@@ -202,6 +205,7 @@
         wanted,
         phase: phase.clone(),
         figures: figures.clone(),
+        event_log: event_log.clone(),
     };
     let revision = config.known.as_ref().map(|l| l.revision);
     let inherits = config.inherited.is_some();
@@ -238,6 +242,7 @@
             phase: phase.clone(),
             figures: figures.clone(),
             share: share.clone(),
+            event_log,
             tier: tier.clone(),
             membership: membership.clone(),
             binding: config.sidecar.map(|s| s.binding),
--- a/crates/mothpier/src/messages.rs
+++ b/crates/mothpier/src/messages.rs
@@ -241,6 +241,13 @@
     pub claim: Claim,
 }
 
+impl Command {
+    /// The request's id, for people.
+    pub fn id_text(&self) -> std::borrow::Cow<'_, str> {
+        String::from_utf8_lossy(&self.id)
+    }
+}
+
 /// The ids of all open requests.
 pub type Ids = Rc<RefCell<HashSet<Bytes>>>;
 
--- a/crates/mothpier/src/node.rs
+++ b/crates/mothpier/src/node.rs
@@ -22,7 +22,8 @@
 
 use crate::clock::Clock;
 use crate::discovery::Numbers;
-use crate::figures::Figures;
+use crate::event_log::{Event as Logged, EventLog};
+use crate::figures::{Figures, RefusalReason};
 use crate::guards::{self, Invariant};
 use crate::membership::{self, Membership};
 use crate::messages::{
@@ -37,6 +38,9 @@
 use crate::topology::Asker;
 use crate::{Plant, planted, resp};
 
+/// A request that is refused within this time of its coming was turned away at once.
+const AT_ONCE: Duration = Duration::from_millis(5);
+
 /// A probe without answer after this time has failed.
 const PROBE_WAIT: Duration = Duration::from_millis(250);
 
@@ -51,6 +55,7 @@
 struct Open {
     command: Rc<Command>,
     answer: oneshot::Sender<Answer>,
+    asked: Instant,
     ends: Instant,
     attempts: u16,
     /// Attempts that may have run, or may yet.
@@ -103,6 +108,8 @@
     pub phase: Rc<Phase>,
     /// Where retries and broken rules are counted.
     pub figures: Rc<Figures>,
+    /// Where what befalls requests is logged.
+    pub event_log: Rc<EventLog>,
 }
 
 /// The node.
@@ -235,6 +242,7 @@
                 let open = Open {
                     command,
                     answer,
+                    asked: self.net.now(),
                     ends,
                     attempts: 0,
                     may_have_run: 0,
@@ -488,9 +496,20 @@
             Action::Refuse { request, retry_after } => {
                 let wait = retry_after.min(self.site.max_retry_after).div_ceil(1000);
                 let wait = if planted(Plant::BareRefusal) { 0 } else { wait };
+                self.note_refusal(request, wait);
                 self.answer(request, Answer::Busy(wait));
             }
-            Action::Fail(request) => self.answer(request, Answer::Failed),
+            Action::Fail(request) => {
+                if let Some(open) = self.open.get(&request) {
+                    let last = open.last.map_or("unknown", status_name);
+                    self.log_event(&Logged::Failed {
+                        request: &open.command.id_text(),
+                        attempts: open.attempts,
+                        last,
+                    });
+                }
+                self.answer(request, Answer::Failed);
+            }
             Action::Cancel { request, attempt } => {
                 let wanted = Some((request, attempt));
                 if let Some(id) = self.flights.iter().find(|(_, f)| f.attempt == wanted).map(|(id, _)| *id) {
@@ -529,6 +548,25 @@
         }
     }
 
+    /// Counts a refusal by its reason, and logs it.
+    fn note_refusal(&self, request: RequestId, retry_after_ms: u64) {
+        let Some(open) = self.open.get(&request) else { return };
+        let reason = match open.attempts {
+            0 if self.net.since(open.asked) < AT_ONCE => RefusalReason::Shed,
+            0 => RefusalReason::Waited,
+            _ => RefusalReason::Attempts,
+        };
+        self.parts.figures.refused(reason);
+        let (request, attempts) = (open.command.id_text(), open.attempts);
+        self.log_event(&Logged::Refused { request: &request, reason, attempts, retry_after_ms });
+    }
+
+    fn log_event(&self, event: &Logged) {
+        if let Some(line) = self.parts.event_log.line(self.net.now(), event) {
+            self.net.log(line);
+        }
+    }
+
     /// Takes back those attempts of a request that is over which have not begun to be written: nothing more is sent
     /// for it. What has begun goes on, or the connection would be lost to all that it carries.
     fn withdraw(&mut self, attempts: Vec<AttemptId>) {
@@ -550,6 +588,8 @@
     /// Nobody waits for a request any more.
     fn gone(&mut self, request: RequestId) {
         if let Some(open) = self.open.remove(&request) {
+            let (id, attempts) = (open.command.id_text(), open.attempts);
+            self.log_event(&Logged::ClientGone { request: &id, attempts });
             self.events.push_back(Event::ClientGone(request));
             self.withdraw(open.out);
         }
@@ -573,6 +613,11 @@
         if number > 0 && allowed.is_ok() {
             let after = if open.out.is_empty() { open.last.map_or("unknown", status_name) } else { "copy" };
             self.parts.figures.retry(after);
+            let request = open.command.id_text();
+            let event = Logged::Retried { request: &request, attempt: number, after, server };
+            if let Some(line) = self.parts.event_log.line(sent, &event) {
+                self.net.log(line);
+            }
         }
         open.attempts += 1;
         open.may_have_run += 1;
--- a/crates/mothpier/src/node/tests.rs
+++ b/crates/mothpier/src/node/tests.rs
@@ -48,6 +48,7 @@
         wanted: watch::channel(Wanted::default()).0,
         phase: Rc::default(),
         figures,
+        event_log: Rc::default(),
     };
     let site = brassrouter::settings::read(SITE.as_bytes()).unwrap();
     Node::new(Tokio, site, 1, Clock::start(Tokio), parts)
