Node: clients and node as modules by concern; no change of what they do

Change: clients into request (reading one), session (one connection), commands, pending (what is owed) and socket; node into attempts, lists and cluster. Code is moved as it was; constants stand beside what uses them.

--- a/crates/mothpier/src/node/tests.rs
+++ b/crates/mothpier/src/node/tests.rs
@@ -1,8 +1,11 @@
 use std::net::SocketAddr;
 
+use brassrouter::Load;
+use bytes::Bytes;
 use mothpier_net::Tokio;
 
 use super::*;
+use crate::servers;
 
 const SITE: &str = r#"{"classes":[{"name":"read"}],"machineTypes":["m","origin"],"zones":["a"],
     "specifics":{"mode":"aside","originKind":1},"report":{"fields":["lat_ms","busy"]}}"#;
