Node: times of turns, waits of requests and closes at servers as figures; lists as events

Change: histograms of what each kind of input takes the node and of how long a request waits before it is decided on, a counter of closed connections to cache servers by reason, and events for lists that are taken and inputs that hold the node up for 15 ms.

--- a/crates/mothpier/src/event_log.rs
+++ b/crates/mothpier/src/event_log.rs
@@ -36,7 +36,7 @@
     }
 }
 
-/// What befell a request or a connection.
+/// What befell a request, a connection or the node.
 #[derive(Clone, Copy, Debug, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
 pub enum Event<'a> {
@@ -48,6 +48,10 @@
     Failed { request: &'a str, attempts: u16, last: &'static str },
     /// The client of a request has gone.
     ClientGone { request: &'a str, attempts: u16 },
+    /// A list of servers, or changes of it, was taken in.
+    ListTaken { revision: u64, complete: bool, lines: usize },
+    /// One input took the node so long that others had to wait for it.
+    HeldUp { input: &'static str, took_ms: u64 },
     /// A client's connection was closed.
     ConnectionClosed { connection: u64, reason: CloseReason, unanswered: usize },
 }
--- a/crates/mothpier/src/figures.rs
+++ b/crates/mothpier/src/figures.rs
@@ -1,7 +1,11 @@
 //! What a node reports of itself, in the text form of Prometheus. One owner for each figure: what is counted is counted
 //! where it happens, and what is a state is asked of its keeper at the time of the scrape.
 
-use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use std::time::Duration;
+
+use prometheus::{
+    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
 use serde::Serialize;
 
 use crate::guards::Invariant;
@@ -96,6 +100,48 @@
     }
 }
 
+/// Why a connection to a cache server was closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerCloseReason {
+    /// It ended at the other side, or failed.
+    Ended,
+    /// It was refused, or not made in time.
+    NotMade,
+    /// It had been idle for nearly as long as its server keeps one.
+    Stale,
+    /// The decisions wanted idle connections to the server closed.
+    Rested,
+    /// Its server drains, is gone, or has another address.
+    Retired,
+    /// All that it carried was given up.
+    GivenUp,
+}
+
+impl ServerCloseReason {
+    const ALL: [ServerCloseReason; 6] = [
+        ServerCloseReason::Ended,
+        ServerCloseReason::NotMade,
+        ServerCloseReason::Stale,
+        ServerCloseReason::Rested,
+        ServerCloseReason::Retired,
+        ServerCloseReason::GivenUp,
+    ];
+
+    fn name(self) -> &'static str {
+        match self {
+            ServerCloseReason::Ended => "ended",
+            ServerCloseReason::NotMade => "not_made",
+            ServerCloseReason::Stale => "stale",
+            ServerCloseReason::Rested => "rested",
+            ServerCloseReason::Retired => "retired",
+            ServerCloseReason::GivenUp => "given_up",
+        }
+    }
+}
+
+/// Upper bounds of the buckets of times within the node, in seconds.
+const TIME_BUCKETS_S: [f64; 8] = [0.000_1, 0.001, 0.005, 0.02, 0.05, 0.15, 0.5, 1.0];
+
 /// Figures that others keep, at the time of a scrape.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct States {
@@ -117,6 +163,11 @@
     /// By reason.
     closes: Vec<IntCounter>,
     /// By reason.
+    server_closes: Vec<IntCounter>,
+    /// By what the node took in.
+    turns: HistogramVec,
+    queued: Histogram,
+    /// By reason.
     refusals: Vec<IntCounter>,
     /// By invariant.
     violations: Vec<IntCounter>,
@@ -164,6 +215,28 @@
             &["reason"],
         )?;
         registry.register(Box::new(refusals.clone()))?;
+        let server_closes = IntCounterVec::new(
+            named("upstream_connection_closes_total", "Connections to cache servers that ended, by reason."),
+            &["reason"],
+        )?;
+        registry.register(Box::new(server_closes.clone()))?;
+        let server_closes = ServerCloseReason::ALL
+            .iter()
+            .map(|reason| server_closes.with_label_values(&[reason.name()]))
+            .collect();
+        let times = |name: &str, help: &str| {
+            HistogramOpts::new(name, help).namespace(PREFIX).buckets(TIME_BUCKETS_S.to_vec())
+        };
+        let turns = HistogramVec::new(
+            times("turn_seconds", "How long the node took for an input and all that came of it, by input."),
+            &["input"],
+        )?;
+        registry.register(Box::new(turns.clone()))?;
+        let queued = Histogram::with_opts(times(
+            "downstream_queue_seconds",
+            "How long a request waited from when it was read until it was decided on.",
+        ))?;
+        registry.register(Box::new(queued.clone()))?;
         let refusals =
             RefusalReason::ALL.iter().map(|reason| refusals.with_label_values(&[reason.name()])).collect();
         let closes =
@@ -184,7 +257,19 @@
             registry.register(Box::new(gauge.clone()))?;
         }
         let requests = classes.iter().map(of).collect();
-        Ok(Figures { requests, registry, upstream, retries, closes, refusals, violations, states })
+        Ok(Figures {
+            registry,
+            requests,
+            upstream,
+            retries,
+            closes,
+            server_closes,
+            turns,
+            queued,
+            refusals,
+            violations,
+            states,
+        })
     }
 
     /// The last byte of a request's answer has been written.
@@ -222,6 +307,21 @@
         self.closes[reason as usize].inc();
     }
 
+    /// A connection to a cache server has ended.
+    pub fn server_closed(&self, reason: ServerCloseReason) {
+        self.server_closes[reason as usize].inc();
+    }
+
+    /// The node has taken an input in, with all that came of it.
+    pub fn turn(&self, input: &str, took: Duration) {
+        self.turns.with_label_values(&[input]).observe(took.as_secs_f64());
+    }
+
+    /// A request that was read so long ago is decided on.
+    pub fn queued(&self, waited: Duration) {
+        self.queued.observe(waited.as_secs_f64());
+    }
+
     /// A rule was found broken; whether that is the first time, or as many as to be told again.
     pub fn violated(&self, invariant: Invariant) -> bool {
         let counter = &self.violations[invariant as usize];
--- a/crates/mothpier/src/figures/tests.rs
+++ b/crates/mothpier/src/figures/tests.rs
@@ -31,3 +31,21 @@
     assert_eq!(unused("edge_router_downstream_connection_closes_total{"), CloseReason::ALL.len(), "{text}");
     assert_eq!(unused("edge_router_downstream_refusals_total{"), RefusalReason::ALL.len(), "{text}");
 }
+
+#[test]
+fn times_within_the_node_and_closes_at_servers_are_told() {
+    let figures = Figures::new(&["read".into()]).unwrap();
+    figures.turn("list", Duration::from_millis(30));
+    figures.queued(Duration::from_millis(2));
+    figures.server_closed(ServerCloseReason::Retired);
+    let text = figures.text(States::default()).unwrap();
+    for line in [
+        r#"edge_router_turn_seconds_bucket{input="list",le="0.02"} 0"#,
+        r#"edge_router_turn_seconds_bucket{input="list",le="0.05"} 1"#,
+        r#"edge_router_downstream_queue_seconds_bucket{le="0.005"} 1"#,
+        r#"edge_router_upstream_connection_closes_total{reason="retired"} 1"#,
+        r#"edge_router_upstream_connection_closes_total{reason="stale"} 0"#,
+    ] {
+        assert!(text.lines().any(|told| told == line), "no {line} in {text}");
+    }
+}
--- a/crates/mothpier/src/node.rs
+++ b/crates/mothpier/src/node.rs
@@ -35,6 +35,9 @@
 /// A request that is refused within this time of its coming was turned away at once.
 const AT_ONCE: Duration = Duration::from_millis(5);
 
+/// An input that takes the node longer than this is told in the event log: a drain's slack on sockets is three times that.
+const HELD_UP: Duration = Duration::from_millis(15);
+
 /// A request without its final answer.
 struct Open {
     command: Rc<Command>,
@@ -79,6 +82,32 @@
     Sources,
 }
 
+/// What the node takes in next.
+enum Turn {
+    Order(Order),
+    Input(Input),
+    /// A wake-up is due.
+    Timer,
+}
+
+impl Turn {
+    /// As figures and the event log name it.
+    fn name(&self) -> &'static str {
+        match self {
+            Turn::Order(_) => "order",
+            Turn::Timer => "timer",
+            Turn::Input(Input::Client(ClientEvent::Asked { .. })) => "request",
+            Turn::Input(Input::Client(ClientEvent::Gone(_))) => "client_gone",
+            Turn::Input(Input::Server { .. }) => "server",
+            Turn::Input(Input::Origin { .. } | Input::OriginBegan { .. }) => "origin",
+            Turn::Input(Input::Discovery(_) | Input::Names(_)) => "list",
+            Turn::Input(Input::Peer { .. }) => "peer",
+            Turn::Input(Input::Topology { .. }) => "topology",
+            Turn::Input(Input::Census(_) | Input::AnswersBy(_)) => "control",
+        }
+    }
+}
+
 /// The parts that the node drives.
 pub struct Parts<N: Net> {
     /// Where the servers form a cluster: what is known of it, and who asks.
@@ -166,18 +195,33 @@
         loop {
             let next = self.due.peek().map(|Reverse((time, _))| *time);
             let idle = self.net.now() + Duration::from_secs(3600);
-            tokio::select! {
+            let turn = tokio::select! {
                 biased;
                 // Staff wait behind nothing that clients ask.
-                Some(order) = orders.recv() => self.order(order),
+                Some(order) = orders.recv() => Turn::Order(order),
                 input = inputs.recv() => match input {
-                    Some(input) => self.input(input),
+                    Some(input) => Turn::Input(input),
                     None => return,
                 },
-                () = self.net.sleep_until(next.unwrap_or(idle)) => {}
+                () = self.net.sleep_until(next.unwrap_or(idle)) => Turn::Timer,
+            };
+            let (name, began) = (turn.name(), self.net.now());
+            match turn {
+                Turn::Order(order) => self.order(order),
+                Turn::Input(input) => self.input(input),
+                Turn::Timer => {}
             }
             self.fire();
             self.settle();
+            self.note_turn(name, self.net.since(began));
+        }
+    }
+
+    /// Counts how long a turn took, and logs one that held others up.
+    fn note_turn(&self, input: &'static str, took: Duration) {
+        self.parts.figures.turn(input, took);
+        if took >= HELD_UP {
+            self.log_event(&Logged::HeldUp { input, took_ms: took.as_millis() as u64 });
         }
     }
 
@@ -213,8 +257,9 @@
             // Who asked has gone: nothing is begun for it.
             Input::Client(ClientEvent::Asked { answer, .. }) if answer.is_closed() => {}
             Input::Client(ClientEvent::Asked { mut request, command, answer, read }) => {
-                let waited = self.net.since(read).as_micros() as Micros;
-                request.time_left = request.time_left.saturating_sub(waited);
+                let waited = self.net.since(read);
+                self.parts.figures.queued(waited);
+                request.time_left = request.time_left.saturating_sub(waited.as_micros() as Micros);
                 if planted(Plant::TimeLeftGrows) {
                     request.time_left += 1_000_000;
                 }
--- a/crates/mothpier/src/node/lists.rs
+++ b/crates/mothpier/src/node/lists.rs
@@ -11,6 +11,7 @@
 
 use super::cluster::slot_ranges;
 use super::{Due, Node};
+use crate::event_log::Event as Logged;
 use crate::membership;
 use crate::messages::{List, Order, UNREADABLE};
 use crate::{Plant, planted};
@@ -135,6 +136,8 @@
     }
 
     pub(super) fn take(&mut self, mut list: List, kind: ListKind) {
+        let (revision, lines) = (list.revision, list.members.len());
+        self.log_event(&Logged::ListTaken { revision, complete: kind != ListKind::Delta, lines });
         let mut lines = self.numbers.lines(&self.net, &mut list, &self.site);
         self.start_times.place(self.clock.now(), lines.iter_mut().map(|(line, _)| line));
         let named: HashSet<ServerId> = lines.iter().map(|(line, _)| line.id).collect();
--- a/crates/mothpier/src/servers.rs
+++ b/crates/mothpier/src/servers.rs
@@ -23,7 +23,7 @@
 use self::answer_times::{AnswerTimes, LeastTime};
 use self::command::Owed;
 use self::pool::Pool;
-use crate::figures::Figures;
+use crate::figures::{Figures, ServerCloseReason};
 use crate::messages::{AttemptId, Input, Passing, ServerEvent as Event};
 use crate::succession::Share;
 use crate::{Plant, planted};
@@ -177,7 +177,7 @@
                 c.retired = true;
                 unsent.extend(c.shared.line.borrow_mut().unsent.drain(..).map(|c| c.attempt));
             }
-            pool.connections.retain(|c| c.load() > 0);
+            pool.connections.retain(|c| c.is_kept(c.load() > 0, ServerCloseReason::Retired));
         }
         self.tidy(server);
         self.ready = self.pools.values().filter(|p| p.ready).count();
@@ -221,7 +221,7 @@
     /// and owes nothing: ids are ever new, so what is kept for one must go with it.
     fn tidy(&mut self, server: ServerId) {
         let Some(pool) = self.pools.get_mut(&server) else { return };
-        pool.connections.retain(|c| !c.retired || c.load() > 0);
+        pool.connections.retain(|c| c.is_kept(!c.retired || c.load() > 0, ServerCloseReason::Retired));
         if !pool.ready && pool.connections.is_empty() {
             self.pools.remove(&server);
         }
@@ -274,7 +274,8 @@
             Event::Spoilt(attempt) => ended.push((attempt, Ended::Spoilt)),
             Event::Down { refused, written, unwritten } => {
                 if let Some(pool) = &mut pool {
-                    pool.connections.retain(|c| c.number != number);
+                    let reason = if refused { ServerCloseReason::NotMade } else { ServerCloseReason::Ended };
+                    pool.connections.retain(|c| c.is_kept(c.number != number, reason));
                     if refused {
                         pool.alone_until = now + REFUSED_PAUSE;
                     }
@@ -302,7 +303,7 @@
             // What was taken back may have been the last that anybody waited for behind something given up.
             let ends = (half_written || taken) && line.deserted();
             taken |= ends && half_written;
-            !ends
+            c.is_kept(!ends, ServerCloseReason::GivenUp)
         });
         self.tidy(server);
         taken
@@ -330,7 +331,7 @@
             let ends = (here || half_written || unsent) && line.deserted();
             // With its connection goes the rest of it.
             unsent |= ends && half_written;
-            !ends
+            c.is_kept(!ends, ServerCloseReason::GivenUp)
         });
         self.tidy(server);
         !unsent
@@ -339,7 +340,7 @@
     /// Closes the connections to a server that carry nothing.
     pub fn close_idle(&mut self, server: ServerId) {
         if let Some(pool) = self.pools.get_mut(&server) {
-            pool.connections.retain(|c| !c.up() || c.load() > 0);
+            pool.connections.retain(|c| c.is_kept(!c.up() || c.load() > 0, ServerCloseReason::Rested));
         }
     }
 }
--- a/crates/mothpier/src/servers/connection.rs
+++ b/crates/mothpier/src/servers/connection.rs
@@ -15,6 +15,7 @@
 use super::command::{Command, Owed};
 use super::line::{Begun, Sent, Shared};
 use super::reader::Reader;
+use crate::figures::{Figures, ServerCloseReason};
 use crate::messages::{Input, ServerEvent};
 use crate::resp;
 
@@ -28,11 +29,16 @@
     pub(super) retired: bool,
     /// How many connections there are to all servers.
     pub(super) all: Rc<Cell<usize>>,
+    /// Where its end is counted.
+    pub(super) figures: Rc<Figures>,
+    /// Why it ends, once that is known.
+    pub(super) close_reason: Cell<ServerCloseReason>,
 }
 
 impl<N: Net> Drop for Connection<N> {
     fn drop(&mut self) {
         self.all.set(self.all.get() - 1);
+        self.figures.server_closed(self.close_reason.get());
         self.task.abort();
     }
 }
@@ -48,6 +54,14 @@
         self.shared.line.borrow().up
     }
 
+    /// Whether it is kept; one that is not ends for a reason.
+    pub(super) fn is_kept(&self, kept: bool, reason: ServerCloseReason) -> bool {
+        if !kept {
+            self.close_reason.set(reason);
+        }
+        kept
+    }
+
     /// Whether a command could be answered on it at once.
     pub(super) fn free(&self) -> bool {
         self.up() && self.load() == 0 && !self.retired && !self.shared.line.borrow().ending
--- a/crates/mothpier/src/servers/pool.rs
+++ b/crates/mothpier/src/servers/pool.rs
@@ -14,6 +14,7 @@
 use super::connection::{Connection, Driver};
 use super::line::Shared;
 use super::{Command, Ended, Limits, MOST_CONNECTIONS, TIER_CONNECTIONS};
+use crate::figures::ServerCloseReason;
 use crate::messages::{AttemptId, Input};
 
 /// A second answer to the same command comes within this time of the first, or not.
@@ -35,7 +36,9 @@
 impl<N: Net> Pool<N> {
     /// Closes the connections that have been idle for so long that their server may close them.
     pub(super) fn close_stale(&mut self, fresh: Duration, now: Instant) {
-        self.connections.retain(|c| c.load() > 0 || !c.up() || now.saturating_duration_since(c.used) < fresh);
+        let is_fresh = |c: &Connection<N>| now.saturating_duration_since(c.used) < fresh;
+        self.connections
+            .retain(|c| c.is_kept(c.load() > 0 || !c.up() || is_fresh(c), ServerCloseReason::Stale));
     }
 
     /// A connection on which a command could be answered at once. One that has only just been answered comes last: a
@@ -80,7 +83,17 @@
         };
         let task = net.spawn(driver.run());
         let used = net.now();
-        self.connections.push(Connection { number, shared, task, used, retired: false, all });
+        let (figures, close_reason) = (limits.figures.clone(), Cell::new(ServerCloseReason::Ended));
+        self.connections.push(Connection {
+            number,
+            shared,
+            task,
+            used,
+            retired: false,
+            all,
+            figures,
+            close_reason,
+        });
     }
 
     /// Takes out an attempt that has not begun to be written; whether there was one.
