Decisions: a choice among thousands of servers looks at the first few, a review at those observed

Cause: reckons the bucket of a cold server from the traffic within the quotas, a sum over all tenants and all peers heard, and warm_enough did so for every server of the list at every choice, also for warm ones: servers x tenants x peers steps, 3,200 x 7 x 32, where there were 200 x 7 x 32. Before it a choice weighed all servers by two hashes and a logarithm, and each request and review went through the list several times to count and sum. Class: work on each request or timer that grows with the size of the fleet. Change: ready servers stand in a compact index by placement of classes (ready_servers.rs); a choice takes the first 16 in the key's order from it and the first of them that nothing speaks against, which comes before all others, and weighs all only where none is. The traffic is reckoned where a cold server is looked at, once. Reviews go through the servers that were tried or told of lately, closes of rested connections through those connected, forgetting through those gone. Deltas with no line change nothing.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 
 pub mod interface;
 mod policy;
+mod ready_servers;
 pub mod settings;
 mod state;
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -5,9 +5,11 @@
 //! outstanding cap and a windowed tally; a call that finds the gate shut is postponed by a random delay. All
 //! else here is a departure for a failure that the code names.
 
-use std::collections::BTreeMap;
+use std::cell::LazyCell;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::interface::*;
+use crate::ready_servers::{ReadyServers, may_use, place};
 use crate::state::*;
 
 /// Load bound, a multiple of a server's part of this balancer's attempts in flight; never below this
@@ -87,12 +89,17 @@
     origin_aim: Micros,
     least_worth: f64,
     servers: BTreeMap<ServerId, Server>,
+    ready: ReadyServers,
+    /// Servers with attempts or signs of trouble of late, or with a part of their keys elsewhere.
+    observed: BTreeSet<ServerId>,
+    /// Servers to which a connection was made and has not been lost or closed since.
+    connected: BTreeSet<ServerId>,
+    /// Servers that are gone, and forgotten once they owe nothing.
+    gone: BTreeSet<ServerId>,
     held: BTreeMap<RequestId, Held>,
     flights: BTreeMap<(RequestId, u16), Flight>,
     /// The request that fetches a key now.
     fetches: BTreeMap<Key, RequestId>,
-    /// For each class, the weight of all ready cache servers that it may use.
-    weights: Vec<f64>,
     kinds: BTreeMap<u16, Kind>,
     /// For each class, the time in which a quarter of the answers of cache servers come.
     quarters: Vec<Quantile>,
@@ -137,7 +144,7 @@
             origin_aim: aims.min().unwrap_or(1_000_000),
             least_worth: settings.classes.iter().map(|c| c.worth).fold(f64::INFINITY, f64::min).max(1e-9),
             senders: vec![Sender::default(); settings.tenants.len().max(1)],
-            weights: vec![0.0; settings.classes.len()],
+            ready: ReadyServers::new(&settings.classes),
             quarters: settings
                 .classes
                 .iter()
@@ -209,7 +216,7 @@
 
     fn request(&mut self, r: Request, out: &mut Vec<Action>) {
         let share = self.heat.seen(r.key);
-        let heat = share * self.ready(false).count() as f64;
+        let heat = share * self.ready.count() as f64;
         let parts = (heat / HEAT.0).max(1.0);
         let part = (parts * self.rng.unit()) as u64;
         // Ends some ticks before its time is up, so that the answer is in time when a call comes late.
@@ -312,12 +319,15 @@
     /// Whether a redirection leads on: not back to where this request was, nor past what a cold server takes.
     fn may_follow(&self, id: RequestId, to: ServerId) -> bool {
         let (Some(h), Some(s)) = (self.held.get(&id), self.servers.get(&to)) else { return false };
-        let (level, depth) = self.cold_bucket(h, s, self.weights[h.class]);
+        let fits = || {
+            let (level, depth) = self.cold_bucket(h, s, self.traffic_within_quotas());
+            level + 1.0 <= depth
+        };
         s.line.condition == Condition::Ready
             && !s.origin
-            && self.may_use(h.class, s)
+            && may_use(&self.settings.classes[h.class], s)
             && !h.tried.contains(&to)
-            && (self.warmth(s) >= 1.0 || level + 1.0 <= depth)
+            && (self.warmth(s) >= 1.0 || fits())
     }
 
     fn useful_until(&self, h: &Held) -> Micros {
@@ -328,58 +338,72 @@
     /// In a cluster those that hold the key's slot come before all others, and of them its owner.
     fn pick(&self, id: RequestId) -> Option<ServerId> {
         let h = &self.held[&id];
-        let total = self.weights[h.class];
         let left = self.useful_until(h).saturating_sub(self.now) as f64;
-        let floor = (BOUND.1 / f64::from(self.settings.balancers.max(2))).max(2.0);
+        let best = self.first_unimpeded(id, h).or_else(|| self.least_impeded(id, h));
+        // Passing a full server over would scatter its keys.
+        let full = |server: &ServerId| self.backlog(&self.servers[server]) > left * FULL.0;
+        best.filter(|server| self.level >= LEVEL.2 || !full(server))
+    }
+
+    /// The first server in order where nothing stands in the way, if it is one of the first few: it comes before all
+    /// others, so that these need not be weighed.
+    fn first_unimpeded(&self, id: RequestId, h: &Held) -> Option<ServerId> {
+        if !self.slots.home(h.slot).is_empty() {
+            return None;
+        }
+        let traffic = LazyCell::new(|| self.traffic_within_quotas());
+        let first = self.ready.first_in_order(h.class, h.order).map(|server| &self.servers[&server]);
+        let mut unimpeded = first.filter(|s| {
+            !h.tried.contains(&s.line.id)
+                && !self.given_up(id, s)
+                && !self.over_bound(h, s)
+                && self.warm_enough(h, s, &traffic)
+        });
+        unimpeded.next().map(|s| s.line.id)
+    }
+
+    /// The best of all servers: where none of the first few is unimpeded, and in a cluster.
+    fn least_impeded(&self, id: RequestId, h: &Held) -> Option<ServerId> {
+        let traffic = LazyCell::new(|| self.traffic_within_quotas());
         let home = self.slots.home(h.slot);
         let mut best = None;
-        for s in self.ready(false).filter(|s| self.may_use(h.class, s) && !h.tried.contains(&s.line.id)) {
-            if !self.warm_enough(h, s, total) {
+        for s in self.ready.of_class(h.class).map(|server| &self.servers[&server]) {
+            if h.tried.contains(&s.line.id) || !self.warm_enough(h, s, &traffic) {
                 continue;
             }
-            let bound = BOUND.0 * f64::from(self.cache_out + 1) * self.weight(s) / total;
-            let over = f64::from(s.in_flight) >= bound.max(floor);
-            let given_up = unit_hash(id, s.line.id, 1) >= s.part;
             let held = home.iter().position(|id| *id == s.line.id).filter(|at| *at == 0 || !h.write);
             let away = !home.is_empty() && held.is_none();
             let copy = held.is_some_and(|at| at > 0);
-            let place = (away, given_up, over, copy, self.place(h.order, s), s.line.id);
+            let place = place(h.order, s.line.id, self.weight(s));
+            let place = (away, self.given_up(id, s), self.over_bound(h, s), copy, place, s.line.id);
             if best.is_none_or(|b| place < b) {
                 best = Some(place);
             }
         }
-        // Passing a full server over would scatter its keys.
-        let full = |server: &ServerId| self.backlog(&self.servers[server]) > left * FULL.0;
-        best.map(|(.., server)| server).filter(|server| self.level >= LEVEL.2 || !full(server))
+        best.map(|(.., server)| server)
     }
 
-    /// Time until a server has answered what this balancer has in flight there, at the pace of its latest
-    /// answers (Little's law), with a credit for a server that has had little to answer.
-    fn backlog(&self, s: &Server) -> f64 {
-        f64::from(s.in_flight) * self.aim as f64 / (s.answered_lately(self.now, self.aim) + FULL.1)
+    /// Whether a server in trouble keeps this request's key no longer.
+    fn given_up(&self, id: RequestId, s: &Server) -> bool {
+        s.part < 1.0 && unit_hash(id, s.line.id, 1) >= s.part
     }
 
-    fn ready(&self, origin: bool) -> impl Iterator<Item = &Server> {
-        self.servers.values().filter(move |s| s.line.condition == Condition::Ready && s.origin == origin)
+    /// Whether a server has its part of what this balancer has in flight, and more.
+    fn over_bound(&self, h: &Held, s: &Server) -> bool {
+        let floor = (BOUND.1 / f64::from(self.settings.balancers.max(2))).max(2.0);
+        let part = self.weight(s) / self.ready.weight(h.class);
+        let bound = BOUND.0 * f64::from(self.cache_out + 1) * part;
+        f64::from(s.in_flight) >= bound.max(floor)
     }
 
-    /// Placement: whether a class may be sent to a server; the origin is open to all.
-    fn may_use(&self, class: usize, s: &Server) -> bool {
-        let c = &self.settings.classes[class];
-        let among = |zones: &Option<Vec<u8>>| zones.as_ref().is_none_or(|z| z.contains(&s.line.zone));
-        let kind = |kinds: &Option<Vec<u16>>| kinds.as_ref().is_none_or(|k| k.contains(&s.line.kind));
-        let servers = c.only_servers.as_ref().is_none_or(|ids| ids.contains(&s.line.id));
-        s.origin || (servers && among(&c.only_zones) && kind(&c.only_kinds))
+    /// Time until a server has answered what this balancer has in flight there, at the pace of its latest
+    /// answers (Little's law), with a credit for a server that has had little to answer.
+    fn backlog(&self, s: &Server) -> f64 {
+        f64::from(s.in_flight) * self.aim as f64 / (s.answered_lately(self.now, self.aim) + FULL.1)
     }
 
     fn weight(&self, s: &Server) -> f64 {
-        let size = if self.settings.weights_are_sizes { f64::from(s.line.weight).max(0.01) } else { 1.0 };
-        size * self.kinds.get(&s.line.kind).map_or(1.0, |k| k.weight)
-    }
-
-    /// A server's place in a key's order, the smaller the earlier (weighted rendezvous hashing).
-    fn place(&self, key: Key, s: &Server) -> f64 {
-        -unit_hash(key, s.line.id, 0).ln() / self.weight(s)
+        size(&self.settings, s) * kind_weight(&self.kinds, s.line.kind)
     }
 
     /// Part of its capacity that a server has at the least, some time after its start.
@@ -393,10 +417,16 @@
     /// from every balancer, no more than a part of a warm server's requests, and nothing turned away
     /// elsewhere. A key that alone brings more than that part stays away: of it all balancers' buckets
     /// together hold too much.
-    fn warm_enough(&self, h: &Held, s: &Server, total: f64) -> bool {
-        let (warmth, (level, depth)) = (self.warmth(s), self.cold_bucket(h, s, total));
-        let fits = unit_hash(h.order, s.line.id, 1) < warmth && h.heat <= warmth && level + 1.0 <= depth;
-        warmth >= 1.0 || (h.tried.is_empty() && fits)
+    fn warm_enough(&self, h: &Held, s: &Server, traffic: &LazyCell<f64, impl FnOnce() -> f64>) -> bool {
+        let warmth = self.warmth(s);
+        if warmth >= 1.0 {
+            return true;
+        }
+        if !h.tried.is_empty() || unit_hash(h.order, s.line.id, 1) >= warmth || h.heat > warmth {
+            return false;
+        }
+        let (level, depth) = self.cold_bucket(h, s, **traffic);
+        level + 1.0 <= depth
     }
 
     /// What this balancer admits a second, but no more than its part of what all tenants may send together:
@@ -433,10 +463,10 @@
         }
     }
 
-    /// Level and depth of the bucket of attempts at a server, as cold as it is.
-    fn cold_bucket(&self, h: &Held, s: &Server, total: f64) -> (f64, f64) {
-        let part = self.settings.cold_rate * self.warmth(s) * self.traffic_within_quotas() * self.weight(s);
-        let rate = part / total.max(0.01) / 1e6;
+    /// Level and depth of the bucket of attempts at a server, as cold as it is, under this balancer's traffic.
+    fn cold_bucket(&self, h: &Held, s: &Server, traffic: f64) -> (f64, f64) {
+        let part = self.settings.cold_rate * self.warmth(s) * traffic * self.weight(s);
+        let rate = part / self.ready.weight(h.class).max(0.01) / 1e6;
         let level = s.cold_level - rate * (self.now - s.used) as f64;
         let (span, depth) = (self.settings.fall_after / 2, rate * self.settings.fall_after as f64 / 2.0);
         let least_depth = self.least_cold_depth(2.0 * depth, h.heat > 0.0);
@@ -463,8 +493,9 @@
 
     fn origin_call(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let (key, call) = (self.held[&id].key, if self.held[&id].write { Call::Write } else { Call::Fetch });
-        let order = |a: &&Server, b: &&Server| self.place(id, a).total_cmp(&self.place(id, b));
-        let origin = self.ready(true).min_by(order).map(|s| s.line.id);
+        let place = |server: &ServerId| place(id, *server, self.weight(&self.servers[server]));
+        let order = |a: &&ServerId, b: &&ServerId| place(a).total_cmp(&place(b));
+        let origin = self.ready.origins().iter().min_by(order).copied();
         let held = || self.followed(id).or_else(|| self.pick(id));
         let target = if self.settings.origin_kind.is_some() { origin } else { held() };
         let Some(target) = target.filter(|_| self.gate_open(call)) else { return self.postpone(id, out) };
@@ -529,14 +560,18 @@
         let allowed = self.now < h.ends
             && u32::from(h.sent) < self.settings.max_attempts
             && s.line.condition == Condition::Ready
-            && self.may_use(h.class, s)
+            && may_use(&self.settings.classes[h.class], s)
             && (h.out == 0 || self.settings.may_duplicate)
             // No effect twice: only what is safe is repeated after it may have run.
             && (h.may_have_run == 0 || self.settings.classes[h.class].effect == Effect::Safe);
         if !allowed {
             return false;
         }
-        let cold_level = self.cold_bucket(h, s, self.weights[h.class]).0 + 1.0;
+        // A warm server's bucket begins anew with its next start.
+        let cold_level = match self.warmth(s) >= 1.0 {
+            true => 0.0,
+            false => self.cold_bucket(h, s, self.traffic_within_quotas()).0 + 1.0,
+        };
         let (attempt, sent, aim) = (h.sent, self.now, self.settings.classes[h.class].aim);
         let asking = h.follow.is_some_and(|(to, ask)| ask && to == server);
         let slow_after = (PATIENCE.1 * self.quarters[h.class].value).max(aim as f64 * PATIENCE.0);
@@ -614,7 +649,9 @@
         let Some(s) = self.servers.get_mut(&flight.server) else { return };
         s.in_flight = s.in_flight.saturating_sub(1);
         s.active = self.now;
-        s.connected |= !matches!(o.status, Status::Reset | Status::ConnectFailed);
+        if !matches!(o.status, Status::Reset | Status::ConnectFailed) {
+            self.connected.insert(flight.server);
+        }
         let not_made = o.status == Status::ConnectFailed && o.took >= self.settings.connect_timeout;
         // Of a server that answers nobody here it tells nothing: that one may be cut off or dead.
         let reached = s.heard >= flight.sent;
@@ -643,6 +680,7 @@
         let Some(s) = self.servers.get_mut(&server) else { return };
         self.strain.add(cases * s.part, all * s.part);
         s.signs.add(cases, all);
+        self.observed.insert(server);
     }
 
     /// A slow, failing or refusing origin lowers the gate's limit, within a floor; good answers restore it.
@@ -669,18 +707,33 @@
     /// with more signs of trouble than most, here and at peers, lose keys to the next in order, slowly.
     fn review_servers(&mut self, strain: Ratio, period: Micros) {
         let worse = WORSE.0 + WORSE.1 * strain.value();
-        // When most look bad together the cause is shared: moving their keys would crowd the rest.
-        let shared = self.ready(false).map(|s| s.part - PART.2).sum::<f64>() < 0.0;
+        let shared = self.most_look_bad();
         let heard = self.peers.signs();
         let step = period as f64 / self.settings.warm_up.max(1) as f64;
-        let each = strain.all / self.ready(false).count().max(1) as f64;
-        for (id, s) in &mut self.servers {
+        let each = strain.all / self.ready.count().max(1) as f64;
+        // All others have no sign of trouble, here or at peers, and keep all of their keys.
+        self.observed.extend(heard.keys());
+        self.observed.retain(|id| {
+            let Some(s) = self.servers.get_mut(id) else { return false };
             let mut signs = s.signs;
             signs.add(heard.get(id).copied().unwrap_or(0.0), 0.0);
             let bad = signs.cases > worse * (each * s.part).max(signs.all) + 1.0;
             s.part = if bad && !shared { (s.part * PART.1).max(PART.0) } else { (s.part + step).min(1.0) };
             s.signs.fade(FADE);
-        }
+            if s.signs.is_negligible() {
+                s.signs = Ratio::default();
+            }
+            s.part < 1.0 || s.signs.all > 0.0 || s.signs.cases > 0.0
+        });
+    }
+
+    /// Whether ready cache servers keep less than a part of their keys in the mean: the cause is shared then, and
+    /// moving their keys would crowd the rest.
+    fn most_look_bad(&self) -> bool {
+        let observed = self.observed.iter().filter_map(|id| self.servers.get(id));
+        let ready = observed.filter(|s| s.line.condition == Condition::Ready && !s.origin);
+        let moved: f64 = ready.map(|s| 1.0 - s.part).sum();
+        self.ready.count() as f64 * (1.0 - PART.2) < moved
     }
 
     /// Unequal servers: a kind of machine whose reports say that it is busier than the rest gets a smaller
@@ -694,13 +747,7 @@
             k.weight = k.weight.clamp(KINDS.1, 1.0 / KINDS.1);
             k.busy.fade(KINDS.2);
         }
-        self.sum_weights();
-    }
-
-    fn sum_weights(&mut self) {
-        let part = |class, s| if self.may_use(class, s) { self.weight(s) } else { 0.0 };
-        let weight = |class| self.ready(false).map(|s| part(class, s)).sum();
-        self.weights = (0..self.settings.classes.len()).map(weight).collect();
+        self.ready.reweigh(|kind| kind_weight(&self.kinds, kind));
     }
 
     /// An attempt has had no answer for long: a sign of overload, and time to try elsewhere.
@@ -769,8 +816,12 @@
         if kind != ListKind::Cached {
             self.subscribed = true;
         }
+        if kind == ListKind::Delta && lines.is_empty() {
+            return;
+        }
         if kind != ListKind::Delta {
             self.servers.values_mut().for_each(|s| s.line.condition = Condition::Gone);
+            self.gone.extend(self.servers.keys());
         }
         let young = f64::from(self.reviews) < HEAT.1 * REVIEWS;
         for line in lines {
@@ -787,9 +838,22 @@
             }
             let id = line.id;
             s.line = line;
+            if s.part < 1.0 {
+                self.observed.insert(id);
+            }
+            match s.line.condition {
+                Condition::Gone => self.gone.insert(id),
+                _ => self.gone.remove(&id),
+            };
             self.close_drained(id, true, out);
         }
-        self.sum_weights();
+        let (settings, kinds) = (&self.settings, &self.kinds);
+        self.ready.rebuild(
+            &settings.classes,
+            &self.servers,
+            |s| size(settings, s),
+            |kind| kind_weight(kinds, kind),
+        );
     }
 
     /// Closing on drains: idle connections to a server that is not ready are closed at the notice, after each
@@ -847,10 +911,21 @@
             self.tell(out);
         }
         self.close_rested(strain, out);
-        self.servers.retain(|_, s| s.line.condition != Condition::Gone || s.in_flight > 0);
+        self.forget_gone();
         self.wake(period, Wake::Review);
     }
 
+    /// Forgets the servers that are gone and owe no outcome any more.
+    fn forget_gone(&mut self) {
+        let servers = &mut self.servers;
+        let left = self.gone.extract_if(.., |id| servers.get(id).is_none_or(|s| s.in_flight == 0));
+        for id in left.collect::<Vec<_>>() {
+            servers.remove(&id);
+            self.connected.remove(&id);
+            self.observed.remove(&id);
+        }
+    }
+
     /// Connections that rest are kept: new ones cost time, work and a price. Under strain they are closed:
     /// what is sent on one may be lost unseen, and full tables take capacity and shut others out. Not so
     /// while new ones are not made in time by servers that are reached otherwise; and that only for a while:
@@ -860,18 +935,19 @@
         self.kept = if self.slow_connects.value() < REST.1 { 0 } else { self.kept + 1 };
         if strain > STRAIN.0 && (self.kept == 0 || f64::from(self.kept) > REST.3 * REVIEWS) {
             let since = self.now.saturating_sub((self.aim as f64 * REST.0) as Micros);
-            let rests = |s: &&mut Server| s.connected && s.in_flight == 0 && s.active.max(s.used) <= since;
-            for s in self.servers.values_mut().filter(rests) {
-                s.connected = false;
-                out.push(Action::CloseIdle(s.line.id));
-            }
+            let servers = &self.servers;
+            let rests = |id: &ServerId| {
+                servers.get(id).is_none_or(|s| s.in_flight == 0 && s.active.max(s.used) <= since)
+            };
+            out.extend(self.connected.extract_if(.., rests).map(Action::CloseIdle));
         }
         self.slow_connects.fade(REST.2);
     }
 
     /// Tells the next few peers of the traffic and the strain here.
     fn tell(&mut self, out: &mut Vec<Action>) {
-        let bytes = Peers::message(&self.strain, &self.senders, &self.servers);
+        let signs = self.observed.iter().filter_map(|id| Some((*id, self.servers.get(id)?.signs.cases)));
+        let bytes = Peers::message(&self.strain, &self.senders, signs);
         let others = self.settings.balancers.saturating_sub(1);
         for _ in 0..others.min(TELL.2) {
             self.last_told = self.last_told % others + 1;
@@ -880,3 +956,13 @@
         }
     }
 }
+
+/// A server's size, where the list tells it.
+fn size(settings: &Settings, s: &Server) -> f64 {
+    if settings.weights_are_sizes { f64::from(s.line.weight).max(0.01) } else { 1.0 }
+}
+
+/// The factor on the weights of a kind of machine.
+fn kind_weight(kinds: &BTreeMap<u16, Kind>, kind: u16) -> f64 {
+    kinds.get(&kind).map_or(1.0, |k| k.weight)
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -46,8 +46,6 @@
     pub used: Micros,
     /// Level at that time of the bucket that holds bursts at it while it is cold.
     pub cold_level: f64,
-    /// A connection to it was made and has not been lost or closed since.
-    pub connected: bool,
 }
 
 impl Server {
@@ -186,6 +184,9 @@
     }
 }
 
+/// A faded count below this is none.
+const NEGLIGIBLE: f64 = 0.01;
+
 /// How many cases among all of late; both fade.
 #[derive(Default, Clone, Copy)]
 pub struct Ratio {
@@ -210,6 +211,11 @@
         self.cases *= keep;
         self.all *= keep;
     }
+
+    /// Whether so little is left of it that it changes nothing.
+    pub fn is_negligible(&self) -> bool {
+        self.cases < NEGLIGIBLE && self.all < NEGLIGIBLE
+    }
 }
 
 /// A quantile of what is seen, followed in steps that shrink to a least one.
@@ -291,15 +297,19 @@
 impl Peers {
     /// A message of at most 256 bytes in half-width floats: two figures of strain, a rate for each tenant (up
     /// to 64), then servers with signs of trouble, 6 bytes each, the most troubled first.
-    pub fn message(strain: &Ratio, senders: &[Sender], servers: &BTreeMap<ServerId, Server>) -> Vec<u8> {
+    pub fn message(
+        strain: &Ratio,
+        senders: &[Sender],
+        signs: impl Iterator<Item = (ServerId, f64)>,
+    ) -> Vec<u8> {
         let half = |f: f64| (((f as f32).to_bits() >> 16) as u16).to_le_bytes();
         let rates = senders.iter().take(64).map(|s| s.rate.per_s);
         let mut bytes: Vec<u8> = [strain.cases, strain.all].into_iter().chain(rates).flat_map(half).collect();
-        let mut troubled: Vec<_> = servers.iter().filter(|(_, s)| s.signs.cases >= 0.25).collect();
-        troubled.sort_by(|a, b| b.1.signs.cases.total_cmp(&a.1.signs.cases));
-        for (id, s) in troubled.into_iter().take(16) {
+        let mut troubled: Vec<_> = signs.filter(|(_, cases)| *cases >= 0.25).collect();
+        troubled.sort_by(|a, b| b.1.total_cmp(&a.1));
+        for (id, cases) in troubled.into_iter().take(16) {
             bytes.extend(id.to_le_bytes());
-            bytes.extend(half(s.signs.cases));
+            bytes.extend(half(cases));
         }
         bytes
     }
