Node: a list costs each of its lines once, not a walk through all servers for each line

Cause: Servers::listed counted the ready servers anew behind every line, a walk through all pools: 3,200 x 3,200 steps a list. Besides, each line was read twice, as a JSON value and from that, and a change of the list went through all known numbers though nobody had left. Class: work that grows with the square of the list. Change: the count goes by the line's own change; a list is read in one go, and line by line only where one of them can't be read; nothing is searched where nobody has gone.

--- a/crates/mothpier/src/discovery.rs
+++ b/crates/mothpier/src/discovery.rs
@@ -338,7 +338,7 @@
     });
     let body = answer.await.ok_or(SILENT)??;
     let _ = net.timeout(PAUSE, connection.sender.ready()).await;
-    let list = serde_json::from_slice(&body).map_err(|e| format!("unreadable list: {e}"))?;
+    let list = List::read(&body).map_err(|e| format!("unreadable list: {e}"))?;
     Ok((list, connection))
 }
 
--- a/crates/mothpier/src/messages.rs
+++ b/crates/mothpier/src/messages.rs
@@ -153,6 +153,29 @@
     pub members: Vec<Member>,
 }
 
+impl List {
+    /// Reads a list from its JSON. Its lines are taken one by one only where one of them can't be read: that takes several
+    /// times as long.
+    ///
+    /// # Errors
+    ///
+    /// What is no list, whatever its lines are.
+    pub fn read(json: &[u8]) -> serde_json::Result<List> {
+        match serde_json::from_slice(json) {
+            Ok(WellFormedList { revision, complete, members }) => Ok(List { revision, complete, members }),
+            Err(_) => serde_json::from_slice(json),
+        }
+    }
+}
+
+/// A list each of whose lines can be read.
+#[derive(Deserialize)]
+struct WellFormedList {
+    revision: u64,
+    complete: bool,
+    members: Vec<Member>,
+}
+
 /// The phase of a line that can't be read.
 pub const UNREADABLE: &str = "unreadable";
 
--- a/crates/mothpier/src/node/lists.rs
+++ b/crates/mothpier/src/node/lists.rs
@@ -163,6 +163,7 @@
             }
         }
         match kind {
+            ListKind::Delta if gone.is_empty() => {}
             ListKind::Delta => self.forget(|id| gone.contains(&id)),
             _ => self.forget(|id| !named.contains(&id) || gone.contains(&id)),
         }
--- a/crates/mothpier/src/servers.rs
+++ b/crates/mothpier/src/servers.rs
@@ -156,6 +156,7 @@
         if !ready && !self.pools.contains_key(&server) {
             return Vec::new();
         }
+        let was_ready = self.is_ready(server);
         let pool = self.pools.entry(server).or_insert_with(|| Pool {
             address,
             ready,
@@ -180,7 +181,7 @@
             pool.connections.retain(|c| c.is_kept(c.load() > 0, ServerCloseReason::Retired));
         }
         self.tidy(server);
-        self.ready = self.pools.values().filter(|p| p.ready).count();
+        self.ready = self.ready - usize::from(was_ready) + usize::from(ready);
         unsent
     }
 
