--- a/crates/mothpier/tests/large_fleet/main.rs
+++ b/crates/mothpier/tests/large_fleet/main.rs
@@ -36,6 +36,9 @@
 const DAY: Duration = Duration::from_secs(20);
 /// Of the share served at the usual size.
 const SERVED_SHARE: f64 = 0.85;
+/// File descriptors that a node may hold: the most of a day, and what some days leave.
+const DESCRIPTORS: usize = 1_024;
+const FEW_DESCRIPTORS: usize = 512;
 const SEED: u64 = 50;
 
 fn settings() -> String {
@@ -84,7 +87,7 @@
 }
 
 impl World {
-    async fn start(name: &str, servers: usize) -> Self {
+    async fn start(name: &str, servers: usize, descriptors: usize) -> Self {
         let fleet = LargeFleet::open(servers).await;
         let others = OtherNodes::open().await;
         let free = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
@@ -94,13 +97,13 @@
             others.addresses(listen, NODES).iter().map(|at| format!("\"{at}\"")).collect();
         let config = format!(
             r#"{{"name":"{name}","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f30d27a5be964",
-"limits":{{"cores":{CORE_SHARE},"memory_mb":64,"sockets":1024}},"peer_listen":"{listen}","peers":[{}],
+"limits":{{"cores":{CORE_SHARE},"memory_mb":64,"sockets":{descriptors}}},"peer_listen":"{listen}","peers":[{}],
 "settings":{}}}"#,
             fleet.discovery,
             peers.join(","),
             settings()
         );
-        let command = loopback::node_command(name, fleet.discovery, 1024, "");
+        let command = loopback::node_command(name, fleet.discovery, descriptors, "");
         std::fs::write(loopback::config_path(name), config).unwrap();
         let node = tokio::task::spawn_blocking(move || Node::spawn(command)).await.unwrap();
         spawn_local(others.tell(listen, MEAN_PER_S as f32));
@@ -158,7 +161,7 @@
 #[test]
 fn busy_node_before_thousands_of_servers_answers_in_time_and_keeps_drains() {
     run(async {
-        let world = World::start("large-fleet-busy", LARGEST).await;
+        let world = World::start("large-fleet-busy", LARGEST, DESCRIPTORS).await;
         let node: SocketAddr = world.node.address;
         let traffic = spawn_local(Traffic::ask(node, BUSY_PER_S, Duration::from_secs(9), SEED));
         let _share = CoreShare::hold(world.node.child.id(), CORE_SHARE);
@@ -180,8 +183,8 @@
 }
 
 /// Plays a day with the mean traffic and a change of one server of eight; gives what the node needed and the share served.
-async fn calm_day(name: &str, servers: usize) -> (Needs, f64) {
-    let world = World::start(name, servers).await;
+async fn calm_day(name: &str, servers: usize, descriptors: usize) -> (Needs, f64) {
+    let world = World::start(name, servers, descriptors).await;
     let traffic = spawn_local(Traffic::ask(world.node.address, MEAN_PER_S, DAY, SEED));
     sleep(DAY / 2).await;
     world.fleet.change_each(8, "draining");
@@ -195,8 +198,8 @@
 #[test]
 fn needs_of_a_node_grow_no_more_with_the_fleet_than_allowed() {
     run(async {
-        let usual = spawn_local(calm_day("large-fleet-usual", USUAL));
-        let largest = spawn_local(calm_day("large-fleet-largest", LARGEST));
+        let usual = spawn_local(calm_day("large-fleet-usual", USUAL, DESCRIPTORS));
+        let largest = spawn_local(calm_day("large-fleet-largest", LARGEST, DESCRIPTORS));
         let ((usual, usual_served), (largest, served)) = (usual.await.unwrap(), largest.await.unwrap());
         let allowed = usual.allowed(LARGEST);
         println!(
@@ -209,3 +212,14 @@
         assert!(served >= SERVED_SHARE * usual_served, "{served} of {usual_served}");
     });
 }
+
+#[test]
+fn node_with_more_servers_than_descriptors_goes_on_serving() {
+    run(async {
+        let usual = spawn_local(calm_day("large-fleet-descriptors-usual", USUAL, FEW_DESCRIPTORS));
+        let largest = spawn_local(calm_day("large-fleet-descriptors-largest", LARGEST, FEW_DESCRIPTORS));
+        let ((usual, usual_served), (largest, served)) = (usual.await.unwrap(), largest.await.unwrap());
+        println!("usual {usual:?}, largest {largest:?}, served {usual_served}, {served}");
+        assert!(served >= SERVED_SHARE * usual_served, "{served} of {usual_served}");
+    });
+}
