Cache servers: the connection idle longest makes room for the next one

Cause: Servers::send opens a connection where its server has none, and gives up where the node holds as many as it has descriptors for; idle ones were closed only under strain, or as their own server was sent to again. With 3,200 servers hardly any is, so the table fills with connections that nobody uses, and what needs another one can't connect: a refusal behind three attempts. Class: a table that fills with what is not used, and shuts out what is. Related: client connections (evicted already when half are open), origins (few), discovery (a stated reserve). A look costs as much as there were uses since the one before. Evidence: refusals by reason (all 'attempts', retries after connect_failed, from the 179th connection on with 512 descriptors).

--- a/crates/mothpier/src/figures.rs
+++ b/crates/mothpier/src/figures.rs
@@ -115,16 +115,19 @@
     Retired,
     /// All that it carried was given up.
     GivenUp,
+    /// It had been idle longest where there were many, or no room for another one.
+    Evicted,
 }
 
 impl ServerCloseReason {
-    const ALL: [ServerCloseReason; 6] = [
+    const ALL: [ServerCloseReason; 7] = [
         ServerCloseReason::Ended,
         ServerCloseReason::NotMade,
         ServerCloseReason::Stale,
         ServerCloseReason::Rested,
         ServerCloseReason::Retired,
         ServerCloseReason::GivenUp,
+        ServerCloseReason::Evicted,
     ];
 
     fn name(self) -> &'static str {
@@ -135,6 +138,7 @@
             ServerCloseReason::Rested => "rested",
             ServerCloseReason::Retired => "retired",
             ServerCloseReason::GivenUp => "given_up",
+            ServerCloseReason::Evicted => "evicted",
         }
     }
 }
--- a/crates/mothpier/src/servers.rs
+++ b/crates/mothpier/src/servers.rs
@@ -7,6 +7,7 @@
 mod line;
 mod pool;
 mod reader;
+mod recently_used;
 
 use std::cell::Cell;
 use std::collections::{BTreeMap, VecDeque};
@@ -23,6 +24,7 @@
 use self::answer_times::{AnswerTimes, LeastTime};
 use self::command::Owed;
 use self::pool::Pool;
+use self::recently_used::{RecentlyUsed, State};
 use crate::figures::{Figures, ServerCloseReason};
 use crate::messages::{AttemptId, Input, Passing, ServerEvent as Event};
 use crate::succession::Share;
@@ -37,6 +39,10 @@
 const MOST_CONNECTIONS: usize = 4;
 /// A connection idle for this part of the time after which servers close it is not used again.
 const FRESH: f64 = 0.7;
+/// Connections that are kept for as long as their servers keep them. Where there are more servers than a node sees again
+/// and again, each further one is closed once it has been idle for a shorter time.
+const LONG_KEPT_CONNECTIONS: usize = 200;
+const IDLE_BEYOND: Duration = Duration::from_secs(5);
 /// After a refused connection none beside those that work is opened for this long.
 const REFUSED_PAUSE: Duration = Duration::from_secs(2);
 /// A server's former number is known for so long: longer than any attempt is out.
@@ -110,6 +116,8 @@
     ready: usize,
     /// How soon any server answers.
     answer_times: Rc<LeastTime>,
+    /// Which connection has been idle longest.
+    recently_used: RecentlyUsed,
 }
 
 impl<N: Net> Servers<N> {
@@ -124,6 +132,7 @@
             all: Rc::default(),
             ready: 0,
             answer_times: Rc::default(),
+            recently_used: RecentlyUsed::default(),
         }
     }
 
@@ -144,10 +153,7 @@
 
     /// The number that a server has now.
     fn present(&self, server: ServerId) -> ServerId {
-        match self.renamed.get(&server) {
-            Some((new, _)) if !self.pools.contains_key(&server) => *new,
-            _ => server,
-        }
+        present(&self.pools, &self.renamed, server)
     }
 
     /// Takes a line of the list. Returns the attempts that were not begun to be written to a server that now
@@ -242,11 +248,14 @@
         }
         let descriptors = self.limits.descriptors_now();
         let part = self.limits.connections_to_one(descriptors, self.ready);
-        let may_open = pool.may_open(part, self.limits.balancers, now) && self.all.get() < descriptors;
+        let wants_more = pool.address.is_some() && pool.may_open(part, self.limits.balancers, now);
+        let may_open = wants_more && self.make_room(descriptors, now);
+        let Some(pool) = self.pools.get_mut(&server) else { return false };
         let Some(address) = pool.address.filter(|_| may_open) else {
             return pool.append(command, self.limits.multiplex, now);
         };
         self.numbers += 1;
+        self.recently_used.opened(server, self.numbers, now);
         self.all.set(self.all.get() + 1);
         let names = (server, self.numbers);
         pool.open(&self.net, names, address, &self.limits, &self.events, self.all.clone());
@@ -254,6 +263,43 @@
         true
     }
 
+    /// Closes connections that have been idle longest where there are many, or no room for another one; whether there is
+    /// room then.
+    fn make_room(&mut self, descriptors: usize, now: Instant) -> bool {
+        while self.all.get() >= LONG_KEPT_CONNECTIONS.min(descriptors) {
+            let is_full = self.all.get() >= descriptors;
+            let idle_since = if is_full { Some(now) } else { now.checked_sub(IDLE_BEYOND) };
+            if !idle_since.is_some_and(|since| self.close_longest_idle(now, since)) {
+                return !is_full;
+            }
+        }
+        true
+    }
+
+    /// Closes the connection that has been idle longest, if that is since a time; whether there was one.
+    fn close_longest_idle(&mut self, now: Instant, idle_since: Instant) -> bool {
+        let renamed = &self.renamed;
+        let pools = &self.pools;
+        let state = |server, number| {
+            let server = present(pools, renamed, server);
+            let connections = pools.get(&server).into_iter().flat_map(|pool| &pool.connections);
+            match connections.into_iter().find(|c| c.number == number) {
+                None => State::Closed,
+                Some(c) if c.load() > 0 || !c.up() => State::Busy,
+                Some(c) => State::Idle(c.used),
+            }
+        };
+        let Some((server, number)) = self.recently_used.take_idle(now, idle_since, state) else {
+            return false;
+        };
+        let server = self.present(server);
+        if let Some(pool) = self.pools.get_mut(&server) {
+            pool.connections.retain(|c| c.is_kept(c.number != number, ServerCloseReason::Evicted));
+        }
+        self.tidy(server);
+        true
+    }
+
     /// Takes what a connection tells and returns the attempts that this ends.
     pub fn event(&mut self, server: ServerId, number: u64, event: Event) -> Vec<(AttemptId, Ended)> {
         let (now, server) = (self.net.now(), self.present(server));
@@ -346,5 +392,17 @@
     }
 }
 
+/// The number that a server has now, where some were renamed.
+fn present<P>(
+    pools: &BTreeMap<ServerId, P>,
+    renamed: &BTreeMap<ServerId, (ServerId, Instant)>,
+    server: ServerId,
+) -> ServerId {
+    match renamed.get(&server) {
+        Some((new, _)) if !pools.contains_key(&server) => *new,
+        _ => server,
+    }
+}
+
 #[cfg(test)]
 mod tests;
