Node: a slot map and a datagram find their server and their node without a walk through all

Where servers form a cluster, each address of a slot map was looked for in all pools, a square of the fleet for each list and map; each datagram's sender was looked for in the list of all nodes. Change: an index by address for whole maps, a table of the nodes' addresses. Which server an address leads to is the same: one that takes requests before one that does not, the later number among equals.

--- a/crates/mothpier/src/node/cluster.rs
+++ b/crates/mothpier/src/node/cluster.rs
@@ -1,6 +1,7 @@
 //! Servers that form a cluster: their slot map, and what they answer in place of a value.
 
 use std::cmp::Reverse;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use brassrouter::{Event, ListKind, ServerId, SlotRange, Status};
@@ -99,7 +100,9 @@
             view.epoch = u64::MAX - view.epoch;
         }
         let servers = &self.parts.servers;
-        let merged = pool.answered(self.clock.now() / 1000, server, heard, &|address| servers.at(address));
+        let by_address = servers.by_address();
+        let listed = |address: SocketAddr| by_address.get(&address).copied();
+        let merged = pool.answered(self.clock.now() / 1000, server, heard, &listed);
         if let Some(merged) = merged {
             if merged.stale {
                 self.net.log("no slot map from any cache server asked, or an older one: the one held stays");
--- a/crates/mothpier/src/node/lists.rs
+++ b/crates/mothpier/src/node/lists.rs
@@ -169,9 +169,9 @@
         }
         let servers = lines.into_iter().map(|(line, _)| line).collect();
         self.events.push_back(Event::ServerList { kind, servers });
-        let servers = &self.parts.servers;
         if let Some((pool, _)) = &mut self.parts.cluster
-            && pool.relist(&|address| servers.at(address))
+            && let by_address = self.parts.servers.by_address()
+            && pool.relist(&|address| by_address.get(&address).copied())
         {
             let ranges = slot_ranges(pool.ranges());
             self.events.push_back(Event::Slots { whole: true, ranges });
--- a/crates/mothpier/src/peers.rs
+++ b/crates/mothpier/src/peers.rs
@@ -1,6 +1,7 @@
 //! Datagrams between the nodes of the tier.
 
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -35,14 +36,16 @@
     ) -> std::io::Result<Self> {
         let socket = if shared { net.shared_socket(listen).await? } else { net.socket(listen).await? };
         let socket = Rc::new(socket);
-        let (inbox, known) = (socket.clone(), addresses.clone());
+        let inbox = socket.clone();
+        let numbers: HashMap<SocketAddr, usize> =
+            addresses.iter().enumerate().rev().map(|(number, address)| (*address, number)).collect();
         let machine = net.clone();
         net.spawn(async move {
             let mut buffer = [0; MAX_MESSAGE + 1];
             loop {
                 // An error here is that of an earlier datagram which found no listener.
                 let Ok((length, sender)) = inbox.recv_from(&mut buffer).await else { continue };
-                let Some(from) = known.iter().position(|a| *a == sender) else { continue };
+                let Some(from) = numbers.get(&sender).copied() else { continue };
                 if let Some(tier) = tier.as_ref().filter(|_| Tier::is_message(&buffer[..length])) {
                     if planted(Plant::TierUnheard) {
                         continue;
--- a/crates/mothpier/src/servers.rs
+++ b/crates/mothpier/src/servers.rs
@@ -10,7 +10,7 @@
 mod recently_used;
 
 use std::cell::Cell;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -202,6 +202,19 @@
         here.max_by_key(|(_, p)| p.ready).map(|(id, _)| *id)
     }
 
+    /// The same for all addresses: where many are asked for.
+    pub fn by_address(&self) -> HashMap<SocketAddr, ServerId> {
+        let mut servers: HashMap<SocketAddr, (bool, ServerId)> = HashMap::new();
+        for (id, pool) in &self.pools {
+            let Some(address) = pool.address else { continue };
+            let here = servers.entry(address).or_insert((pool.ready, *id));
+            if pool.ready >= here.0 {
+                *here = (pool.ready, *id);
+            }
+        }
+        servers.into_iter().map(|(address, (_, id))| (address, id)).collect()
+    }
+
     /// Whether a server takes requests.
     pub fn is_ready(&self, server: ServerId) -> bool {
         self.pools.get(&server).is_some_and(|p| p.ready)
