Soak: clients that use their connections until the kill, signals in series, crowds; a fault found (listed)

A new trouble sends SIGHUP, SIGHUP, SIGTERM, SIGHUP, SIGTERM some ms apart. Cause: a request that waits with its connection in the machine's queue, since accepts fail or all places are taken, is timed from when it is let in.

--- a/crates/mothpier-trials/src/soak/clients.rs
+++ b/crates/mothpier-trials/src/soak/clients.rs
@@ -15,6 +15,8 @@
 
 /// Between two requests of a client, in milliseconds.
 const PACE_MS: (u64, u64) = (10, 50);
+/// The same for one that uses its connection for as long as it is open.
+const PERSISTENT_PACE_MS: (u64, u64) = (0, 30);
 /// One in so many requests is left by its client.
 const LEAVES: f64 = 0.12;
 /// A client closes its connection behind one answer in so many.
@@ -40,6 +42,8 @@
     pub brief_ms: u64,
     /// Requests that a client sends at once at the most.
     pub pipeline: u64,
+    /// Idle clients fill the node's descriptors: a new connection may be shut before it is read.
+    pub crowded: bool,
     /// What is seen.
     pub ledger: Rc<RefCell<Ledger>>,
     /// They all leave what they ask.
@@ -218,8 +222,8 @@
             }
             let how = ended.as_deref().unwrap_or_default();
             let begun = self.ledger.borrow().arrivals.iter().rev().any(|a| a.id == draft.id);
-            // Read by the node, or on a connection that had served nobody: nothing excuses the close.
-            if begun || !is_reused {
+            // Read by the node, or on a connection that had served nobody: nothing but a crowd excuses the close.
+            if begun || !(is_reused || self.crowded) {
                 let state = if begun { "an attempt was made, then " } else { "" };
                 self.ended(&draft.id, End::Lost, &format!("{state}the connection ended: {how}"));
             } else {
@@ -239,6 +243,11 @@
                 Err(e) => Answered::Ended(format!("as it was sent: {e}")),
             };
             if let Answered::Ended(how) = heard {
+                let begun = self.ledger.borrow().arrivals.iter().rev().any(|a| a.id == draft.id);
+                if self.crowded && !begun {
+                    self.ended(&draft.id, End::AskedAgain, &how);
+                    continue;
+                }
                 self.ended(&draft.id, End::Lost, &format!("the second connection ended, too: {how}"));
             }
         }
@@ -267,6 +276,33 @@
         Answered::Yes
     }
 
+    /// Asks on one connection for as long as the node keeps it, whatever the node has been told.
+    pub async fn persistent_client(self: Rc<Self>, client: usize, dice: Dice) {
+        let (mut number, Some(mut connection)) = (0, Connection::open(self.at).await) else { return };
+        while !self.over.get() {
+            let count = 1 + dice.within(0, self.pipeline) as usize;
+            let drafts: Vec<Draft> = (1..=count).map(|n| self.draft(client, number + n, &dice)).collect();
+            number += count;
+            let Some(kept) = self.ask_all(connection, &drafts).await else { return };
+            connection = kept;
+            sleep(Duration::from_millis(dice.within(PERSISTENT_PACE_MS.0, PERSISTENT_PACE_MS.1))).await;
+        }
+    }
+
+    /// An idle client of a crowd: it takes a place, and another one when the node ends that.
+    pub async fn idle_client(self: Rc<Self>) {
+        while !self.over.get() {
+            let Some(mut connection) = Connection::open(self.at).await else {
+                sleep(RECONNECT).await;
+                continue;
+            };
+            if connection.stream.get_mut().write_all(&command(&["PING"])).await.is_ok() {
+                while !self.over.get() && !matches!(connection.answer().await, Heard::Ended(_)) {}
+            }
+            sleep(RECONNECT).await;
+        }
+    }
+
     /// Asks and is gone before the answer comes.
     async fn leave(&self, mut connection: Connection, draft: &Draft, dice: &Dice) {
         self.asked(draft, &connection);
--- a/crates/mothpier-trials/src/soak/ledger.rs
+++ b/crates/mothpier-trials/src/soak/ledger.rs
@@ -88,6 +88,8 @@
     pub down: Vec<(usize, Instant, Instant)>,
     /// When a node was told to end, and when it had.
     pub terminated: Vec<(usize, Instant, Instant)>,
+    /// When a node was stopped again and again.
+    pub stopped: Vec<(usize, Instant, Instant)>,
     /// When connections of a node were broken on purpose.
     pub broken: Vec<(usize, Instant, Instant)>,
     /// What stand-ins did of their own accord, for the time line.
--- a/crates/mothpier-trials/src/soak/mod.rs
+++ b/crates/mothpier-trials/src/soak/mod.rs
@@ -46,13 +46,24 @@
 const CALM: Duration = Duration::from_millis(800);
 /// A node that was started is ready within this time.
 const READY: Duration = Duration::from_secs(10);
-/// A process that was told to end has ended after this time: the longest deadline, the time for which it accepts, and slack.
-const ENDS: Duration = Duration::from_millis(2_000 + 600 + 900);
+/// A process that was told to end may be killed after this time: the longest deadline, and 0.7 s.
+const EARLIEST_KILL: Duration = Duration::from_millis(plan::LONGEST_DEADLINE_MS + 700);
+/// Clients that use their connections from before a process is told to end until they are closed or it is killed.
+const PERSISTENT_CLIENTS: usize = 3;
+/// Their connections are in use by then.
+const PERSISTENT_BEFORE: Duration = Duration::from_millis(100);
+/// Between two signals of a series, in milliseconds.
+const SERIES_MS: (u64, u64) = (1, 60);
+/// What a node is told in a row.
+const SIGNAL_SERIES: [Signal; 5] = [Signal::HUP, Signal::HUP, Signal::TERM, Signal::HUP, Signal::TERM];
+/// Numbers of persistent clients, behind those of the others.
+const PERSISTENT_FROM: usize = 100;
 /// How often it is looked whether this program runs, and how late that may be.
 const LOOK: Duration = Duration::from_millis(5);
 const LOOK_LATE: Duration = Duration::from_millis(10);
 /// Stops of a node, and the time between them, in milliseconds.
 const STOP_MS: (u64, u64) = (30, 150);
+const STOP_PAUSE_MS: (u64, u64) = (50, 200);
 /// The span after a start over which the share of a cold server is taken.
 const COLD_SPAN: Duration = Duration::from_millis(700);
 /// Keys are where they belong so long after the last trouble that moved them, in milliseconds.
@@ -276,6 +287,8 @@
     began: Cell<Instant>,
     /// Clients that have sent half a request and stay.
     half_requests: RefCell<Vec<tokio::task::JoinHandle<()>>>,
+    /// How many persistent clients there were.
+    persistent: Cell<usize>,
     over: Cell<bool>,
 }
 
@@ -308,6 +321,9 @@
                 let dice = Dice::part(world.plan.seed, (1000 + node.number * 10 + client) as u64);
                 clients.push(spawn_local(node.crowd.clone().client(client, dice)));
             }
+            for _ in 0..world.plan.crowd {
+                spawn_local(node.crowd.clone().idle_client());
+            }
         }
         world.trouble().await;
         sleep(HEALS).await;
@@ -377,7 +393,7 @@
                 FaultControl::create(&folder.join(format!("{name}.faults"))).map_err(|e| e.to_string())?;
             let file = folder.join(format!("{name}.json"));
             let placeholder = entries[0].to_string();
-            let text = loopback::config(&name, entries[0], 1024)
+            let text = loopback::config(&name, entries[0], plan.descriptors())
                 .replace(
                     loopback::SETTINGS,
                     &plan.settings().replace(r#""me":0"#, &format!(r#""me":{number}"#)),
@@ -398,6 +414,7 @@
                 at: front,
                 brief_ms: plan.brief_ms,
                 pipeline: plan.pipeline,
+                crowded: plan.crowd > 0,
                 ledger: ledger.clone(),
                 departing: Cell::new(false),
                 quiet: Cell::new(false),
@@ -411,8 +428,20 @@
         }
         let dice = Dice::part(plan.seed, 47);
         let (began, half_requests) = (Cell::new(Instant::now()), RefCell::default());
-        let over = Cell::new(false);
-        Ok(World { plan, nodes, servers, origin, discovery, ledger, dice, began, half_requests, over })
+        let (persistent, over) = (Cell::new(0), Cell::new(false));
+        Ok(World {
+            persistent,
+            plan,
+            nodes,
+            servers,
+            origin,
+            discovery,
+            ledger,
+            dice,
+            began,
+            half_requests,
+            over,
+        })
     }
 
     /// Notes when this program did not run: what it saw late then is not the nodes' fault.
@@ -470,7 +499,8 @@
             Kind::Stops => self.stops(node, lasts).await,
             Kind::Reloads => self.reloads(node, lasts).await,
             Kind::Kill => self.kill(node, lasts).await,
-            Kind::Terminate => self.terminate(node).await,
+            Kind::Terminate => self.terminate(node, &[Signal::TERM]).await,
+            Kind::SignalSeries => self.terminate(node, &SIGNAL_SERIES).await,
             Kind::Drain => {
                 self.discovery.change(server, |line| line.ready = false);
                 sleep(lasts).await;
@@ -559,11 +589,13 @@
 
     async fn stops(&self, node: &Node, lasts: Duration) {
         let until = Instant::now() + lasts;
+        let over = until + Duration::from_millis(STOP_MS.1 + STOP_PAUSE_MS.1);
+        self.ledger.borrow_mut().stopped.push((node.number, Instant::now(), over));
         while Instant::now() < until {
             node.process.signal(Signal::STOP);
             sleep(Duration::from_millis(self.dice.within(STOP_MS.0, STOP_MS.1))).await;
             node.process.signal(Signal::CONT);
-            sleep(Duration::from_millis(self.dice.within(50, 200))).await;
+            sleep(Duration::from_millis(self.dice.within(STOP_PAUSE_MS.0, STOP_PAUSE_MS.1))).await;
         }
     }
 
@@ -603,19 +635,37 @@
         self.start_again(node, begun).await;
     }
 
-    async fn terminate(&self, node: &Node) {
+    /// Ends a node by signals, the last of which begins its end at the latest, while clients use their connections to it.
+    async fn terminate(&self, node: &Node, signals: &[Signal]) {
         if node.restarts.replace(true) {
             return;
         }
-        node.process.signal(Signal::TERM);
-        let told = Instant::now();
-        while !node.process.has_ended() && told.elapsed() < ENDS {
+        for number in 0..PERSISTENT_CLIENTS {
+            let client = PERSISTENT_FROM + self.persistent.replace(self.persistent.get() + 1);
+            let dice = Dice::part(self.plan.seed, (client * 100 + node.number * 10 + number) as u64);
+            spawn_local(node.crowd.clone().persistent_client(client, dice));
+        }
+        sleep(PERSISTENT_BEFORE).await;
+        let mut told = None;
+        for signal in signals {
+            node.process.signal(*signal);
+            if *signal == Signal::TERM {
+                told.get_or_insert_with(Instant::now);
+            }
+            if signals.len() > 1 {
+                sleep(Duration::from_millis(self.dice.within(SERIES_MS.0, SERIES_MS.1))).await;
+            }
+        }
+        let told = told.unwrap_or_else(Instant::now);
+        while !node.process.has_ended() && told.elapsed() < EARLIEST_KILL {
             sleep(LOOK).await;
         }
         if !node.process.has_ended() {
             let mut ledger = self.ledger.borrow_mut();
-            if ledger.stalled(told, Instant::now()) < Duration::from_millis(100) {
-                ledger.processes.push(format!("node {} runs {ENDS:?} after it was told to end", node.number));
+            let stopped = Ledger::touched(&ledger.stopped, node.number, told, Instant::now());
+            if !stopped && ledger.stalled(told, Instant::now()) < Duration::from_millis(100) {
+                let what = format!("node {} runs {EARLIEST_KILL:?} after it was told to end", node.number);
+                ledger.processes.push(what);
             }
         }
         // Clients who come in the last moment find the listener closed.
--- a/crates/mothpier-trials/src/soak/plan.rs
+++ b/crates/mothpier-trials/src/soak/plan.rs
@@ -7,6 +7,13 @@
 const TROUBLES_MS: (u64, u64) = (1_000, 4_200);
 /// How many troubles a seed has.
 const TROUBLES: (u64, u64) = (4, 8);
+/// The part of the seeds in which idle clients fill the nodes' descriptors, and how many of them there are at each.
+const CROWDED: f64 = 0.25;
+const CROWD: usize = 60;
+/// Descriptors that a node may hold, without a crowd and with one: fewer than it and the crowd would need.
+const DESCRIPTORS: (usize, usize) = (1_024, 112);
+/// Deadline of the classes `read` and `once`, the longest, in milliseconds.
+pub const LONGEST_DEADLINE_MS: u64 = 2_000;
 /// How long one lasts, in milliseconds.
 const LASTS_MS: (u64, u64) = (400, 1_800);
 
@@ -74,11 +81,13 @@
     SpoiltAnswers,
     /// A node's configuration can't be read as it is told to read it again.
     BadReload,
+    /// A node is told to read its configuration and to end, several times in a row, and started again.
+    SignalSeries,
 }
 
 impl Kind {
     /// All of them.
-    pub const ALL: [Kind; 30] = [
+    pub const ALL: [Kind; 31] = [
         Kind::WallStep,
         Kind::ShortCalls,
         Kind::BrokenStreams,
@@ -109,6 +118,7 @@
         Kind::SecondAnswers,
         Kind::SpoiltAnswers,
         Kind::BadReload,
+        Kind::SignalSeries,
     ];
 }
 
@@ -131,8 +141,8 @@
     /// Whether it moves keys from one cache server to another, or keeps lists from nodes.
     pub fn moves_keys(&self) -> bool {
         use Kind::{
-            Closes, DiscoveryDown, DiscoverySilent, DiscoverySlow, Drain, Hang, Kill, Resets, Slow,
-            SpoiltAnswers, Terminate,
+            Closes, DiscoveryDown, DiscoverySilent, DiscoverySlow, Drain, Hang, Kill, Resets, SignalSeries,
+            Slow, SpoiltAnswers, Terminate,
         };
         matches!(
             self.kind,
@@ -144,6 +154,7 @@
                 | Hang
                 | Kill
                 | Resets
+                | SignalSeries
                 | Slow
                 | SpoiltAnswers
                 | Terminate
@@ -185,6 +196,8 @@
     pub grace_ms: u64,
     /// Requests that a client sends at once at the most.
     pub pipeline: u64,
+    /// Idle clients that fill each node's descriptors.
+    pub crowd: usize,
     /// The troubles, in the order of their beginning.
     pub troubles: Vec<Trouble>,
 }
@@ -209,6 +222,7 @@
             cold_ms: 4_000,
             grace_ms: among(&[300, 500]),
             pipeline: among(&[1, 1, 3, 8]),
+            crowd: 0,
             troubles: Vec::new(),
         };
         for _ in 0..dice.within(TROUBLES.0, TROUBLES.1) {
@@ -222,9 +236,17 @@
             });
         }
         plan.troubles.sort_by_key(|trouble| trouble.at_ms);
+        if dice.chance(CROWDED) {
+            plan.crowd = CROWD;
+        }
         plan
     }
 
+    /// Descriptors that a node may hold.
+    pub fn descriptors(&self) -> usize {
+        if self.crowd > 0 { DESCRIPTORS.1 } else { DESCRIPTORS.0 }
+    }
+
     /// When all troubles are over.
     pub fn mended_at_ms(&self) -> u64 {
         TROUBLES_MS.1
@@ -248,8 +270,8 @@
             self;
         format!(
             r#"{{"balancers":{nodes},"me":0,"classes":[
- {{"name":"read","deadlineUs":2000000,"goalTimeUs":1000000,"lateValue":1.0,"gain":1.0,"effect":"pure"}},
- {{"name":"once","deadlineUs":2000000,"goalTimeUs":1000000,"gain":8.0,"effect":"side_effect"}},
+ {{"name":"read","deadlineUs":{longest}000,"goalTimeUs":1000000,"lateValue":1.0,"gain":1.0,"effect":"pure"}},
+ {{"name":"once","deadlineUs":{longest}000,"goalTimeUs":1000000,"gain":8.0,"effect":"side_effect"}},
  {{"name":"brief","deadlineUs":{brief}000,"goalTimeUs":{brief}000,"gain":1.0,"effect":"pure"}}],
  "realms":[{{"name":"acme","quotaPerS":100000}}],"discovery":"{discovery}","zones":["a"],"machineTypes":["m","origin"],
  "specifics":{{"mode":"aside","originKind":1}},"report":{{"fields":["lat_ms","busy"]}},
@@ -257,6 +279,7 @@
  "idleCloseUs":{idle_close_ms}000,"connectTimeoutUs":500000,"maxOpen":1000,"maxRetryAfterUs":600000}},
  "guarantees":{{"coldShare":0.15,"coldUs":{cold_ms}000,"drainGraceUs":{grace_ms}000}},"periodUs":1000}}"#,
             nodes = self.nodes,
+            longest = LONGEST_DEADLINE_MS,
             brief = brief_ms,
         )
     }
--- a/crates/mothpier/tests/time_left.rs
+++ b/crates/mothpier/tests/time_left.rs
@@ -7,6 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use mothpier_fault_control::Setting;
 use mothpier_world::loopback::*;
 
 /// How long each client waits, in milliseconds.
@@ -283,3 +284,31 @@
         assert!(last >= 400, "it came {last} ms after its request");
     }
 }
+
+#[test]
+fn a_request_that_waited_to_be_let_in_tells_what_is_left_then() {
+    const TOO_MANY_FILES: i64 = 23;
+    const LET_IN_AFTER: Duration = Duration::from_millis(400);
+    let record = Record::default();
+    let at_server = record.clone();
+    let server = serve(command, move |words| {
+        at_server.command(words);
+        array("v")
+    });
+    let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
+    let name = "time-left-let-in";
+    let (control, environment) = faults(name);
+    control.set(Setting::AcceptError, TOO_MANY_FILES).unwrap();
+    let mut command = node_command(name, discovery.address, 1024, "");
+    command.envs(environment);
+    let node = Node::run(command, &discovery);
+    control.set(Setting::FailingAccepts, 1000).unwrap();
+    let mut client = node.client();
+    record.send(&mut client, "CACHE.GET", "r1", None);
+    thread::sleep(LET_IN_AFTER);
+    control.set(Setting::FailingAccepts, 0).unwrap();
+    assert_eq!(client.answer(), "$v");
+    let (attempts, last) = record.check("r1");
+    assert_eq!(attempts, 1);
+    assert!(last >= LET_IN_AFTER.as_millis() as u64, "it was let in after {last} ms");
+}
