--- a/crates/mothpier/src/clients.rs
+++ b/crates/mothpier/src/clients.rs
@@ -179,11 +179,8 @@
     pub async fn accept(self: Rc<Self>, listener: N::Listener) {
         let mut number = 0u64;
         let mut failing = false;
-        // Connections that wait to be accepted may have come since then; `None` while it is known that none waits.
-        let mut waiting_since = Some((self.now)());
         loop {
             if self.count() >= self.most() {
-                waiting_since.get_or_insert_with(|| (self.now)());
                 // At the limit the connection that has been idle longest gives way; if none is, new ones wait.
                 self.evict();
                 tokio::select! {
@@ -194,26 +191,17 @@
                 }
                 continue;
             }
-            let mut none_waited = false;
-            let next = poll_fn(|cx| {
-                let accepted = listener.poll_accept(cx);
-                none_waited |= accepted.is_pending();
-                accepted
-            });
             let accepted = tokio::select! {
                 biased;
                 () = self.phase.until_shut() => break,
-                accepted = next => accepted,
+                accepted = listener.accept() => accepted,
             };
-            if none_waited {
-                waiting_since = None;
-            }
             match accepted {
                 Err(_) if planted(Plant::AcceptLoopEnds) => return,
                 Ok((stream, _)) => {
                     failing = false;
                     number += 1;
-                    self.clone().start(stream, number, waiting_since);
+                    self.clone().start(stream, number);
                     // For each that comes while many are open one that rested longest goes, and another until they
                     // are fewer: clients may hold fewer than the node could, and those who find all theirs kept by
                     // others can't even ask.
@@ -232,7 +220,6 @@
                         self.net.log(format_args!("accepting failed: {e}; trying again until it succeeds"));
                     }
                     self.evict();
-                    waiting_since.get_or_insert_with(|| (self.now)());
                     self.net.sleep(ACCEPT_PAUSE).await;
                 }
             }
@@ -243,7 +230,6 @@
         loop {
             // Whoever waits at the limit was let in by the machine, and may have asked: there is room as others close.
             while self.count() >= self.most() {
-                waiting_since.get_or_insert_with(|| (self.now)());
                 self.closed.notified().await;
             }
             // Once round the runtime, which looks at the listener then.
@@ -256,7 +242,7 @@
                 None => return,
                 Some(Ok((stream, _))) => {
                     number += 1;
-                    self.clone().start(stream, number, waiting_since);
+                    self.clone().start(stream, number);
                 }
                 Some(Err(e)) if AcceptFailure::from(&e) == AcceptFailure::ConnectionLost => {}
                 // Out of descriptors: who waits is let in as others close.
@@ -304,8 +290,7 @@
         }
     }
 
-    /// Serves a connection, which may have waited to be let in since a time.
-    fn start(self: Rc<Self>, stream: N::Stream, number: u64, waited_since: Option<Micros>) {
+    fn start(self: Rc<Self>, stream: N::Stream, number: u64) {
         if let Err(invariant) = guards::may_start(self.phase.knows_who_is_out()) {
             self.violated(invariant, number);
         }
@@ -332,7 +317,6 @@
                 skip: 0,
                 told,
                 probe,
-                waited_since,
             };
             let reason = session.run(&*reading, writing, evict).await;
             self.figures.closed(reason);
--- a/crates/mothpier/src/clients/session.rs
+++ b/crates/mothpier/src/clients/session.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use brassrouter::Micros;
 use bytes::{Buf, Bytes, BytesMut};
 use mothpier_net::{Net, Reading};
 use mothpier_session::Connection as Told;
@@ -55,8 +54,6 @@
     pub(super) told: Told,
     /// Asked right before anything is written for this client.
     pub(super) probe: Rc<ConnectionProbe>,
-    /// Since when it may have waited to be let in: what is there at its start counts from then.
-    pub(super) waited_since: Option<Micros>,
 }
 
 impl<N: Net> Session<N> {
@@ -75,11 +72,6 @@
         let mut begun = None;
         // Since when nothing was asked and nothing owed.
         let mut rests = connected;
-        if let Some(since) = self.waited_since
-            && !quiet(&net, reading, &mut buffer).await
-        {
-            came = since;
-        }
         loop {
             while !self.ended && !buffer.is_empty() {
                 let skipped = self.skip.min(buffer.len());
