Test: a server that is back by hand is asked at the pace that the tenant's quota allows

Cause: the test asks 2,000 times without a pause for a server that came back cold. What is sent there is bounded by a bucket that drains by time, from the first review of the traffic on (0.25 s). Change: the same 2,000 requests, 1 ms apart, which the quota of the test's tenant (1,000 a second) allows: how many may pass before the server serves is as before, and no other check is changed. That the untouched decisions fail alike in an optimized build was not run.

--- a/crates/mothpier/tests/operations.rs
+++ b/crates/mothpier/tests/operations.rs
@@ -5,9 +5,14 @@
 use std::net::{SocketAddr, TcpStream};
 use std::sync::mpsc::{Receiver, channel};
 use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
 
 use mothpier_world::loopback::*;
 
+/// Between two requests of a tenant that may send a thousand a second.
+const PACE_OF_THE_QUOTA: Duration = Duration::from_millis(1);
+
 fn start(name: &str, discovery: &Discovery) -> Node {
     let mut command = node_command(name, discovery.address, 1024, "");
     command.env("ROUTER_OPERATOR", "127.0.0.1:0");
@@ -143,7 +148,10 @@
     assert_eq!(node.figure("edge_router_members_unavailable"), 1);
     assert_eq!(node.call("POST", "/api/include", "s-1").0, 200);
     assert_eq!(node.figure("edge_router_members_unavailable"), 0);
-    let served = (0..2000).any(|i| read(10_000 + i) == "$one");
+    let served = (0..2000).any(|i| {
+        thread::sleep(PACE_OF_THE_QUOTA);
+        read(10_000 + i) == "$one"
+    });
     assert!(served, "it came back cold and gets a part of its keys");
     let ended: u64 = node.figure("edge_router_downstream_requests_total{lane=\"read\",result=\"completed\"}");
     let attempts = node.figure("edge_router_upstream_requests_total");
