--- a/src/policy.rs
+++ b/src/policy.rs
@@ -345,8 +345,8 @@
         best.filter(|server| self.level >= LEVEL.2 || !full(server))
     }
 
-    /// The first server in order where nothing stands in the way, if it is one of the first few: it comes before all
-    /// others, so that these need not be weighed.
+    /// The first server in order where nothing stands in the way, if it is one of the first few: it comes
+    /// before all others, so that these need not be weighed.
     fn first_unimpeded(&self, id: RequestId, h: &Held) -> Option<ServerId> {
         if !self.slots.home(h.slot).is_empty() {
             return None;
@@ -463,7 +463,8 @@
         }
     }
 
-    /// Level and depth of the bucket of attempts at a server, as cold as it is, under this balancer's traffic.
+    /// Level and depth of the bucket of attempts at a server, as cold as it is, under this balancer's
+    /// traffic.
     fn cold_bucket(&self, h: &Held, s: &Server, traffic: f64) -> (f64, f64) {
         let part = self.settings.cold_rate * self.warmth(s) * traffic * self.weight(s);
         let rate = part / self.ready.weight(h.class).max(0.01) / 1e6;
@@ -727,8 +728,8 @@
         });
     }
 
-    /// Whether ready cache servers keep less than a part of their keys in the mean: the cause is shared then, and
-    /// moving their keys would crowd the rest.
+    /// Whether ready cache servers keep less than a part of their keys in the mean: the cause is shared
+    /// then, and moving their keys would crowd the rest.
     fn most_look_bad(&self) -> bool {
         let observed = self.observed.iter().filter_map(|id| self.servers.get(id));
         let ready = observed.filter(|s| s.line.condition == Condition::Ready && !s.origin);
--- a/src/ready_servers.rs
+++ b/src/ready_servers.rs
@@ -1,13 +1,13 @@
-//! The servers that take requests, as a choice among thousands goes through them: compact, with the weights that
-//! placement goes by, in one group for each distinct placement of classes.
+//! The servers that take requests, as a choice among thousands goes through them: compact, with the weights
+//! that placement goes by, in one group for each distinct placement of classes.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::interface::{Class, Condition, Key, ServerId};
 use crate::state::{Server, unit_hash};
 
-/// How many of the first servers in a key's order are looked at one by one, before all are weighed: with three of
-/// four impeded one in a hundred choices goes on to all.
+/// How many of the first servers in a key's order are looked at one by one, before all are weighed: with
+/// three of four impeded one in a hundred choices goes on to all.
 const FIRST_IN_ORDER: usize = 16;
 
 /// The hash that gives a key's order of servers.
