--- a/crates/mothpier/src/clients/session.rs
+++ b/crates/mothpier/src/clients/session.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::collections::VecDeque;
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -230,6 +231,9 @@
                     let answered = self.pending.drain(..ready).filter_map(|reply| reply.pending_request);
                     match written {
                         Some(Ok(())) => {}
+                        Some(Err(e)) if e.kind() == ErrorKind::UnexpectedEof => {
+                            return CloseReason::IncompleteValue;
+                        }
                         Some(Err(_)) => return CloseReason::ClientGone,
                         None => return CloseReason::SlowReader,
                     }
--- a/crates/mothpier/src/clients/socket.rs
+++ b/crates/mothpier/src/clients/socket.rs
@@ -4,12 +4,13 @@
 use std::io::ErrorKind;
 use std::time::Duration;
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use mothpier_net::{Net, ReadHalf};
 use tokio::io::{AsyncWrite, AsyncWriteExt};
 
 use super::session::SLOW_READER_TIMEOUT;
 use crate::memory::{MAX_UNRESERVED_INPUT, NodeMemory, Reservation};
+use crate::segments::{SegmentWriter, Segments};
 use crate::streamed_value::StreamedValue;
 use crate::{Mutation, mutation_active};
 
@@ -23,28 +24,36 @@
 /// How long to wait for the client to close its side after this side has been shut down.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Writes a value to the client as its parts arrive. If the rest does not arrive, or the client stops
-/// reading, this returns an error and the connection must be closed, so that the client sees that the value
-/// is incomplete.
+/// Writes a value to the client as its parts arrive. The last part is kept back until the end of the value has
+/// been seen: a client that has all bytes of a value takes it for whole. If the rest does not arrive, the end is
+/// not where it should be, or the client stops reading, this returns an error and the connection must be closed,
+/// so that the client sees that the value is incomplete.
 pub(super) async fn write_streamed_value(
     net: &impl Net,
     write_half: &mut (impl AsyncWrite + Unpin),
     value: &mut StreamedValue,
 ) -> std::io::Result<()> {
-    let mut write = async |bytes: &[u8]| {
-        let written = net.timeout(SLOW_READER_TIMEOUT, write_half.write_all(bytes)).await;
+    let mut write = async |mut segments: Segments| {
+        let written = net.timeout(SLOW_READER_TIMEOUT, write_half.write_all_buf(&mut segments)).await;
         written.unwrap_or_else(|| Err(ErrorKind::TimedOut.into()))
     };
-    write(format!("${}\r\n", value.length).as_bytes()).await?;
+    write(Bytes::from(format!("${}\r\n", value.length)).into()).await?;
     let mut remaining = value.length;
-    while let Some(chunk) = value.next_part().await {
-        remaining = remaining.saturating_sub(chunk.len());
-        write(&chunk).await?;
+    let mut last = SegmentWriter::default();
+    while let Some(part) = value.next_part().await {
+        remaining = remaining.saturating_sub(part.len());
+        if remaining == 0 {
+            last.append(&part);
+        } else {
+            write(part.into()).await?;
+        }
     }
-    if remaining > 0 && !mutation_active(Mutation::CutIsWhole) {
+    let is_whole = remaining == 0 && value.is_complete();
+    if !is_whole && !mutation_active(Mutation::CutIsWhole) {
         return Err(ErrorKind::UnexpectedEof.into());
     }
-    write(b"\r\n").await
+    last.copy(b"\r\n");
+    write(last.finish()).await
 }
 
 /// Reads the available input and returns whether the client is still connected. The buffer grows only once
--- a/crates/mothpier/src/metrics.rs
+++ b/crates/mothpier/src/metrics.rs
@@ -74,17 +74,20 @@
     Evicted,
     /// The client did not read its answer.
     SlowReader,
+    /// A value that was being forwarded broke off, or its end was not where its length said.
+    IncompleteValue,
     /// The node is stopping or drained.
     Draining,
 }
 
 impl CloseReason {
-    const ALL: [CloseReason; 6] = [
+    const ALL: [CloseReason; 7] = [
         CloseReason::ClientGone,
         CloseReason::Ended,
         CloseReason::Idle,
         CloseReason::Evicted,
         CloseReason::SlowReader,
+        CloseReason::IncompleteValue,
         CloseReason::Draining,
     ];
 
@@ -95,6 +98,7 @@
             CloseReason::Idle => "idle",
             CloseReason::Evicted => "evicted",
             CloseReason::SlowReader => "slow_reader",
+            CloseReason::IncompleteValue => "incomplete_value",
             CloseReason::Draining => "draining",
         }
     }
--- a/crates/mothpier/src/origin.rs
+++ b/crates/mothpier/src/origin.rs
@@ -322,7 +322,9 @@
     let body = response.into_body();
     // A body that is too long, or not complete in time, is an error; the connection is closed.
     let received = match status {
-        Status::Served => body::receive_value(net, body, &limits.memory, progress).await,
+        Status::Served => {
+            body::receive_value(net, body, &connection.body_end, &limits.memory, progress).await
+        }
         _ => body::discard(net, body).await.map(|()| Bytes::new()),
     };
     let Ok(value) = received else { return Ended::with_status(Status::Reset) };
--- a/crates/mothpier/src/origin/body.rs
+++ b/crates/mothpier/src/origin/body.rs
@@ -8,6 +8,7 @@
 use mothpier_net::Net;
 
 use super::Progress;
+use crate::http::{BodyEnd, Surplus};
 use crate::memory::{MAX_UNRESERVED, NodeMemory, Reservation};
 use crate::messages::NodeInput;
 use crate::resp::{MAX_STREAMED_VALUE, MAX_VALUE};
@@ -22,6 +23,12 @@
 #[derive(Debug, PartialEq, Eq)]
 pub(super) struct Incomplete;
 
+impl From<Surplus> for Incomplete {
+    fn from(_: Surplus) -> Self {
+        Incomplete
+    }
+}
+
 /// How a body is received.
 enum Plan {
     /// Buffered, with memory for what is beyond [`MAX_UNRESERVED`] if that is known.
@@ -50,17 +57,19 @@
 pub(super) async fn receive_value(
     net: &impl Net,
     body: Incoming,
+    end: &BodyEnd,
     memory: &NodeMemory,
     progress: &Progress,
 ) -> Result<Bytes, Incomplete> {
     match Plan::of(body.size_hint().exact(), memory) {
         Plan::Stream(length) => {
-            stream(net, body, length, memory, progress).await?;
+            stream(net, body, length, end, memory, progress).await?;
             Ok(Bytes::new())
         }
         Plan::Buffer(reservation) => {
             let buffered = net.timeout(BODY_TIMEOUT, buffer(body, memory, reservation)).await;
             let value = buffered.unwrap_or(Err(Incomplete))?;
+            end.check(net).await?;
             Ok(value)
         }
     }
@@ -116,6 +125,7 @@
     net: &impl Net,
     mut body: Incoming,
     length: usize,
+    end: &BodyEnd,
     memory: &NodeMemory,
     progress: &Progress,
 ) -> Result<(), Incomplete> {
@@ -135,6 +145,7 @@
     if !matches!(net.timeout(STALL_TIMEOUT, body.frame()).await, Some(None)) {
         return Err(Incomplete);
     }
+    end.check(net).await?;
     client.finish();
     Ok(())
 }
--- a/crates/mothpier/src/servers/large_value.rs
+++ b/crates/mothpier/src/servers/large_value.rs
@@ -7,8 +7,9 @@
 use mothpier_net::{Net, ReadHalf};
 use redis_protocol::resp2::types::BytesFrame;
 
+use super::command::ExpectedReply;
 use super::pipeline::SharedState;
-use super::reader::READ_SIZE;
+use super::reader::{READ_SIZE, is_expected_frame};
 use crate::memory::{NodeMemory, Reservation};
 use crate::resp;
 use crate::streamed_value::{NotSent, ValueSender};
@@ -37,6 +38,8 @@
     pub(super) memory: &'a NodeMemory,
     pub(super) read_half: &'a R,
     pub(super) buffer: &'a mut BytesMut,
+    /// The servers are nodes of the shared tier.
+    pub(super) tier: bool,
 }
 
 impl<N: Net, R: ReadHalf> ValueStream<'_, N, R> {
@@ -152,7 +155,8 @@
             }
         }
         let frame = if trailing_frames == 0 { frames.remove(0) } else { BytesFrame::Array(frames) };
-        Some(frame)
+        // What stands behind the value must be the rest of its own answer, and not the next answer.
+        is_expected_frame(&frame, ExpectedReply::Answer, self.tier).then_some(frame)
     }
 
     /// Reads more bytes into the buffer, which grows by `size` at most.
--- a/crates/mothpier/src/servers/reader.rs
+++ b/crates/mothpier/src/servers/reader.rs
@@ -134,8 +134,8 @@
         let (sender, value) = StreamedValue::of(header.length, memory);
         connection.events.send(connection.input(ServerEvent::AnswerStarted(attempt, value))).await.ok()?;
         let (net, read_half) = (&connection.net, self.read_half);
-        let buffer = &mut self.buffer;
-        let stream = ValueStream { net, shared, memory, read_half, buffer };
+        let (buffer, tier) = (&mut self.buffer, connection.limits.tier);
+        let stream = ValueStream { net, shared, memory, read_half, buffer, tier };
         let frame = stream.run(header, sender).await?;
         let permit = connection.events.reserve().await.ok()?;
         shared.pipeline.borrow_mut().sent.pop_front();
@@ -259,7 +259,7 @@
 /// Returns whether a frame can be the reply to a command: an array of the value or null, the status and the
 /// load report, which only the policy interprets further; or an error line. A probe is answered with the
 /// report alone.
-fn is_expected_frame(frame: &BytesFrame, expected_reply: ExpectedReply, tier: bool) -> bool {
+pub(super) fn is_expected_frame(frame: &BytesFrame, expected_reply: ExpectedReply, tier: bool) -> bool {
     match frame {
         BytesFrame::Error(_) => true,
         BytesFrame::SimpleString(_) => expected_reply == ExpectedReply::Acknowledgement,
--- a/crates/mothpier/src/servers/tests.rs
+++ b/crates/mothpier/src/servers/tests.rs
@@ -423,6 +423,48 @@
     assert_eq!(written, b"");
 }
 
+/// Both forms of an answer with a long value: its end is told only where it was seen.
+#[test]
+fn a_streamed_value_is_complete_only_if_its_answer_ends_where_its_length_says() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    const LENGTH: usize = 100_000;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        for (tier, surplus, complete) in
+            [(false, 0, true), (true, 0, true), (false, 1, false), (true, 1, false), (true, 2000, false)]
+        {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let (events, mut inputs) = mpsc::channel(8);
+            let mut servers = Servers::new(Tokio, Limits { tier, ..limits(1) }, events);
+            servers.apply_entry(1, Some(listener.local_addr().unwrap()), true);
+            assert!(servers.send(1, get(7)));
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let Some(NodeInput::Server { server, connection, event }) = inputs.recv().await else { panic!() };
+            assert!(servers.event(server, connection, event).is_empty());
+            assert!(stream.read(&mut [0; 256]).await.unwrap() > 0);
+            let value = "v".repeat(LENGTH + surplus);
+            let answer = match tier {
+                true => format!("${LENGTH}\r\n{value}\r\n"),
+                false => format!("*3\r\n${LENGTH}\r\n{value}\r\n$3\r\nhit\r\n$-1\r\n"),
+            };
+            tokio::task::spawn_local(async move {
+                let _ = stream.write_all(answer.as_bytes()).await;
+                let _ = stream.read(&mut [0; 1]).await;
+            });
+            let Some(NodeInput::Server { event: Event::AnswerStarted(7, mut value), .. }) =
+                inputs.recv().await
+            else {
+                panic!("no value, tier: {tier}")
+            };
+            let mut received = 0;
+            while let Some(part) = value.next_part().await {
+                received += part.len();
+            }
+            assert_eq!((received, value.is_complete()), (LENGTH, complete), "tier: {tier}, {surplus} more");
+        }
+    });
+}
+
 /// Without free memory an answer that would be buffered is streamed through the smallest window, and is whole.
 #[test]
 fn an_answer_without_memory_for_it_is_streamed() {
@@ -454,7 +496,10 @@
                         received += part.len();
                         longest = longest.max(part.len());
                     }
-                    assert!(received == LENGTH && longest <= 4096, "{received} {longest}");
+                    assert!(
+                        received == LENGTH && longest <= 4096 && value.is_complete(),
+                        "{received} {longest}"
+                    );
                 }
                 Some(NodeInput::Server { event: Event::Answer(7, frame), .. }) if !streamed => {
                     assert!(memory.reserved_for_values() >= LENGTH - MAX_UNRESERVED);
--- a/crates/mothpier/src/streamed_value.rs
+++ b/crates/mothpier/src/streamed_value.rs
@@ -84,6 +84,12 @@
         self.parts.recv().await
     }
 
+    /// Returns whether the value was received completely, once [`StreamedValue::next_part`] has returned `None`.
+    /// All of its bytes alone do not say so: its length may have been wrong.
+    pub fn is_complete(&self) -> bool {
+        self.state.complete.get()
+    }
+
     /// Begins to write the value to its client. Returns whether it has not been abandoned; nothing may be written
     /// of it otherwise.
     pub fn begin(&self) -> bool {
--- a/crates/mothpier/tests/values.rs
+++ b/crates/mothpier/tests/values.rs
@@ -116,6 +116,76 @@
     assert_eq!(node.client().ask(&["PING"]), "+PONG");
 }
 
+/// Asks for a value and returns all that came until the node closed the connection.
+fn read_until_closed(node: &Node, key: &str) -> Vec<u8> {
+    let mut stream = TcpStream::connect(node.address).unwrap();
+    stream.set_read_timeout(Some(HUNG)).unwrap();
+    let length = key.len();
+    let read = format!(
+        "*4\r\n$9\r\nCACHE.GET\r\n${length}\r\n{key}\r\n${length}\r\n{key}\r\n$20\r\nc=read,t=acme,d=9000\r\n"
+    );
+    stream.write_all(read.as_bytes()).unwrap();
+    let mut all = Vec::new();
+    let _ = stream.read_to_end(&mut all);
+    all
+}
+
+/// Values of cache servers under a length that is too short were served as whole: the node told their end before
+/// it had seen it.
+#[test]
+fn a_value_under_too_short_a_length_is_never_delivered_as_whole() {
+    const TOLD: usize = 100_000;
+    for surplus in [1, 2, 1000, 4000] {
+        let text = value(TOLD + surplus);
+        let server = scripted_server(move |stream| {
+            let answer = format!("*3\r\n${TOLD}\r\n{text}\r\n$3\r\nhit\r\n$17\r\nlat_ms=5,busy=0.1\r\n");
+            let _ = stream.write_all(answer.as_bytes());
+        });
+        let node = start_node("wronglength", &[member("s-1", server, "m", "ready")]);
+        let all = read_until_closed(&node, "k");
+        let head = format!("${TOLD}\r\n");
+        assert!(all.starts_with(head.as_bytes()), "{surplus}");
+        assert!(all.len() < head.len() + TOLD, "{surplus}: all {} bytes that were told", all.len());
+        assert_eq!(node.client().ask(&["PING"]), "+PONG");
+    }
+}
+
+/// The rest of an answer is missing and the next answer stands in its place: the end of the value has not been
+/// seen.
+#[test]
+fn a_value_with_another_answer_behind_it_is_never_delivered_as_whole() {
+    let text = value(100_000);
+    let server = scripted_server(move |stream| {
+        let answer = format!("*3\r\n${}\r\n{text}\r\n", text.len());
+        let next = "*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$17\r\nlat_ms=5,busy=0.1\r\n";
+        let _ = stream.write_all(format!("{answer}{next}{next}").as_bytes());
+    });
+    let node = start_node("nextanswer", &[member("s-1", server, "m", "ready")]);
+    let all = read_until_closed(&node, "k");
+    assert!(all.len() < 100_000, "{} bytes", all.len());
+}
+
+/// The origin sends more than it told, at both sides of 64 KiB: what was told is a part of the value.
+#[test]
+fn a_value_of_the_origin_under_too_short_a_length_is_never_delivered_as_whole() {
+    let origin = serve(call, |lines| {
+        let told: usize = lines[0].split(' ').nth(1).unwrap()[1..].parse().unwrap();
+        let text = value(told + 100);
+        Reaction::Answer(format!("HTTP/1.1 200 OK\r\nContent-Length: {told}\r\n\r\n{text}").into_bytes())
+    });
+    let server = serve(command, |_| miss());
+    let servers = [member("s-1", server, "m", "ready"), member("o-1", origin, "origin", "ready")];
+    let node = start_node("originlength", &servers);
+    for told in ["10", "30000", "60000"] {
+        let answer = node.client().ask(&read_command(told, told));
+        assert!(answer.starts_with('-'), "{told}: {answer:.40}");
+    }
+    for told in [70_000, 300_000] {
+        let all = read_until_closed(&node, &told.to_string());
+        assert!(all.len() < told, "{told}: {} bytes", all.len());
+    }
+}
+
 /// The deadline applies to the start of the answer: a value that has started must not be cut off when the
 /// deadline passes.
 #[test]
