Count a value given up for want of memory among the refusals for memory

Need: a read whose held answer is given up for want of memory is answered BUSY. It was counted as rejected, but not by its reason, and no test forced a value to be given up. Change: the refusal is counted as memory; requests that must not run again are answered ERR failed and are no refusal, as before. Tests force both, and the giving up itself: a long answer that its client does not take, no memory, and an answer behind it that another client waits for. What the tests set up is shared.

--- a/crates/mothpier/src/clients/pending.rs
+++ b/crates/mothpier/src/clients/pending.rs
@@ -15,7 +15,7 @@
 use crate::cancellation::CancelGuard;
 use crate::memory::Reservation;
 use crate::messages::Answer;
-use crate::metrics::Ended;
+use crate::metrics::{Ended, Metrics, RefusalReason};
 use crate::resp;
 use crate::streamed_value::StreamedValue;
 
@@ -60,8 +60,9 @@
 
     /// Returns the reply to a request whose answer was given up for want of memory: a refusal, if the request may
     /// be sent again although it has run.
-    fn abandon(&mut self) -> Bytes {
+    fn abandon(&mut self, metrics: &Metrics) -> Bytes {
         if self.is_safe {
+            metrics.count_refusal(RefusalReason::Memory);
             self.outcome = Ended::Rejected;
             return resp::error(&format!("BUSY {BUSY_RETRY_MS}"));
         }
@@ -89,7 +90,7 @@
 }
 
 /// Waits until the first reply is ready and returns how many at the front are. Cancel-safe.
-pub(super) async fn count_ready_replies(pending: &mut VecDeque<PendingReply>) -> usize {
+pub(super) async fn count_ready_replies(pending: &mut VecDeque<PendingReply>, metrics: &Metrics) -> usize {
     poll_fn(|cx| {
         let (mut ready, mut size) = (0, 0);
         for reply in pending.iter_mut() {
@@ -119,8 +120,8 @@
                     break;
                 }
                 ReplyState::Streaming(_) => {
-                    let bytes =
-                        reply.pending_request.as_mut().map_or_else(Bytes::new, PendingRequest::abandon);
+                    let pending_request = reply.pending_request.as_mut();
+                    let bytes = pending_request.map_or_else(Bytes::new, |request| request.abandon(metrics));
                     let length = bytes.len();
                     reply.state = ReplyState::Ready(bytes);
                     length
@@ -136,3 +137,6 @@
     })
     .await
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/mothpier/src/clients/session.rs
+++ b/crates/mothpier/src/clients/session.rs
@@ -188,7 +188,7 @@
                     .min();
             tokio::select! {
                 biased;
-                ready = count_ready_replies(&mut self.pending), if !is_idle => {
+                ready = count_ready_replies(&mut self.pending, &clients.metrics), if !is_idle => {
                     let mut replies = self.take_replies(ready);
                     let (had_buffered_input, mut received_meanwhile) = (!buffer.is_empty(), None);
                     let probe = self.probe.clone();
--- a/crates/mothpier/src/servers/tests.rs
+++ b/crates/mothpier/src/servers/tests.rs
@@ -3,11 +3,12 @@
 use std::task::Poll;
 
 use bytes::Bytes;
-use mothpier_net::Tokio;
+use mothpier_net::{Listener, Net, Stream, Tokio};
 
 use super::pipeline::{Pipeline, SharedState};
 use super::pool::RECENTLY_ANSWERED;
 use super::*;
+use crate::cancellation::{CancelGuard, CancelToken, ConnectionProbe};
 use crate::memory::MAX_UNRESERVED;
 use crate::messages::{self, OpenRequestIds, RequestIdClaim};
 use crate::resp;
@@ -66,6 +67,10 @@
 
 /// A client's command whose last argument is `k` if it has no value.
 fn request(attempt: AttemptId, value: Option<Bytes>) -> Command {
+    cancellable_request(attempt, value, CancelToken::default())
+}
+
+fn cancellable_request(attempt: AttemptId, value: Option<Bytes>, cancel: CancelToken) -> Command {
     let id = Bytes::from_static(b"i");
     let claim = RequestIdClaim::of(&OpenRequestIds::default(), &id).unwrap();
     let write = value.is_some();
@@ -76,7 +81,7 @@
         extras: "k".into(),
         value,
         write,
-        cancel: crate::cancellation::CancelToken::default(),
+        cancel,
         claim,
     };
     let deadline = Instant::now() + Duration::from_secs(60);
@@ -84,6 +89,30 @@
     Command { attempt, payload, asking: false }
 }
 
+/// A cache server that has received commands over one connection, and its end of the connection.
+async fn commands_in_flight(
+    limits: Limits,
+    commands: impl IntoIterator<Item = Command>,
+) -> (Servers<Tokio>, mpsc::Receiver<NodeInput>, tokio::net::TcpStream) {
+    use tokio::io::AsyncReadExt;
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (events, mut inputs) = mpsc::channel(8);
+    let multiplex = limits.multiplex;
+    let mut commands = commands.into_iter();
+    let mut servers = Servers::new(Tokio, limits, events);
+    servers.apply_entry(1, listener.local_addr().ok(), true);
+    assert!(servers.send(1, commands.next().unwrap()));
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let Some(NodeInput::Server { server, connection, event }) = inputs.recv().await else { panic!() };
+    assert!(servers.event(server, connection, event).is_empty());
+    for command in commands {
+        assert!(servers.pools.get_mut(&1).unwrap().append(command, multiplex, Instant::now()));
+    }
+    let_others_run().await;
+    assert!(stream.read(&mut [0; 256]).await.unwrap() > 0);
+    (servers, inputs, stream)
+}
+
 /// A server with one connection that carries an attempt, and an event queue whose only place is taken.
 async fn answer_before_full_queue(
     ends: bool,
@@ -433,15 +462,8 @@
         for (tier, surplus, complete) in
             [(false, 0, true), (true, 0, true), (false, 1, false), (true, 1, false), (true, 2000, false)]
         {
-            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-            let (events, mut inputs) = mpsc::channel(8);
-            let mut servers = Servers::new(Tokio, Limits { tier, ..limits(1) }, events);
-            servers.apply_entry(1, Some(listener.local_addr().unwrap()), true);
-            assert!(servers.send(1, get(7)));
-            let (mut stream, _) = listener.accept().await.unwrap();
-            let Some(NodeInput::Server { server, connection, event }) = inputs.recv().await else { panic!() };
-            assert!(servers.event(server, connection, event).is_empty());
-            assert!(stream.read(&mut [0; 256]).await.unwrap() > 0);
+            let (_servers, mut inputs, mut stream) =
+                commands_in_flight(Limits { tier, ..limits(1) }, [get(7)]).await;
             let value = "v".repeat(LENGTH + surplus);
             let answer = match tier {
                 true => format!("${LENGTH}\r\n{value}\r\n"),
@@ -474,15 +496,8 @@
     tokio::task::LocalSet::new().block_on(&runtime, async {
         for (limit, streamed) in [(0, true), (1 << 20, false)] {
             let memory = NodeMemory::new(limit, &Rc::default());
-            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-            let (events, mut inputs) = mpsc::channel(8);
-            let mut servers = Servers::new(Tokio, Limits { memory: memory.clone(), ..limits(1) }, events);
-            servers.apply_entry(1, Some(listener.local_addr().unwrap()), true);
-            assert!(servers.send(1, get(7)));
-            let (mut stream, _) = listener.accept().await.unwrap();
-            let Some(NodeInput::Server { server, connection, event }) = inputs.recv().await else { panic!() };
-            assert!(servers.event(server, connection, event).is_empty());
-            assert!(stream.read(&mut [0; 256]).await.unwrap() > 0);
+            let (_servers, mut inputs, mut stream) =
+                commands_in_flight(Limits { memory: memory.clone(), ..limits(1) }, [get(7)]).await;
             tokio::task::spawn_local(async move {
                 let value = "v".repeat(LENGTH);
                 let answer = format!("*3\r\n${LENGTH}\r\n{value}\r\n$3\r\nhit\r\n$-1\r\n");
@@ -511,3 +526,63 @@
         }
     });
 }
+
+/// The guard of a request whose client is connected for as long as the returned stream.
+async fn waiting_client() -> (CancelGuard, tokio::net::TcpStream) {
+    let listener = Tokio.listen(SocketAddr::from(([127, 0, 0, 1], 0))).await.unwrap();
+    let client = tokio::net::TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    let (accepted, _) = listener.accept().await.unwrap();
+    let (read_half, _write_half) = accepted.split();
+    (CancelGuard::new(Rc::new(ConnectionProbe::new(Rc::new(read_half), Instant::now()))), client)
+}
+
+/// A client that takes nothing of a long answer must not hold up, until a deadline, the client that can only be sent
+/// the answer behind it. Without memory for the long answer it is given up, unless its writing has begun.
+#[test]
+fn an_answer_that_its_client_does_not_take_is_given_up_for_the_one_behind_it() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    const LENGTH: usize = 200_000;
+    for begun in [false, true] {
+        run_local(async {
+            let (guard, _client) = waiting_client().await;
+            let limits = Limits { memory: NodeMemory::new(0, &Rc::default()), ..limits(32) };
+            let commands = [get(7), cancellable_request(8, None, guard.token())];
+            let (_servers, mut inputs, mut stream) = commands_in_flight(limits, commands).await;
+            tokio::task::spawn_local(async move {
+                let value = "v".repeat(LENGTH);
+                let answers = format!(
+                    "*3\r\n${LENGTH}\r\n{value}\r\n$3\r\nhit\r\n$-1\r\n*3\r\n$1\r\nw\r\n$3\r\nhit\r\n$-1\r\n"
+                );
+                stream.write_all(answers.as_bytes()).await.unwrap();
+                let _ = stream.read(&mut [0; 1]).await;
+            });
+            let Some(NodeInput::Server { event: Event::AnswerStarted(7, mut value), .. }) =
+                inputs.recv().await
+            else {
+                panic!("no value, begun: {begun}")
+            };
+            if begun {
+                assert!(value.begin());
+            }
+            guard.set_next();
+            if begun {
+                let mut received = 0;
+                while let Some(part) = value.next_part().await {
+                    received += part.len();
+                    // Long enough for the sender to look for other clients that wait.
+                    tokio::time::sleep(Duration::from_millis(1)).await;
+                }
+                assert!(received == LENGTH && value.is_complete());
+            }
+            let answer_behind = async {
+                while !matches!(
+                    inputs.recv().await,
+                    Some(NodeInput::Server { event: Event::Answer(8, _), .. })
+                ) {}
+            };
+            let waited = tokio::time::timeout(Duration::from_secs(20), answer_behind).await;
+            assert!(waited.is_ok(), "the answer behind waits, begun: {begun}");
+            assert_eq!(value.begin(), begun);
+        });
+    }
+}
