Receive a command of long arguments where memory allows, and keep its connection

Before, such a command was read and got its error line: memory could carry it. Change: 64 KiB are reserved for such a command; without memory it is a protocol error as now.

--- a/crates/mothpier/src/clients/incoming_value.rs
+++ b/crates/mothpier/src/clients/incoming_value.rs
@@ -1,5 +1,5 @@
-//! The value of a client's command while it is being received: the memory for it is reserved when its length is
-//! known, or the command is refused and the value discarded.
+//! A client's command while it is being received that is longer than what needs no reservation. The memory for a
+//! long value is reserved when its length is known, or the command is refused and the value discarded.
 
 use bytes::{Buf, Bytes, BytesMut};
 use mothpier_net::Net;
@@ -10,20 +10,23 @@
 use crate::memory::{REQUEST_MEMORY, Reservation};
 use crate::resp::{self, LargeCommand, MAX_VALUE};
 
-/// A value that is being received.
+/// Maximum length of a command without a long value at its end, in bytes.
+const MAX_LENGTH_WITHOUT_VALUE: usize = MAX_VALUE;
+
+/// A long command that is being received, and its value.
 pub(super) struct IncomingValue {
-    /// Length of the whole command, in bytes.
+    /// Maximum length of the whole command, in bytes.
     command_length: usize,
-    /// Length of the value, in bytes.
+    /// Length of the value, in bytes; 0 if its arguments before the value are what is long.
     length: usize,
-    /// Memory for the value.
+    /// Memory for the value, or for the whole command.
     pub(super) value: Reservation,
     /// Memory for the request, which is admitted before a value over [`MAX_VALUE`] is received.
     pub(super) request: Option<Reservation>,
 }
 
 impl IncomingValue {
-    /// Returns the length of the whole command, in bytes.
+    /// Returns the maximum length of the whole command, in bytes.
     pub(super) fn command_length(&self) -> usize {
         self.command_length
     }
@@ -59,8 +62,24 @@
             || self.incoming_value.as_ref().is_some_and(IncomingValue::may_arrive_slowly)
     }
 
+    /// Reserves memory for a command that cannot be received without, or refuses it if it ends with a long value.
+    /// Returns whether the connection can go on.
+    pub(super) fn begin_long_command(&mut self, buffer: &mut BytesMut) -> bool {
+        if self.incoming_value.take().is_some() {
+            return false;
+        }
+        if let Some(large) = resp::parse_large_command(buffer) {
+            self.begin_large_command(large, buffer);
+            return true;
+        }
+        let Some(value) = self.clients.memory.reserve_input(MAX_LENGTH_WITHOUT_VALUE) else { return false };
+        self.incoming_value =
+            Some(IncomingValue { command_length: MAX_LENGTH_WITHOUT_VALUE, length: 0, value, request: None });
+        true
+    }
+
     /// Reserves memory for a command with a long value, or refuses it before the value is read.
-    pub(super) fn begin_large_command(&mut self, large: LargeCommand, buffer: &mut BytesMut) {
+    fn begin_large_command(&mut self, large: LargeCommand, buffer: &mut BytesMut) {
         if let Some(incoming_value) = self.clients.reserve_value(&large) {
             // Reserve the whole size once: growing the buffer step by step would copy it each time.
             buffer.reserve(incoming_value.command_length.saturating_sub(buffer.len()));
--- a/crates/mothpier/src/clients/session.rs
+++ b/crates/mothpier/src/clients/session.rs
@@ -59,7 +59,7 @@
     pub(super) has_sent_command: bool,
     /// No more commands are read; the connection closes after the last reply.
     pub(super) input_ended: bool,
-    /// The value of the command that is being received, if memory is reserved for it.
+    /// The command that is being received, if memory is reserved for it.
     pub(super) incoming_value: Option<IncomingValue>,
     /// Memory for a long queue of replies.
     pub(super) queue_memory: Option<Reservation>,
@@ -114,9 +114,8 @@
                     }
                     Ok(None) => break,
                     Err(e) => {
-                        match resp::parse_large_command(&buffer).filter(|_| self.incoming_value.is_none()) {
-                            Some(large) => self.begin_large_command(large, &mut buffer),
-                            None => self.protocol_error(e),
+                        if !self.begin_long_command(&mut buffer) {
+                            self.protocol_error(e);
                         }
                     }
                 }
--- a/crates/mothpier/tests/memory.rs
+++ b/crates/mothpier/tests/memory.rs
@@ -291,6 +291,30 @@
     drop(senders);
 }
 
+/// A command whose arguments are too long gets an error line, and its connection serves the next one.
+#[test]
+fn a_command_with_long_arguments_is_refused_and_its_connection_goes_on() {
+    let node = start_node("memarguments", &value_servers(1));
+    warm_up(&node);
+    let mut client = node.client();
+    let long = "a".repeat(20_000);
+    let short = "a".repeat(700);
+    let many: Vec<&str> = [short.as_str(); 24].into();
+    for (arguments, error) in [
+        (&["CACHE.GET", &long, "i", "c=read,t=acme,d=9000"][..], "-ERR key, id or extras of a wrong length"),
+        (&["CACHE.SET", &long, "i", "c=once,t=acme,d=9000", "v"], "-ERR key, id or extras of a wrong length"),
+        (&many, "-ERR unknown command"),
+    ] {
+        assert_eq!(client.ask(arguments), error);
+        assert_eq!(client.ask(&["PING"]), "+PONG");
+    }
+    let key = key("behind", 100);
+    assert_eq!(
+        client.ask(&["CACHE.GET", &key, &key, "c=read,t=acme,d=9000"]),
+        format!("${}", value_of(&key, 100))
+    );
+}
+
 /// Clients send commands that the node answers itself and read nothing, behind a request that is not answered.
 #[test]
 fn replies_that_nobody_reads_do_not_fill_the_memory() {
