Take the time of a command before its last bytes are written, not after

Callers saw: a read refused with BUSY, a write failed, at a node that had just started or was short of CPU time; the node logged 'received an answer sooner than the server can have produced one' and closed the connection. Cause: an answer in less than a quarter of the least time seen is taken for a duplicate of an earlier one. The time of an answer ran from a clock reading behind the write. A process that gets no CPU time between the two reads the clock when the answer has come, and the answer seems to have taken no time. Change: the clock is read before each write of a command's bytes; the last reading counts.

--- a/crates/mothpier/src/servers/connection.rs
+++ b/crates/mothpier/src/servers/connection.rs
@@ -161,10 +161,11 @@
             self.net.yield_now().await;
             let begun_write = poll_fn(|cx| self.shared.begin_write(cx, write_half, self.net.now())).await;
             let Some(begun_write) = begun_write else { continue };
-            let Ok(BegunWrite { command, mut rest }) = begun_write else { return };
-            if write_half.write_all_buf(&mut rest).await.is_err() {
+            let Ok(mut begun_write) = begun_write else { return };
+            if begun_write.write_rest(write_half, || self.net.now()).await.is_err() {
                 return;
             }
+            let BegunWrite { command, written, .. } = begun_write;
             // There is no await after the last byte was written, so the command is on record before its
             // answer can be read.
             let mut pipeline = self.shared.pipeline.borrow_mut();
@@ -173,7 +174,6 @@
             if expected_reply == ExpectedReply::Answer {
                 self.limits.metrics.count_attempt();
             }
-            let written = self.net.now();
             pipeline.sent.push_back(SentCommand {
                 attempt: command.attempt,
                 expected_reply,
--- a/crates/mothpier/src/servers/pipeline.rs
+++ b/crates/mothpier/src/servers/pipeline.rs
@@ -2,14 +2,15 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
+use std::future::poll_fn;
 use std::io::ErrorKind;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::task::{Context, Poll};
 use std::time::Instant;
 
 use brassrouter::ServerId;
 use bytes::Buf;
-use tokio::io::AsyncWrite;
+use tokio::io::{AsyncWrite, AsyncWriteExt};
 use tokio::sync::Notify;
 
 use super::command::{Command, ExpectedReply};
@@ -24,7 +25,8 @@
     pub(super) expected_reply: ExpectedReply,
     /// The node no longer waits for its answer.
     pub(super) given_up: bool,
-    /// When its last byte was written.
+    /// Just before its last byte was written. After the write, the process may get no CPU time for longer than the
+    /// server takes for the answer, and the answer would seem to have come too soon.
     pub(super) written: Instant,
     /// The client that waits for its answer.
     pub(super) client: CancelToken,
@@ -118,7 +120,36 @@
 /// A command of which the socket has accepted the first bytes, and the rest of its bytes.
 pub(super) struct BegunWrite {
     pub(super) command: Command,
-    pub(super) rest: Segments,
+    rest: Segments,
+    /// Just before the last bytes so far were written.
+    pub(super) written: Instant,
+}
+
+impl BegunWrite {
+    /// Writes the rest of the command.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the server does not take it.
+    pub(super) async fn write_rest<W: AsyncWrite + Unpin>(
+        &mut self,
+        write_half: &mut W,
+        now: impl Fn() -> Instant,
+    ) -> std::io::Result<()> {
+        while self.rest.has_remaining() {
+            let mut write = pin!(write_half.write_buf(&mut self.rest));
+            let timed_write = poll_fn(|cx| {
+                let written = now();
+                write.as_mut().poll(cx).map(|result| (result, written))
+            });
+            let (result, written) = timed_write.await;
+            if result? == 0 {
+                return Err(ErrorKind::WriteZero.into());
+            }
+            self.written = written;
+        }
+        Ok(())
+    }
 }
 
 impl SharedState {
@@ -163,9 +194,9 @@
         let mut pipeline = self.pipeline.borrow_mut();
         let Some(next) = pipeline.next_unsent(now) else { return Poll::Ready(None) };
         let mut segments = pipeline.unsent[next].segments(now);
-        let written = match Pin::new(write_half).poll_write(cx, segments.chunk()) {
+        let length = match Pin::new(write_half).poll_write(cx, segments.chunk()) {
             Poll::Pending => return Poll::Pending,
-            Poll::Ready(Ok(written)) if written > 0 => written,
+            Poll::Ready(Ok(length)) if length > 0 => length,
             Poll::Ready(Ok(_)) => return Poll::Ready(Some(Err(ErrorKind::WriteZero.into()))),
             Poll::Ready(Err(e)) => return Poll::Ready(Some(Err(e))),
         };
@@ -183,7 +214,7 @@
             pipeline.sent.push_back(acknowledgement);
         }
         let whole = mutation_active(Mutation::HalfWriteIsWhole);
-        segments.advance(if whole { segments.remaining() } else { written });
-        Poll::Ready(Some(Ok(BegunWrite { command, rest: segments })))
+        segments.advance(if whole { segments.remaining() } else { length });
+        Poll::Ready(Some(Ok(BegunWrite { command, rest: segments, written: now })))
     }
 }
--- a/crates/mothpier/src/servers/tests.rs
+++ b/crates/mothpier/src/servers/tests.rs
@@ -586,3 +586,54 @@
         });
     }
 }
+
+/// A socket that takes a few bytes at a time, behind each of which the process gets no CPU time for a while.
+struct SuspendingSocket {
+    /// When the last bytes were taken, and those before them.
+    last_taken: Instant,
+    taken_before: Instant,
+}
+
+impl tokio::io::AsyncWrite for SuspendingSocket {
+    fn poll_write(
+        mut self: std::pin::Pin<&mut Self>,
+        _: &mut std::task::Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        self.taken_before = std::mem::replace(&mut self.last_taken, Instant::now());
+        std::thread::sleep(Duration::from_millis(5));
+        Poll::Ready(Ok(bytes.len().min(16)))
+    }
+
+    fn poll_flush(
+        self: std::pin::Pin<&mut Self>,
+        _: &mut std::task::Context<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(
+        self: std::pin::Pin<&mut Self>,
+        _: &mut std::task::Context<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
+/// The time of an answer begins before its command is written: if the process was suspended after the write, the
+/// answer would seem to have come too soon for the server, and its connection would be closed.
+#[test]
+fn a_command_counts_as_written_before_the_server_can_have_it() {
+    run_local(async {
+        let shared = SharedState::default();
+        shared.pipeline.borrow_mut().unsent.push_back(get(7));
+        let now = Instant::now();
+        let mut socket = SuspendingSocket { last_taken: now, taken_before: now };
+        let begun = poll_fn(|cx| shared.begin_write(cx, &mut socket, Instant::now())).await;
+        let mut begun = begun.unwrap().unwrap();
+        assert!(begun.written <= socket.last_taken);
+        begun.write_rest(&mut socket, Instant::now).await.unwrap();
+        assert!(begun.written <= socket.last_taken, "counted as written after the server has it");
+        assert!(begun.written > socket.taken_before, "counted as written before its last bytes are");
+    });
+}
