Tests: give processes addresses that nothing else binds meanwhile

Cause: start_tier asked the kernel for free ports and let them go before the nodes bound them. Change: unused_address() gives each test process a loopback host of its own and each port of it once, below the ephemeral range. What a node has logged is shown when a test of it panics.

--- a/crates/mothpier-coordinator/tests/failing_disk.rs
+++ b/crates/mothpier-coordinator/tests/failing_disk.rs
@@ -4,7 +4,7 @@
 #![allow(missing_docs)]
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -37,13 +37,10 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 impl Coordinator {
     fn start(directory: &Path) -> Self {
-        let (address, log, faults) = (free_address(), directory.join("log"), directory.join("faults"));
+        let (address, log, faults) =
+            (loopback::unused_address(), directory.join("log"), directory.join("faults"));
         let control = FaultControl::create(&faults).unwrap();
         let log_file = std::fs::OpenOptions::new().create(true).append(true).open(&log).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_mothpier-coordinator"))
--- a/crates/mothpier-coordinator/tests/service.rs
+++ b/crates/mothpier-coordinator/tests/service.rs
@@ -3,11 +3,12 @@
 #![allow(missing_docs)]
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
+use mothpier_world::loopback::unused_address;
 use serde_json::{Value, json};
 
 /// Far longer than any step takes, so that only a hang reaches it.
@@ -26,10 +27,6 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 fn coordinator_command() -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_mothpier-coordinator"));
     command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
@@ -42,7 +39,7 @@
     }
 
     fn single(folder: &Path) -> Self {
-        let address = free_address();
+        let address = unused_address();
         let child = coordinator_command()
             .arg("run")
             .arg("--single")
@@ -128,7 +125,7 @@
 
 /// Starts a cluster of three members, with their files and folders in one directory.
 fn start_three_members(directory: &Path) -> Vec<Member> {
-    let addresses: Vec<SocketAddr> = (0..3).map(|_| free_address()).collect();
+    let addresses: Vec<SocketAddr> = (0..3).map(|_| unused_address()).collect();
     let peers: String =
         (1..=3).map(|i| format!("peer \"{i}\" {{ address = \"{}\" }}\n", addresses[i - 1])).collect();
     let member = |i: usize| {
@@ -300,7 +297,7 @@
     });
     let size = std::fs::metadata(folder.path().join("coordinator.redb")).unwrap().len();
     // The file size limit allows little further growth; a write beyond it fails as on a full disk.
-    let address = free_address();
+    let address = unused_address();
     let blocks = size / 512 + 8;
     let script =
         format!("trap '' XFSZ; ulimit -f {blocks}; exec \"$0\" run --single \"$1\" --listen {address}");
@@ -349,7 +346,7 @@
 /// Starts a member that joins: its configuration file names the existing members and itself.
 fn start_joining_member(directory: &Path, number: usize, peers: &[(usize, SocketAddr)]) -> Member {
     let (file, folder, address) =
-        (directory.join(format!("{number}.hcl")), directory.join(format!("{number}")), free_address());
+        (directory.join(format!("{number}.hcl")), directory.join(format!("{number}")), unused_address());
     let mut text = format!(
         "cluster = \"manila\"\nmember = {number}\nlisten = \"{address}\"\nfolder = {folder:?}\ntick_ms = 20\n"
     );
--- a/crates/mothpier-world/src/loopback.rs
+++ b/crates/mothpier-world/src/loopback.rs
@@ -3,9 +3,10 @@
 #![allow(dead_code, missing_docs)]
 
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Condvar, Mutex, Once};
 use std::thread;
@@ -203,6 +204,9 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        if thread::panicking() {
+            self.log.iter().for_each(|line| eprintln!("{}: {line}", self.address));
+        }
     }
 }
 
@@ -213,6 +217,19 @@
     )
 }
 
+/// The first port that [`unused_address`] returns. Below the ephemeral range, so that no connection takes it.
+const FIRST_UNUSED_PORT: u16 = 20_000;
+
+/// Returns an address for a process that is started later, or more than once. Nothing else binds it in the
+/// meantime: each test process has a loopback host of its own, and returns each port of it once.
+pub fn unused_address() -> SocketAddr {
+    static NEXT_PORT: AtomicU16 = AtomicU16::new(FIRST_UNUSED_PORT);
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    // 127.64.0.0/10: process identifiers have 22 bits at most, and `127.0.0.1` stays for everything else.
+    let host = Ipv4Addr::new(127, 64 | high, middle, low);
+    SocketAddr::from((host, NEXT_PORT.fetch_add(1, Ordering::Relaxed)))
+}
+
 /// Where the build is: the test stands in a folder of it.
 fn built() -> PathBuf {
     let test = std::env::current_exe().unwrap();
@@ -280,9 +297,11 @@
         let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let mut operator = None;
+        let mut logged = String::new();
         let address = loop {
             let mut line = String::new();
-            assert!(log.read_line(&mut line).unwrap() > 0, "the node ended at its start");
+            assert!(log.read_line(&mut line).unwrap() > 0, "the node ended at its start: {logged}");
+            logged += &line;
             if let Some((_, at)) = line.trim_end().split_once("operators are answered on ") {
                 operator = at.parse().ok();
             }
@@ -290,8 +309,8 @@
                 break address.parse().unwrap();
             }
         };
-        let (logged, lines) = channel();
-        thread::spawn(move || log.lines().map_while(Result::ok).try_for_each(|line| logged.send(line)));
+        let (log_sender, lines) = channel();
+        thread::spawn(move || log.lines().map_while(Result::ok).try_for_each(|line| log_sender.send(line)));
         Node { child, address, operator, log: lines }
     }
 
--- a/crates/mothpier-world/tests/drains.rs
+++ b/crates/mothpier-world/tests/drains.rs
@@ -6,7 +6,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -22,6 +22,7 @@
 use mothpier_world::client::{Ask, Clients, End};
 use mothpier_world::dns::{DnsServer, Entry, Zone};
 use mothpier_world::fleet::Fleet;
+use mothpier_world::loopback::unused_address;
 use mothpier_world::wire::{self, Answer};
 use mothpier_world::{Dice, Seen, Warmth};
 use tokio::io::AsyncWriteExt;
@@ -120,7 +121,7 @@
     let members: Vec<Member> = (0..BOXES).map(|n| member(n, "ready")).collect();
     let agent = Agent::new(Tokio, fleet.clone(), 0, &members);
     let discovery = agent.clone().serve(any).await.unwrap();
-    let listen = TcpListener::bind(any).unwrap().local_addr().unwrap();
+    let listen = unused_address();
     let text = configuration(listen, discovery);
     let mut config = config::parse(text.as_bytes(), &|_| None, Precedence::Environment).unwrap();
     config.sources = Some(Sources {
--- a/crates/mothpier-world/tests/reshuffle.rs
+++ b/crates/mothpier-world/tests/reshuffle.rs
@@ -6,7 +6,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -19,6 +19,7 @@
 use mothpier_world::client::{Ask, Clients, End};
 use mothpier_world::cluster::{Cluster, SLOTS};
 use mothpier_world::fleet::Fleet;
+use mothpier_world::loopback::unused_address;
 use mothpier_world::{Dice, Seen, Warmth};
 use tokio::sync::mpsc;
 
@@ -83,9 +84,7 @@
     let record = watch.clone();
     let fleet = Fleet::new(Rc::new(move |seen| record.saw(seen)));
     // Ports of their own for the boxes: the cluster names them before they listen.
-    let held: Vec<TcpListener> = (0..3).map(|_| TcpListener::bind(any).unwrap()).collect();
-    let addresses: Vec<SocketAddr> = held.iter().map(|l| l.local_addr().unwrap()).collect();
-    drop(held);
+    let addresses = [(); 3].map(|()| unused_address());
     let cluster = Cluster::new(&addresses, Duration::from_secs(60), 5);
     let mut boxes = Vec::new();
     for (number, at) in addresses.iter().enumerate() {
@@ -117,7 +116,7 @@
     let members: Vec<Member> = (0..3).map(|n| member(n, "ready")).collect();
     let agent = Agent::new(Tokio, fleet.clone(), 0, &members);
     let discovery = agent.clone().serve(any).await.unwrap();
-    let listen = TcpListener::bind(any).unwrap().local_addr().unwrap();
+    let listen = unused_address();
     let text = configuration(listen, discovery);
     let mut config = config::parse(text.as_bytes(), &|_| None, Precedence::Environment).unwrap();
     let budget = RefreshBudget { tier_per_s: 30.0, ..RefreshBudget::default() };
--- a/crates/mothpier/tests/cluster.rs
+++ b/crates/mothpier/tests/cluster.rs
@@ -1,7 +1,7 @@
 //! Slot-aware clients of the node: client libraries that fetch the slot map and follow it, and plain clients
 //! that never see it.
 
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::time::Instant;
 
 use fred::clients::Client as FredClient;
@@ -10,20 +10,12 @@
 use fred::types::{ClusterHash, CustomCommand};
 use mothpier_world::loopback::*;
 
-/// Returns free addresses with distinct ports.
-fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    let listeners: Vec<TcpListener> = (0..count).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-    listeners.iter().map(|l| l.local_addr().unwrap()).collect()
-}
-
 /// Starts two nodes of one tier. Each has its own cache server, which returns the node's name in every value,
 /// so that a test sees which node received a request.
 fn start_tier(name: &str) -> Vec<(Node, Discovery, SocketAddr)> {
-    let addresses = free_addresses(2);
+    let addresses = [unused_address(), unused_address()];
     let file = config_path(&format!("{name}-cluster"));
-    let peer_sockets = [0; 2].map(|_| UdpSocket::bind("127.0.0.1:0").unwrap());
-    let peers = peer_sockets.each_ref().map(|s| s.local_addr().unwrap());
-    drop(peer_sockets);
+    let peers = [unused_address(), unused_address()];
     let listed: Vec<String> = addresses.iter().map(|a| format!("\"{a}\"")).collect();
     std::fs::write(&file, format!(r#"{{"nodes":[{}]}}"#, listed.join(","))).unwrap();
     let start = |(number, address): (usize, &SocketAddr)| {
--- a/crates/mothpier/tests/fleet.rs
+++ b/crates/mothpier/tests/fleet.rs
@@ -13,8 +13,7 @@
     let answer_id = |request: &[String]| loopback::array(request.get(2).map_or("", |id| id));
     let server = loopback::serve(loopback::command, answer_id);
     let discovery = Discovery::start(&loopback::member("s-1", server, "m", "ready"));
-    // The listener is closed at once, so connections to its port are refused.
-    let unreachable_address = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let unreachable_address = loopback::unused_address();
     let settings_file = config_path("fleet-alone").with_extension("hcl");
     let settings = format!(
         "cluster = \"f\"\ncoordinators = [\"{unreachable_address}\"]\nfleet {{\n  start_alone = \"4s\"\n}}\n"
--- a/crates/mothpier/tests/large_fleet/main.rs
+++ b/crates/mothpier/tests/large_fleet/main.rs
@@ -8,7 +8,7 @@
 mod traffic;
 
 use std::collections::HashMap;
-use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use mothpier_world::loopback::{self, Node};
@@ -92,9 +92,7 @@
     async fn start(name: &str, servers: usize, descriptors: usize) -> Self {
         let fleet = LargeFleet::start(servers).await;
         let peer_nodes = PeerNodes::start().await;
-        let reserved_socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-        let peer_address = reserved_socket.local_addr().unwrap();
-        drop(reserved_socket);
+        let peer_address = loopback::unused_address();
         let peers: Vec<String> = peer_nodes
             .addresses(peer_address, NODES)
             .iter()
--- a/crates/mothpier/tests/node.rs
+++ b/crates/mothpier/tests/node.rs
@@ -254,7 +254,7 @@
 /// An invalid or missing configuration file ends the start with one line on standard error, not with a panic.
 #[test]
 fn a_bad_configuration_is_reported_in_one_line() {
-    let nowhere = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let nowhere = unused_address();
     let mut command = node_command("config", nowhere, 3, "");
     let output = command.stderr(Stdio::piped()).spawn().unwrap().wait_with_output().unwrap();
     assert!(!output.status.success());
--- a/crates/mothpier/tests/restarts.rs
+++ b/crates/mothpier/tests/restarts.rs
@@ -111,14 +111,6 @@
     }
 }
 
-/// Returns free addresses for nodes. Their ports lie below the ephemeral range, so that no outgoing
-/// connection takes one while its node is down.
-fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    let first = 20_000 + (std::process::id() % 8000) as u16;
-    let addresses = (first..32_000).map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
-    addresses.filter(|address| TcpListener::bind(address).is_ok()).take(count).collect()
-}
-
 /// Starts a node process. `known` is the server list that the platform wrote into its configuration;
 /// `polls` selects the discovery mode `ask`, else `push`.
 fn start(name: &str, address: SocketAddr, service: &Service, polls: bool, known: &str) -> Node {
@@ -249,8 +241,9 @@
     let restart_count = std::env::var("RESTARTS").ok().and_then(|n| n.parse().ok()).unwrap_or(RESTARTS);
     let server = serve(command, |_| array("v"));
     let known = member("s-1", server, "m", "ready");
-    let (addresses, slow_service_lock, mut random) =
-        (free_addresses(restart_count), Arc::new(Mutex::new(())), Random(5));
+    let addresses: Vec<SocketAddr> = (0..restart_count).map(|_| unused_address()).collect();
+    let slow_service_lock = Arc::new(Mutex::new(()));
+    let mut random = Random(5);
     let failures: Vec<Failure> = (0..restart_count)
         .map(|n| match n % 3 {
             0 => Failure::Silent,
--- a/crates/mothpier/tests/sidecar.rs
+++ b/crates/mothpier/tests/sidecar.rs
@@ -3,7 +3,7 @@
 #![allow(missing_docs)]
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::os::unix::fs::PermissionsExt;
 use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
@@ -128,10 +128,6 @@
     directory
 }
 
-fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 /// Sends `PING` until the node reports that it has a server list.
 fn wait_until_ready(stream: &mut (impl Read + Write)) {
     while ask(stream, &["PING"]) != "+PONG" {
@@ -227,7 +223,7 @@
 fn a_sidecar_forwards_to_the_tier_and_the_hop_field_does_not_reach_a_cache_server() {
     let (server, commands) = recording_cache_server();
     let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
-    let (tier_address, sidecar_address) = (free_address(), free_address());
+    let (tier_address, sidecar_address) = (unused_address(), unused_address());
     // A node of the tier: the same configuration without the `sidecar` section.
     let extra = format!(
         "listen {{\n  address = \"{tier_address}\"\n}}\ndiscovery {{\n  address = \"{}\"\n}}\n",
@@ -260,7 +256,7 @@
     assert!(remaining_ms.parse::<u32>().unwrap() <= 9000);
     // Two sidecars that are configured as each other's tier: the request must end with an error instead of a
     // loop.
-    let (a, b) = (free_address(), free_address());
+    let (a, b) = (unused_address(), unused_address());
     let mut first = start("sidecar-loop-a", &forward_to_tier(a, b));
     let mut second = start("sidecar-loop-b", &forward_to_tier(b, a));
     first.logged("listens on");
--- a/crates/mothpierctl/tests/lease.rs
+++ b/crates/mothpierctl/tests/lease.rs
@@ -1,7 +1,7 @@
 //! `lease run` and the rest of what staff use, as processes, with a coordinator on loopback.
 #![allow(missing_docs)]
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Child, Command, Output, Stdio};
 use std::thread::JoinHandle;
@@ -9,6 +9,7 @@
 
 use mothpier_coordinator::config;
 use mothpier_net::Tokio;
+use mothpier_world::loopback::unused_address;
 use tokio::sync::oneshot;
 
 /// Longer than anything takes; only what hangs meets it.
@@ -22,7 +23,7 @@
 
 impl Coordinator {
     fn start(folder: &Path) -> Self {
-        let at = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let at = unused_address();
         let config = config::single(folder.join("store"), at);
         mothpier_coordinator::init(&config).unwrap();
         let (stop, stopped) = oneshot::channel();
