Tests: servers whose answers take alike, and clients within their quota

Change: the stand-ins of cluster, departures and short_calls take 1 ms or more for each answer. Clients of cluster and short_calls ask faster than the tenant's quota, to which a node holds its tenants at its start and in overload; their nodes get a quota that they stay within.

--- a/crates/mothpier-world/src/loopback.rs
+++ b/crates/mothpier-world/src/loopback.rs
@@ -53,6 +53,16 @@
     Reaction::Answer(format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\n\r\n{body}").into_bytes())
 }
 
+/// The least time that a [`steady`] server takes for an answer.
+const STEADY_ANSWER_TIME: Duration = Duration::from_millis(1);
+
+/// Delays a reaction, so that the times of a server's answers are alike. A node takes an answer that comes in a small
+/// part of the usual time for a duplicate of an earlier one, and on a busy machine undelayed answers differ by as much.
+pub fn steady(reaction: Reaction) -> Reaction {
+    thread::sleep(STEADY_ANSWER_TIME);
+    reaction
+}
+
 /// Reads a command; `None` at the end of the connection.
 pub fn command(from: &mut impl BufRead) -> Option<Vec<String>> {
     let mut line = String::new();
@@ -276,6 +286,15 @@
     command
 }
 
+/// Changes the configuration of a node so that its clients stay within the tenant's quota however fast they ask.
+/// A node holds tenants to their quotas in overload, and for a while after its start.
+pub fn lift_quota(name: &str) {
+    let text = std::fs::read_to_string(config_path(name)).unwrap();
+    let lifted = text.replace(r#""quotaPerS":1000}"#, r#""quotaPerS":1000000}"#);
+    assert_ne!(lifted, text, "{name} has no quota");
+    std::fs::write(config_path(name), lifted).unwrap();
+}
+
 impl Node {
     pub fn start(name: &str, discovery: &Discovery) -> Self {
         Node::start_with(name, discovery, 1024, "")
