Tests: incomplete commands of as many arguments as a node reads

Need: incomplete_commands_do_not_fill_the_memory could not fail. Its commands announced 32 arguments; with the array that is one element over the bound, so the node refused them before a byte of an argument was held. It also looked at the memory before the node had read much. Change: 31 arguments of 60,000 bytes, 30 of them sent; a third kind of command as long as one without a long value may be; half a second before the look. The bound of 48 MB and the 400 senders stay.

--- a/crates/mothpier/tests/memory.rs
+++ b/crates/mothpier/tests/memory.rs
@@ -277,16 +277,19 @@
     let value = format!(
         "*5\r\n$9\r\nCACHE.SET\r\n$1\r\nk\r\n$1\r\ni\r\n$20\r\nc=once,t=acme,d=9000\r\n$64000\r\n{part}"
     );
-    let arguments = format!("*32\r\n{}", format!("$60000\r\n{part}\r\n").repeat(8));
+    let arguments = format!("*31\r\n{}", format!("$60000\r\n{part}\r\n").repeat(30));
+    // As long as a command without a long value may be, but for its end.
+    let longest = format!("*31\r\n{}", format!("$20000\r\n{}\r\n", "a".repeat(20_000)).repeat(3));
     let senders: Vec<TcpStream> = (0..400)
         .map(|i| {
             let mut stream = TcpStream::connect(node.address).unwrap();
-            let bytes = if i % 2 == 0 { &value } else { &arguments };
+            let bytes = [&value, &arguments, &longest][i % 3];
             stream.set_write_timeout(Some(Duration::from_millis(200))).unwrap();
             let _ = stream.write_all(bytes.as_bytes());
             stream
         })
         .collect();
+    thread::sleep(Duration::from_millis(500));
     memory.assert_within_limit(&node);
     drop(senders);
 }
