Tests: short_calls, cache servers that hold what the origin has answered

Here 5 of some 50 runs beside 4 to 16 busy processes, one read each, always of the key that the cache servers never have. Cause: in the test, not the node. The refusal counts as `attempts`: the node finds the key being fetched for another request, asks the cache again, as the protocol lets it, and misses again; three times make all attempts. The protocol's cache servers hold a value once the origin has answered; the test's never did. Evidence: the node's telemetry in a failed run: refusals `attempts` 1, 97 attempts after a miss, 92 origin calls. Change: the stand-ins hold a key for 0.5 s from the origin's answer, then miss it again. The checks are the same. A failed run prints the refused request, telemetry and log.

--- a/crates/mothpier-world/src/loopback.rs
+++ b/crates/mothpier-world/src/loopback.rs
@@ -354,6 +354,11 @@
         self.log.try_iter().filter(|line| line.contains(text)).count()
     }
 
+    /// Returns the lines that were logged since the log was last read.
+    pub fn new_log_lines(&self) -> Vec<String> {
+        self.log.try_iter().collect()
+    }
+
     /// A call of the operators' staff: the status, and what is said.
     pub fn call(&self, method: &str, path: &str, body: &str) -> (u16, String) {
         let (head, body) = self.call_raw(&format!(
--- a/crates/mothpier/tests/short_calls.rs
+++ b/crates/mothpier/tests/short_calls.rs
@@ -2,7 +2,9 @@
 //! may be lost or left waiting because of that.
 #![allow(missing_docs)]
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -18,6 +20,13 @@
 /// without short calls: requests sent in this time must be answered, later ones must be served.
 const STARTUP_TIME: Duration = Duration::from_millis(500);
 
+/// How long a cache server holds a key. A node that finds a key being fetched asks the cache servers again within
+/// 0.1 s, and has three attempts: a key that is lost again in that time may cost a request all of them.
+const CACHE_LIFETIME: Duration = Duration::from_millis(500);
+
+/// The telemetry's name for the number of answers of the origin that the node has taken.
+const ORIGIN_ANSWERS: &str = r#"edge_router_turn_seconds_count{input="origin"}"#;
+
 /// Number of requests of some clients, by result.
 #[derive(Clone, Copy, Debug, Default)]
 struct Counts {
@@ -34,16 +43,27 @@
     key.repeat(length / key.len() + 1)
 }
 
+/// What the cache servers hold: the time at which each key was fetched from the origin.
+type FetchTimes = Arc<Mutex<HashMap<String, Instant>>>;
+
+/// Returns whether the cache servers hold a key.
+fn is_cached(fetch_times: &FetchTimes, key: &str) -> bool {
+    fetch_times.lock().unwrap().get(key).is_some_and(|fetched_at| fetched_at.elapsed() < CACHE_LIFETIME)
+}
+
+/// Starts an origin and two cache servers, which hold for a while what the origin has answered.
 fn start_servers() -> Discovery {
-    // One key of forty is missing at the cache servers.
-    let cache_answer = |request: &[String]| {
-        steady(if request[1].ends_with("13") { miss() } else { array(&value_of(&request[1])) })
+    let fetch_times = FetchTimes::default();
+    let cached = fetch_times.clone();
+    let cache_answer = move |request: &[String]| {
+        steady(if is_cached(&cached, &request[1]) { array(&value_of(&request[1])) } else { miss() })
     };
-    let origin = serve(call, |request| {
+    let origin = serve(call, move |request| {
         let key = request[0].split(' ').nth(1).unwrap().trim_start_matches('/').to_owned();
+        fetch_times.lock().unwrap().insert(key.clone(), Instant::now());
         http("200 OK", &value_of(&key))
     });
-    let servers = [serve(command, cache_answer), serve(command, cache_answer)];
+    let servers = [serve(command, cache_answer.clone()), serve(command, cache_answer)];
     Discovery::start(&format!(
         "{},{},{}",
         member("s-1", servers[0], "m", "ready"),
@@ -70,7 +90,13 @@
         match client.answer() {
             answer if answer == format!("${}", value_of(&key)) => counts.served += 1,
             answer if answer.starts_with("-BUSY") && sent_at < STARTUP_TIME => counts.refused_at_start += 1,
-            answer if answer.starts_with('-') => counts.refused += 1,
+            answer if answer.starts_with('-') => {
+                println!(
+                    "{id} for {key}, sent {sent_at:?} after the start, was answered {answer} after {:?}",
+                    started.elapsed() - sent_at
+                );
+                counts.refused += 1;
+            }
             answer if answer == "end" => {
                 counts.reset += 1;
                 client = Client::connect(node);
@@ -88,7 +114,7 @@
     control.set(Setting::ShortReads, short_permille).unwrap();
     control.set(Setting::ShortWrites, short_permille).unwrap();
     let mut command = node_command(name, discovery.address, 1024, "");
-    command.envs(environment);
+    command.envs(environment).env("ROUTER_OPERATOR", "127.0.0.1:0");
     lift_quota(name);
     let node = Node::run(command, &discovery);
     let address = node.address;
@@ -104,6 +130,11 @@
                 reset: sum.reset + counts.reset,
             }
         });
+    if total.refused + total.reset > 0 {
+        println!("{name}: {}", node.call("GET", "/api/telemetry", "").1);
+        println!("{name}: {}", node.new_log_lines().join("\n"));
+    }
+    println!("{name}: {} answers of the origin", node.figure(ORIGIN_ANSWERS));
     println!("{name}: {total:?}, {} faults injected", control.get(Setting::Injected).unwrap());
     total
 }
