Keep a connection occupied until the load report behind a long value is read

Cause: since a long value is told whole at its status, its connection counted as free from there on. Where the load report behind it does not come, commands were put behind it, for up to 2 s, and ended with the connection. Result: no_command_is_put_behind_a_load_report_that_is_waited_for fails on the code before (one connection where there should be two) and passes now.

--- a/crates/mothpier/src/servers/large_value.rs
+++ b/crates/mothpier/src/servers/large_value.rs
@@ -69,11 +69,11 @@
             }
         }
         let mut frames = self.read_end(header.trailing_frames).await?;
-        self.shared.pipeline.borrow_mut().streaming = false;
         self.finish(destination);
         while frames.len() <= header.trailing_frames {
             frames.push(self.read_frame().await?);
         }
+        self.shared.pipeline.borrow_mut().streaming = false;
         let frame = if header.trailing_frames == 0 { frames.remove(0) } else { BytesFrame::Array(frames) };
         is_expected_frame(&frame, ExpectedReply::Answer, self.tier).then_some(frame)
     }
--- a/crates/mothpier/src/servers/tests.rs
+++ b/crates/mothpier/src/servers/tests.rs
@@ -496,6 +496,33 @@
     }
 }
 
+/// A connection is free for other commands once the answer with a long value is whole, not once its client has the
+/// value: what is put behind a load report that does not come has to wait for it, and ends with the connection.
+#[test]
+fn no_command_is_put_behind_a_load_report_that_is_waited_for() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    const LENGTH: usize = 100_000;
+    run_local(async {
+        // With so many balancers, each of them has one connection to a server that carries commands.
+        let limits = Limits { balancers: TIER_CONNECTIONS_PER_SERVER, ..limits(32) };
+        let (mut servers, mut inputs, mut stream) = commands_in_flight(limits, [get(7)]).await;
+        tokio::task::spawn_local(async move {
+            let value = "v".repeat(LENGTH);
+            let answer = format!("*3\r\n${LENGTH}\r\n{value}\r\n$3\r\nhit\r\n$17\r\nlat_ms=5,");
+            stream.write_all(answer.as_bytes()).await.unwrap();
+            let _ = stream.read(&mut [0; 1]).await;
+        });
+        let Some(NodeInput::Server { event: Event::AnswerStarted(7, mut value), .. }) = inputs.recv().await
+        else {
+            panic!("no value")
+        };
+        while value.next_part().await.is_some() {}
+        assert!(value.is_complete());
+        assert!(servers.send(1, get(8)));
+        assert_eq!(servers.pools[&1].connections.len(), 2, "put behind the load report");
+    });
+}
+
 /// Without free memory an answer that would be buffered is streamed through the smallest window, and is whole.
 #[test]
 fn an_answer_without_memory_for_it_is_streamed() {
