Count the first input of a connection from when the kernel got it

Cause: a request that waits with its connection to be accepted was timed from when it was read. Change: the first input of a connection counts from when its latest bytes arrived (TCP_INFO, tcpi_last_data_recv), by getsockopt, once for each connection.

--- a/crates/mothpier-net/src/lib.rs
+++ b/crates/mothpier-net/src/lib.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod signals;
 mod stream_io;
+mod tcp_info;
 mod tokio_net;
 mod unix;
 
@@ -161,6 +162,12 @@
     fn hung_up(&self) -> bool {
         self.closed()
     }
+
+    /// Returns how long ago the kernel received the latest data of the peer, read or unread; zero where that is
+    /// unknown.
+    fn since_last_received(&self) -> Duration {
+        Duration::ZERO
+    }
 }
 
 /// A listener for stream connections.
--- a/crates/mothpier-net/src/tokio_net.rs
+++ b/crates/mothpier-net/src/tokio_net.rs
@@ -17,6 +17,7 @@
 use tokio::task::AbortHandle;
 
 use crate::stream_io;
+use crate::tcp_info;
 use crate::unix::{BoundUnixListener, UnixSocketSpec, bind};
 use crate::{Listener, Net, ReadHalf, Socket, Stream, Task};
 
@@ -245,6 +246,11 @@
             Err(_) => self.closed(),
         }
     }
+
+    fn since_last_received(&self) -> Duration {
+        let AnyReadHalf::Tcp(socket) = self else { return Duration::ZERO };
+        tcp_info::since_last_received(socket.as_ref().as_fd()).unwrap_or_default()
+    }
 }
 
 impl Listener for AnyListener {
--- a/crates/mothpier/src/clients/session.rs
+++ b/crates/mothpier/src/clients/session.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use brassrouter::Micros;
 use bytes::{Buf, BytesMut};
 use mothpier_net::{Net, ReadHalf};
 use mothpier_session::Connection as ConnectionState;
@@ -84,6 +85,12 @@
         let net = clients.net.clone();
         let mut buffer = BytesMut::new();
         let mut received_at = (clients.now)();
+        let mut has_input = false;
+        let mut input_arrived_at = || match std::mem::replace(&mut has_input, true) {
+            true => (clients.now)(),
+            // It may have waited with the connection to be accepted.
+            false => (clients.now)().saturating_sub(read_half.since_last_received().as_micros() as Micros),
+        };
         let connected_at = net.now();
         // When the first bytes of the command that is incomplete so far arrived.
         let mut partial_since = None;
@@ -251,7 +258,7 @@
                     if !still_open {
                         return CloseReason::ClientGone;
                     }
-                    (received_at, last_activity) = ((clients.now)(), net.now());
+                    (received_at, last_activity) = (input_arrived_at(), net.now());
                     self.probe.mark_open(last_activity);
                 }
                 // Unread input is still watched for a close, so that the pending requests can be cancelled.
@@ -266,13 +273,13 @@
                     if no_input_pending(&net, read_half, &mut buffer).await {
                         return self.checked_close(CloseReason::Evicted);
                     }
-                    (received_at, last_activity) = ((clients.now)(), net.now());
+                    (received_at, last_activity) = (input_arrived_at(), net.now());
                 }
                 () = net.sleep_until(next_deadline.unwrap_or(now)), if next_deadline.is_some() => {
                     if read_cutoff.is_some_and(|read_cutoff| read_cutoff <= net.now()) {
                         // Nothing is read from here on.
                     } else if !no_input_pending(&net, read_half, &mut buffer).await {
-                        (received_at, last_activity) = ((clients.now)(), net.now());
+                        (received_at, last_activity) = (input_arrived_at(), net.now());
                     } else if command_deadline.is_some_and(|command_deadline| command_deadline <= net.now()) {
                         self.protocol_error(Malformed("the rest of the command has not come"));
                     } else if !self.has_sent_command
