--- a/crates/mothpier-trials/src/drains.rs
+++ b/crates/mothpier-trials/src/drains.rs
@@ -1,22 +1,21 @@
 //! A trial of drains: coordinators, nodes under traffic, cache servers and an origin that count, and staff with the tool who
 //! take nodes and cache servers out and back, while links are cut and processes die.
 
+mod clients;
+mod staff;
+
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::process::Stdio;
 use std::rc::Rc;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use mothpier_coordination::fleet::Fleet;
-use mothpier_coordination::fleet::messages::{Kind, Stage};
 use mothpier_world::Dice;
 use mothpier_world::loopback::{self, Discovery};
-use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
-use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 
+pub use self::clients::Line;
 use crate::drains_judge::{self, Asked, Out, Sent};
 use crate::link::Link;
 use crate::plan::{Plan, Way, Who};
@@ -27,37 +26,28 @@
 /// Nodes and cache servers that may be out at once, and cold ones.
 const LIMITS: (usize, usize, usize) = (2, 3, 2);
 /// How long one that comes back is cold.
-const COLD: &str = "400ms";
+const COLD_TIME: &str = "400ms";
 /// The desk of the staff, as plans call it.
 const DESK: Who = Who::Contender(0);
 /// The rule's time, in which what was on its way may still come.
 const GRACE_US: u64 = 500_000;
-/// A word of a tool that gave up can take effect for as long as its session lives: 10 s, and as much anew under each new
-/// leader.
-const UNSURE_US: u64 = 40_000_000;
 /// Staff begin until so long after the last fault, ms.
-const AFTER_MS: u64 = 2_000;
+const STAFF_AFTER_FAULTS_MS: u64 = 2_000;
 /// A halt by the fleet itself ends after this time without its cause.
-const CALM: &str = "500ms";
+const HALT_CALM_TIME: &str = "500ms";
 /// A person waits so long for a drain before giving up, and goes away.
-const PATIENCE: Duration = Duration::from_secs(20);
+const TOOL_TIMEOUT: Duration = Duration::from_secs(20);
 /// After everything is mended all has to be back within this time; nothing is asserted of how fast that is.
-const HEALS: Duration = Duration::from_secs(90);
-const LOOK: Duration = Duration::from_millis(200);
-/// Whoever was refused asks again after this time.
-const AGAIN: Duration = Duration::from_millis(700);
-/// Between two questions of a front, and between two requests of a client.
-const PING: Duration = Duration::from_millis(100);
-const REQUEST: Duration = Duration::from_millis(15);
-/// A client waits so long for an answer; a request's own time is longer.
-const ANSWER: Duration = Duration::from_secs(5);
+const RECOVERY_TIMEOUT: Duration = Duration::from_secs(90);
+/// How often the state of the fleet is looked at.
+const STATUS_INTERVAL: Duration = Duration::from_millis(200);
 /// A node's session at the coordinators, and how long it waits for them at its start.
 const TTL: &str = "1500ms";
 const START_ALONE: &str = "60s";
 
 /// How large a trial of drains is, beside its plan.
 #[derive(Clone, Copy, Debug)]
-pub struct Crowd {
+pub struct TrialSize {
     /// Cache servers.
     pub servers: usize,
     /// Drains that staff ask for.
@@ -68,7 +58,7 @@
 
 /// What came of a trial.
 #[derive(Debug, Default)]
-pub struct Played {
+pub struct TrialResult {
     /// Requests that came to cache servers that were out.
     pub sent_to_out: Vec<(Out, Sent)>,
     /// Most nodes drained at once, most cache servers kept out by one node.
@@ -85,35 +75,35 @@
     pub ended: Vec<Who>,
 }
 
-impl Played {
+impl TrialResult {
     /// What is wrong, in words.
-    pub fn wrong(&self) -> Vec<String> {
-        let mut wrong = Vec::new();
+    pub fn failures(&self) -> Vec<String> {
+        let mut failures = Vec::new();
         if let Some((out, sent)) = self.sent_to_out.first() {
             let count = self.sent_to_out.len();
-            wrong.push(format!(
+            failures.push(format!(
                 "{count} requests to cache servers that were out, the first {sent:?} in {out:?}"
             ));
         }
         if self.most.0 > LIMITS.0 {
-            wrong.push(format!("{} nodes drained at once where {} may be", self.most.0, LIMITS.0));
+            failures.push(format!("{} nodes drained at once where {} may be", self.most.0, LIMITS.0));
         }
         if self.most.1 > LIMITS.1 {
-            wrong.push(format!("{} cache servers kept out where {} may be", self.most.1, LIMITS.1));
+            failures.push(format!("{} cache servers kept out where {} may be", self.most.1, LIMITS.1));
         }
         if self.answers.2 > 0 {
-            wrong.push(format!("{} answers that were not for their request", self.answers.2));
+            failures.push(format!("{} answers that were not for their request", self.answers.2));
         }
         if self.asked && self.outs == (0, 0) {
-            wrong.push("nothing was ever out: this shows nothing".into());
+            failures.push("nothing was ever out: this shows nothing".into());
         }
         if !self.ended.is_empty() {
-            wrong.push(format!("ended by themselves: {:?}", self.ended));
+            failures.push(format!("ended by themselves: {:?}", self.ended));
         }
         if !self.healed {
-            wrong.push("NOT HEALED".into());
+            failures.push("NOT HEALED".into());
         }
-        wrong
+        failures
     }
 }
 
@@ -155,209 +145,7 @@
     answers: Answers,
 }
 
-/// A connection of a client, and its lines.
-pub struct Line {
-    lines: tokio::io::Lines<BufReader<tokio::net::tcp::OwnedReadHalf>>,
-    write: tokio::net::tcp::OwnedWriteHalf,
-}
-
-impl Line {
-    /// Connects.
-    pub async fn to(at: SocketAddr) -> Option<Line> {
-        let stream = tokio::time::timeout(ANSWER, TcpStream::connect(at)).await.ok()?.ok()?;
-        let (read, write) = stream.into_split();
-        Some(Line { lines: BufReader::new(read).lines(), write })
-    }
-
-    /// Asks, and gives the answer's lines; `None` where the connection is of no more use.
-    pub async fn ask(&mut self, words: &[&str]) -> Option<Vec<String>> {
-        let mut text = format!("*{}\r\n", words.len());
-        words.iter().for_each(|w| text += &format!("${}\r\n{w}\r\n", w.len()));
-        let answered = async {
-            self.write.write_all(text.as_bytes()).await.ok()?;
-            let mut answer = Vec::new();
-            loop {
-                let line = self.lines.next_line().await.ok()??;
-                let more = line.starts_with('$') && !line.starts_with("$-1");
-                answer.push(line);
-                if !more {
-                    return Some(answer);
-                }
-            }
-        };
-        tokio::time::timeout(ANSWER, answered).await.ok()?
-    }
-}
-
 impl World {
-    /// A front of one node: asks whether it is ready, for as long as the trial lasts.
-    pub async fn front(self: Rc<Self>, node: usize) {
-        let mut line = None;
-        loop {
-            tokio::time::sleep(PING).await;
-            if line.is_none() {
-                line = Line::to(self.fronts[node]).await;
-            }
-            let said = match &mut line {
-                Some(open) => open.ask(&["PING"]).await,
-                None => None,
-            };
-            let text = said.as_ref().and_then(|s| s.first()).cloned().unwrap_or_default();
-            if said.is_none() {
-                line = None;
-            }
-            let at_us = self.clock.us();
-            self.ready.borrow_mut()[node] = text == "+PONG";
-            if !text.is_empty() {
-                let drained = text.contains("drained by the fleet");
-                self.asked.borrow_mut().push(Asked { at_us, node, drained });
-            }
-        }
-    }
-
-    /// A client: asks through any node that its front says is ready.
-    pub async fn client(self: Rc<Self>, number: usize, dice: Dice) {
-        let mut lines: BTreeMap<usize, Line> = BTreeMap::new();
-        let mut count = 0u64;
-        loop {
-            tokio::time::sleep(REQUEST).await;
-            let ready: Vec<usize> = {
-                let ready = self.ready.borrow();
-                (0..ready.len()).filter(|i| ready[*i]).collect()
-            };
-            if ready.is_empty() {
-                continue;
-            }
-            let node = ready[dice.within(0, ready.len() as u64) as usize];
-            if let std::collections::btree_map::Entry::Vacant(free) = lines.entry(node) {
-                let Some(line) = Line::to(self.fronts[node]).await else { continue };
-                free.insert(line);
-            }
-            count += 1;
-            let (key, id) = (format!("k{}", dice.within(0, 400)), format!("{node}-{number}-{count}"));
-            let Some(line) = lines.get_mut(&node) else { continue };
-            let said = line.ask(&["CACHE.GET", &key, &id, "c=read,t=acme,d=1500"]).await;
-            let (mut all, mut good, mut wrong) = self.answers.get();
-            all += 1;
-            match said {
-                None => drop(lines.remove(&node)),
-                Some(said) => match said.last().map(String::as_str) {
-                    Some(value) if said.len() == 2 && value == id => good += 1,
-                    Some(error) if error.starts_with('-') => {}
-                    _ => wrong += 1,
-                },
-            }
-            self.answers.set((all, good, wrong));
-        }
-    }
-
-    /// Runs the tool; its exit code, or nothing where it was killed.
-    pub async fn tool(&self, arguments: &[&str], within: Duration) -> Option<i32> {
-        let at: Vec<String> = self.desk.iter().map(SocketAddr::to_string).collect();
-        let mut child = tokio::process::Command::new(std::env::current_exe().ok()?)
-            .args(["bound", "--"])
-            .arg(&self.tool)
-            .arg("fleet")
-            .args(arguments)
-            .env("MOTHPIER_COORDINATORS", at.join(","))
-            .env("MOTHPIER_CLUSTER", "trial")
-            .env("USER", "trial")
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(Stdio::null())
-            .kill_on_drop(true)
-            .spawn()
-            .ok()?;
-        let ended = tokio::time::timeout(within, child.wait()).await;
-        let _ = child.kill().await;
-        ended.ok()?.ok()?.code()
-    }
-
-    /// A person takes something out, and back a little later.
-    async fn person(self: Rc<Self>, what: (bool, usize), dice: Dice, goes_away: bool) {
-        let (is_node, number) = what;
-        let (kind, id) = named(is_node, number);
-        let within = if goes_away { Duration::from_millis(dice.within(50, 900)) } else { PATIENCE };
-        let gives_up = Instant::now() + within;
-        let out = loop {
-            let left = gives_up.saturating_duration_since(Instant::now());
-            match self.tool(&["drain", kind, &id, "--reason", "trial", "--wait"], left).await {
-                // Halted, taken back, or another's: asked again a little later.
-                Some(4) if left > AGAIN => tokio::time::sleep(AGAIN).await,
-                ended => break ended,
-            }
-        };
-        let from_us = self.clock.us();
-        if out == Some(4) {
-            return;
-        }
-        tokio::time::sleep(Duration::from_millis(dice.within(200, 1500))).await;
-        if out == Some(0) {
-            if is_node {
-                self.nodes_out.set(self.nodes_out.get() + 1);
-            } else {
-                let until_us = self.clock.us();
-                self.outs.borrow_mut().push(Out { server: number, from_us, until_us });
-            }
-        }
-        // Asked until it is known to be done: a drain outlives whoever asked for it.
-        self.back(is_node, number).await;
-    }
-
-    /// Somebody asks for something's way back.
-    async fn back(&self, is_node: bool, number: usize) {
-        let (kind, id) = named(is_node, number);
-        let (from_us, mut unsure_us) = (self.clock.us(), 0);
-        loop {
-            match self.tool(&["back", kind, &id, "--reason", "trial"], PATIENCE).await {
-                Some(0 | 2) => break,
-                // It may have been done, or be done yet, for as long as the tool's session can live.
-                _ => unsure_us = UNSURE_US,
-            }
-            tokio::time::sleep(LOOK).await;
-        }
-        if !is_node {
-            let until_us = self.clock.us() + unsure_us;
-            self.backs.borrow_mut().push(Out { server: number, from_us, until_us });
-        }
-    }
-
-    /// What the coordinators tell of the fleet.
-    async fn fleet_told(&self) -> Option<Fleet> {
-        let at: Vec<String> = self.desk.iter().map(SocketAddr::to_string).collect();
-        let asked = tokio::process::Command::new(&self.tool)
-            .args(["--format", "json", "fleet", "status", "--cluster", "trial", "--coordinators"])
-            .arg(at.join(","))
-            .kill_on_drop(true)
-            .output();
-        let output = tokio::time::timeout(PATIENCE, asked).await.ok()?.ok()?;
-        serde_json::from_slice(&output.stdout).ok()
-    }
-
-    /// Planted: whoever is out of sight is said to be gone.
-    async fn guess(self: Rc<Self>) {
-        loop {
-            tokio::time::sleep(LOOK).await;
-            let Some(fleet) = self.fleet_told().await else { continue };
-            for (name, _) in fleet.nodes.iter().filter(|(_, n)| n.session.is_none()) {
-                self.tool(&["forget", "node", name, "--reason", "a guess"], PATIENCE).await;
-            }
-        }
-    }
-
-    /// The last shift: a drain whose asker was killed while its word was on its way belongs to nobody. Whether there is none
-    /// left.
-    async fn last_shift(&self) -> bool {
-        let Some(fleet) = self.fleet_told().await else { return false };
-        for drain in fleet.drains.values().filter(|d| d.stage <= Stage::Out && d.back.is_none()) {
-            let number = drain.subject.id.rsplit('-').next().and_then(|n| n.parse().ok());
-            if let Some(number) = number {
-                self.back(drain.subject.kind == Kind::Node, number).await;
-            }
-        }
-        fleet.drains.is_empty()
-    }
-
     /// Whether all nodes are ready, and every cache server has heard from every node since a time.
     pub fn all_serve(&self, since_us: u64, servers: usize) -> bool {
         let nodes = self.fronts.len();
@@ -377,7 +165,7 @@
 /// # Errors
 ///
 /// What could not be started.
-pub async fn started(plan: &Plan, crowd: Crowd, how: &How) -> Result<Rc<World>, String> {
+pub async fn started(plan: &Plan, trial_size: TrialSize, how: &How) -> Result<Rc<World>, String> {
     let size = plan.size;
     let clock = Clock(Instant::now());
     let coordinators: Vec<SocketAddr> =
@@ -412,7 +200,7 @@
         })
     };
     let list = |i: usize| loopback::member(&format!("s-{i}"), cache(i), "m", "ready");
-    let discovery = Discovery::start(&(0..crowd.servers).map(list).collect::<Vec<_>>().join(","));
+    let discovery = Discovery::start(&(0..trial_size.servers).map(list).collect::<Vec<_>>().join(","));
     for i in 0..size.nodes {
         let node = programs::Node {
             name: format!("node-{i}"),
@@ -438,7 +226,7 @@
         clock,
         tool: how.programs.join("mothpierctl"),
         desk: Vec::new(),
-        servers: crowd.servers,
+        servers: trial_size.servers,
         asked: RefCell::default(),
         outs: RefCell::default(),
         backs: RefCell::default(),
@@ -449,32 +237,28 @@
     Ok(Rc::new(World { desk, ..Rc::into_inner(world).ok_or("the world is in use")? }))
 }
 
-fn named(is_node: bool, number: usize) -> (&'static str, String) {
-    if is_node { ("node", format!("node-{number}")) } else { ("server", format!("s-{number}")) }
-}
-
 /// States the limits and waits until everybody serves.
 ///
 /// # Errors
 ///
 /// It did not come to that.
-pub async fn settled(world: &World, crowd: Crowd, how: &How) -> Result<(), String> {
+pub async fn settled(world: &World, trial_size: TrialSize, how: &How) -> Result<(), String> {
     let (nodes, servers, cold) = LIMITS;
     let text = format!(
-        "nodes {{\n  out_most = {nodes}\n}}\nservers {{\n  out_most = {servers}\n  cold_most = {cold}\n  cold_for = \"{COLD}\"\n}}\n\
-         halt {{\n  calm = \"{CALM}\"\n}}\n"
+        "nodes {{\n  out_most = {nodes}\n}}\nservers {{\n  out_most = {servers}\n  cold_most = {cold}\n  cold_for = \"{COLD_TIME}\"\n}}\n\
+         halt {{\n  calm = \"{HALT_CALM_TIME}\"\n}}\n"
     );
     let file = how.folder.join("limits.hcl");
     write(&file, &text)?;
-    let until = Instant::now() + HEALS;
+    let until = Instant::now() + RECOVERY_TIMEOUT;
     let file = file.display().to_string();
     let mut stated = false;
     while Instant::now() < until {
-        stated = stated || world.tool(&["limits", &file, "--reason", "trial"], PATIENCE).await == Some(0);
-        if stated && world.all_serve(0, crowd.servers) {
+        stated = stated || world.tool(&["limits", &file, "--reason", "trial"], TOOL_TIMEOUT).await == Some(0);
+        if stated && world.all_serve(0, trial_size.servers) {
             return Ok(());
         }
-        tokio::time::sleep(LOOK).await;
+        tokio::time::sleep(STATUS_INTERVAL).await;
     }
     Err("the fleet did not begin to serve".into())
 }
@@ -484,28 +268,28 @@
 /// # Errors
 ///
 /// What keeps it from being played; that says nothing of the programs.
-pub async fn play(plan: &Plan, crowd: Crowd, how: &How) -> Result<Played, String> {
+pub async fn play(plan: &Plan, trial_size: TrialSize, how: &How) -> Result<TrialResult, String> {
     std::fs::create_dir_all(&how.folder).map_err(|e| format!("{}: {e}", how.folder.display()))?;
     write(&how.folder.join("plan.json"), &serde_json::to_string_pretty(plan).unwrap_or_default())?;
     let dice = Dice::part(plan.seed, 91);
-    let world = started(plan, crowd, how).await?;
+    let world = started(plan, trial_size, how).await?;
     let mut running = Vec::new();
     for node in 0..world.fronts.len() {
-        running.push(spawn_local(world.clone().front(node)));
+        running.push(spawn_local(world.clone().check_health(node)));
     }
     for number in 0..world.fronts.len() {
         running.push(spawn_local(world.clone().client(number, Dice::part(plan.seed, 1000 + number as u64))));
     }
-    settled(&world, crowd, how).await?;
-    if crowd.guesses {
+    settled(&world, trial_size, how).await?;
+    if trial_size.guesses {
         running.push(spawn_local(world.clone().guess()));
     }
     world.answers.set((0, 0, 0));
     let mut people = Vec::new();
-    for person in 0..crowd.people {
-        let after = Duration::from_millis(dice.within(0, plan.size.ms + AFTER_MS));
+    for person in 0..trial_size.people {
+        let after = Duration::from_millis(dice.within(0, plan.size.ms + STAFF_AFTER_FAULTS_MS));
         let is_node = dice.chance(0.35);
-        let among = if is_node { plan.size.nodes } else { crowd.servers };
+        let among = if is_node { plan.size.nodes } else { trial_size.servers };
         let what = (is_node, dice.within(0, among as u64) as usize);
         let (own, goes_away) = (Dice::part(plan.seed, 2000 + person as u64), dice.chance(0.15));
         let world = world.clone();
@@ -526,17 +310,17 @@
     world.fleet.set(|_, _| true, Way::Open);
     let answers = world.answers.get();
     let ended = world.fleet.processes.iter().filter(|(_, p)| p.has_ended()).map(|(who, _)| *who).collect();
-    let until = Instant::now() + HEALS;
+    let until = Instant::now() + RECOVERY_TIMEOUT;
     for person in people {
         let _ = tokio::time::timeout_at(until.into(), person).await;
     }
     // A halt may have come about: nothing here is ill any more.
-    world.tool(&["resume", "--reason", "trial"], PATIENCE).await;
+    world.tool(&["resume", "--reason", "trial"], TOOL_TIMEOUT).await;
     let mut healed = false;
     let mut since_us = world.clock.us();
     while !healed && Instant::now() < until {
-        tokio::time::sleep(LOOK).await;
-        healed = world.last_shift().await && world.all_serve(since_us, crowd.servers);
+        tokio::time::sleep(STATUS_INTERVAL).await;
+        healed = world.clear_drains().await && world.all_serve(since_us, trial_size.servers);
         if world.clock.us() > since_us + 20_000_000 {
             since_us = world.clock.us();
         }
@@ -548,7 +332,7 @@
             .arg(world.desk.iter().map(SocketAddr::to_string).collect::<Vec<_>>().join(","))
             .kill_on_drop(true)
             .output();
-        if let Ok(Ok(told)) = tokio::time::timeout(PATIENCE, told).await {
+        if let Ok(Ok(told)) = tokio::time::timeout(TOOL_TIMEOUT, told).await {
             write(&how.folder.join(format!("{what}.txt")), &String::from_utf8_lossy(&told.stdout))?;
         }
     }
@@ -561,11 +345,11 @@
         .map(|p| drains_judge::most_kept_out(&p.logged()));
     let sent = world.sent.lock().unwrap_or_else(PoisonError::into_inner);
     let outs = drains_judge::until_asked_back(&world.outs.borrow(), &world.backs.borrow());
-    Ok(Played {
+    Ok(TrialResult {
         sent_to_out: drains_judge::sent_to_out(&outs, &sent, GRACE_US),
         most: (drains_judge::most_drained(&world.asked.borrow()), kept_out.max().unwrap_or(0)),
         outs: (outs.len(), world.nodes_out.get()),
-        asked: crowd.people > 0,
+        asked: trial_size.people > 0,
         healed,
         answers,
         ended,
--- a/crates/mothpier-trials/src/main.rs
+++ b/crates/mothpier-trials/src/main.rs
@@ -226,18 +226,19 @@
 fn run_drains(seeds: Range<u64>, jobs: u8, of: &DrainOptions) -> Result<bool, String> {
     let size =
         Size { coordinators: of.coordinators, nodes: of.nodes, contenders: 1, ms: of.ms, ttl_ms: 1500 };
-    let one = |seed: u64, lane: u8| -> Result<drains::Played, String> {
+    let one = |seed: u64, lane: u8| -> Result<drains::TrialResult, String> {
         let folder = tempfile::tempdir().map_err(|e| e.to_string())?;
         let kept = of.keep.as_ref().map(|keep| keep.join(seed.to_string()));
         let at = kept.unwrap_or_else(|| folder.path().to_owned());
         let how = how(of.programs.as_ref(), at, lane, &["mothpier", "mothpier-coordinator", "mothpierctl"])?;
-        let crowd = drains::Crowd { servers: of.servers, people: of.people, guesses: of.plant_guesses };
+        let trial_size =
+            drains::TrialSize { servers: of.servers, people: of.people, guesses: of.plant_guesses };
         let mut plan = Plan::draw(seed, size);
         if of.plant_guesses {
             plan.cut_off(Who::Node(0));
         }
-        let played = block(drains::play(&plan, crowd, &how));
-        if !of.plant_guesses && played.as_ref().is_ok_and(|p| !p.wrong().is_empty()) {
+        let played = block(drains::play(&plan, trial_size, &how));
+        if !of.plant_guesses && played.as_ref().is_ok_and(|p| !p.failures().is_empty()) {
             // What went wrong once may not do so again.
             println!("seed {seed}: kept in {}", folder.keep().display());
         }
@@ -256,7 +257,7 @@
                     p.sent_to_out.len(),
                     p.most.0,
                     p.most.1,
-                    p.wrong().iter().map(|w| format!("\n  {w}")).collect::<String>()
+                    p.failures().iter().map(|failure| format!("\n  {failure}")).collect::<String>()
                 );
             }
             Err(why) => println!("seed {seed}: not played: {why}"),
@@ -265,8 +266,8 @@
         let enough = of.plant_guesses && played.as_ref().is_ok_and(|p| !p.sent_to_out.is_empty());
         (played, enough)
     })?;
-    let good = played.iter().filter(|(_, p)| p.as_ref().is_ok_and(|p| p.wrong().is_empty())).count();
-    let sum = |of: fn(&drains::Played) -> u64| -> u64 {
+    let good = played.iter().filter(|(_, p)| p.as_ref().is_ok_and(|p| p.failures().is_empty())).count();
+    let sum = |of: fn(&drains::TrialResult) -> u64| -> u64 {
         played.iter().filter_map(|(_, p)| p.as_ref().ok()).map(of).sum()
     };
     println!(
@@ -278,7 +279,8 @@
         sum(|p| p.answers.0),
     );
     if of.plant_guesses {
-        let found = |p: &Result<drains::Played, String>| p.as_ref().is_ok_and(|p| !p.sent_to_out.is_empty());
+        let found =
+            |p: &Result<drains::TrialResult, String>| p.as_ref().is_ok_and(|p| !p.sent_to_out.is_empty());
         let first = played.iter().filter(|(_, p)| found(p)).map(|(seed, _)| *seed).min();
         println!("planted: {}", first.map_or("NOT found".into(), |seed| format!("found, by seed {seed}")));
         return Ok(first.is_some());
--- a/crates/mothpier-trials/src/opening.rs
+++ b/crates/mothpier-trials/src/opening.rs
@@ -10,7 +10,7 @@
 use mothpier_net::Tokio;
 use tokio::task::spawn_local;
 
-use crate::drains::{Crowd, Line, World, settled, started};
+use crate::drains::{Line, TrialSize, World, settled, started};
 use crate::measure::{figures, processor_s};
 use crate::plan::{Plan, Size, Who};
 use crate::trial::How;
@@ -34,15 +34,15 @@
 pub async fn measure(how: &How, nodes: usize, servers: usize, coordinators: usize) -> Result<(), String> {
     let size = Size { coordinators, nodes, contenders: 1, ms: 0, ttl_ms: 1500 };
     let plan = Plan { seed: 0, size, faults: Vec::new() };
-    let crowd = Crowd { servers, people: 0, guesses: false };
+    let trial_size = TrialSize { servers, people: 0, guesses: false };
     std::fs::create_dir_all(&how.folder).map_err(|e| e.to_string())?;
-    let world = started(&plan, crowd, how).await?;
+    let world = started(&plan, trial_size, how).await?;
     let mut running = Vec::new();
     for node in 0..nodes {
-        running.push(spawn_local(world.clone().front(node)));
+        running.push(spawn_local(world.clone().check_health(node)));
         running.push(spawn_local(world.clone().client(node, mothpier_world::Dice::part(7, node as u64))));
     }
-    settled(&world, crowd, how).await?;
+    settled(&world, trial_size, how).await?;
     all_nodes(&world, nodes).await;
     all_servers(&world, servers).await;
     from_nothing(&world).await?;
--- a/crates/mothpier-trials/src/soak/clients.rs
+++ b/crates/mothpier-trials/src/soak/clients.rs
@@ -33,7 +33,7 @@
 const RECONNECT: Duration = Duration::from_millis(25);
 
 /// What the clients of one node share.
-pub struct Crowd {
+pub struct NodeClients {
     /// The node's number.
     pub node: usize,
     /// Where it listens.
@@ -120,7 +120,7 @@
     deadline_ms: u64,
 }
 
-impl Crowd {
+impl NodeClients {
     fn draft(&self, client: usize, number: usize, dice: &Dice) -> Draft {
         let id = format!("n{}c{client}r{number}", self.node);
         let key = format!("key-{}", dice.within(0, 400));
