Trials: staff who guess are found by any rule of the fleet that they break

Cause: only requests to cache servers that were out counted as found. Change: too many nodes or cache servers out at once count, too: the same bounds that a trial without the plant must hold.

--- a/crates/mothpier-trials/src/drains.rs
+++ b/crates/mothpier-trials/src/drains.rs
@@ -76,6 +76,11 @@
 }
 
 impl TrialResult {
+    /// Returns whether a rule of the fleet was broken: something that was out was used, or too much was out at once.
+    pub fn breaks_a_rule(&self) -> bool {
+        !self.sent_to_out.is_empty() || self.most.0 > LIMITS.0 || self.most.1 > LIMITS.1
+    }
+
     /// What is wrong, in words.
     pub fn failures(&self) -> Vec<String> {
         let mut failures = Vec::new();
--- a/crates/mothpier-trials/src/main.rs
+++ b/crates/mothpier-trials/src/main.rs
@@ -263,7 +263,7 @@
             Err(why) => println!("seed {seed}: not played: {why}"),
         }
         // One that shows the planted mistake is enough.
-        let enough = of.plant_guesses && played.as_ref().is_ok_and(|p| !p.sent_to_out.is_empty());
+        let enough = of.plant_guesses && played.as_ref().is_ok_and(drains::TrialResult::breaks_a_rule);
         (played, enough)
     })?;
     let good = played.iter().filter(|(_, p)| p.as_ref().is_ok_and(|p| p.failures().is_empty())).count();
@@ -279,8 +279,9 @@
         sum(|p| p.answers.0),
     );
     if of.plant_guesses {
-        let found =
-            |p: &Result<drains::TrialResult, String>| p.as_ref().is_ok_and(|p| !p.sent_to_out.is_empty());
+        let found = |p: &Result<drains::TrialResult, String>| {
+            p.as_ref().is_ok_and(drains::TrialResult::breaks_a_rule)
+        };
         let first = played.iter().filter(|(_, p)| found(p)).map(|(seed, _)| *seed).min();
         println!("planted: {}", first.map_or("NOT found".into(), |seed| format!("found, by seed {seed}")));
         return Ok(first.is_some());
