Tests: short_calls asserts that every key was fetched from the origin

Need: the number of origin calls was printed alone; a run without any would have passed. Change: at least one call for each of the 40 keys.

--- a/crates/mothpier/tests/short_calls.rs
+++ b/crates/mothpier/tests/short_calls.rs
@@ -12,6 +12,7 @@
 use mothpier_world::loopback::*;
 
 const CLIENTS: usize = 60;
+const KEYS: usize = 40;
 /// How long the clients send requests.
 const RUN_TIME: Duration = Duration::from_secs(3);
 /// Pause before each request of a client.
@@ -79,7 +80,7 @@
     while started.elapsed() < RUN_TIME {
         thread::sleep(REQUEST_INTERVAL);
         let (key, id) =
-            (format!("k{}", (counts.requests + number * 7) % 40), format!("c{number}r{}", counts.requests));
+            (format!("k{}", (counts.requests + number * 7) % KEYS), format!("c{number}r{}", counts.requests));
         counts.requests += 1;
         let sent_at = started.elapsed();
         if !client.try_send(&["CACHE.GET", &key, &id, "c=read,t=acme,d=3000"]) {
@@ -134,7 +135,9 @@
         println!("{name}: {}", node.call("GET", "/api/telemetry", "").1);
         println!("{name}: {}", node.new_log_lines().join("\n"));
     }
-    println!("{name}: {} answers of the origin", node.figure(ORIGIN_ANSWERS));
+    let origin_answers = node.figure(ORIGIN_ANSWERS);
+    println!("{name}: {origin_answers} answers of the origin");
+    assert!(origin_answers >= KEYS as u64, "{name}: not every key was fetched");
     println!("{name}: {total:?}, {} faults injected", control.get(Setting::Injected).unwrap());
     total
 }
