--- a/crates/mothpier-trials/src/soak/faults.rs
+++ b/crates/mothpier-trials/src/soak/faults.rs
@@ -30,6 +30,8 @@
 /// How long a node's file can't be read.
 const BAD_FILE_DURATION: Duration = Duration::from_millis(150);
 
+/// Returns the wall clock's time, as a cache server states it for its start. If the machine's clock is set, the server only
+/// counts as cold for a longer or shorter time; nothing here waits by it.
 fn wall_ms(step_ms: i64) -> i64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as i64) + step_ms
 }
