Give every connection's work a bound, so that a flood delays no other request

Cause, by class: a task of the single thread that does not yield while it has input. Tokio's `readable` takes nothing from a task's budget, so a client's connection ended its turn only after 128 writes, each behind a read of 4 KiB: some 20,000 commands, 40 ms, at each hop of another request, once for each flooding client. Behind an error the rest of the input was discarded in a loop that never yielded while there was more, and whose time limit was never looked at.

Change: a connection yields after 32 commands or 16 KiB, counting its own long replies (module `turn`), and after each read that is discarded. At the seam, for all readers: `readable` takes from the budget, a read takes 64 KiB at most, and a timer fires although the budget is used up.

The test's warm-up now waits until a node without a flood refuses nothing: the refusals that the first floods showed were those of the node's start.

--- a/crates/mothpier-net/src/tokio_net.rs
+++ b/crates/mothpier-net/src/tokio_net.rs
@@ -9,18 +9,21 @@
 use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use bytes::BytesMut;
+use bytes::{BufMut, BytesMut};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use socket2::{Domain, Protocol, Socket as Socket2, Type};
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::{TcpListener, TcpStream, UdpSocket, UnixStream, tcp, unix};
-use tokio::task::AbortHandle;
+use tokio::task::{AbortHandle, coop};
 
 use crate::stream_io;
 use crate::tcp_info;
 use crate::unix::{BoundUnixListener, UnixSocketSpec, bind};
 use crate::{Listener, Net, ReadHalf, Socket, Stream, Task};
 
+/// Maximum number of bytes read at once. A socket may hold megabytes, which would take milliseconds.
+const MAX_READ_BYTES: usize = 64 * 1024;
+
 /// The machine that the program runs on.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Tokio;
@@ -45,7 +48,8 @@
     }
 
     fn sleep_until(&self, deadline: Instant) -> impl Future<Output = ()> {
-        tokio::time::sleep_until(deadline.into())
+        // Otherwise a task that has used up its budget on other futures would not notice that the time is over.
+        coop::unconstrained(tokio::time::sleep_until(deadline.into()))
     }
 
     fn yield_now(&self) -> impl Future<Output = ()> {
@@ -215,12 +219,15 @@
 
 impl ReadHalf for AnyReadHalf {
     async fn readable(&self) -> io::Result<()> {
+        // Tokio's own `readable` takes nothing from the budget of a task, which could then read without an end.
+        coop::consume_budget().await;
         dispatch!(AnyReadHalf, self, socket => socket.readable().await)
     }
 
     fn try_read_buf(&self, buffer: &mut BytesMut) -> io::Result<usize> {
         loop {
-            match dispatch!(AnyReadHalf, self, socket => socket.try_read_buf(buffer)) {
+            let mut limited = (&mut *buffer).limit(MAX_READ_BYTES);
+            match dispatch!(AnyReadHalf, self, socket => socket.try_read_buf(&mut limited)) {
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 read => return read,
             }
--- a/crates/mothpier/src/clients.rs
+++ b/crates/mothpier/src/clients.rs
@@ -7,6 +7,7 @@
 mod request;
 mod session;
 mod socket;
+mod turn;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
@@ -24,6 +25,7 @@
 
 use self::pending::{PendingReply, ReplyState};
 use self::session::Session;
+use self::turn::Turn;
 use crate::accept_failure::AcceptFailure;
 use crate::binding::Binding;
 use crate::cancellation::ConnectionProbe;
@@ -335,6 +337,7 @@
                 skips_slowly: false,
                 connection_state,
                 probe,
+                turn: Turn::default(),
             };
             let reason = session.run(&*read_half, write_half, evict).await;
             self.metrics.count_close(reason);
--- a/crates/mothpier/src/clients/commands.rs
+++ b/crates/mothpier/src/clients/commands.rs
@@ -102,6 +102,7 @@
         // Encoded in the protocol version in effect from this command on; earlier commands were answered in the
         // version in effect at their time.
         let reply: Bytes = value.encode(self.connection_state.version()).into();
+        self.turn.add_bytes(reply.len());
         let reply = match queued + reply.len() <= MAX_UNRESERVED_INPUT {
             true => Some(reply),
             false => clients.memory.reserve_input(reply.len()).map(|memory| memory.attach_to(reply)),
--- a/crates/mothpier/src/clients/session.rs
+++ b/crates/mothpier/src/clients/session.rs
@@ -18,6 +18,7 @@
 use super::socket::{
     ReadAhead, UnreadInput, client_gone, close_gracefully, no_input_pending, receive, write_streamed_value,
 };
+use super::turn::Turn;
 use super::{Clients, MAX_PIPELINE};
 use crate::cancellation::ConnectionProbe;
 use crate::guards;
@@ -72,6 +73,8 @@
     pub(super) connection_state: ConnectionState,
     /// Checks, before anything is sent on behalf of this client, that the connection is still open.
     pub(super) probe: Rc<ConnectionProbe>,
+    /// What the connection has done since other tasks last ran.
+    pub(super) turn: Turn,
 }
 
 impl<N: Net> Session<N> {
@@ -97,6 +100,7 @@
         // Time of the last input or reply.
         let mut last_activity = connected_at;
         loop {
+            self.yield_after_turn().await;
             while !self.input_ended && !buffer.is_empty() {
                 let skipped = self.bytes_to_skip.min(buffer.len());
                 buffer.advance(skipped);
@@ -118,6 +122,8 @@
                             }
                         }
                         self.incoming_value = None;
+                        self.turn.add_command();
+                        self.yield_after_turn().await;
                     }
                     Ok(None) => break,
                     Err(e) => {
@@ -253,13 +259,14 @@
                         return CloseReason::Draining;
                     }
                 }
-                still_open = receive(read_half, &mut buffer), if may_read => {
+                received = receive(read_half, &mut buffer), if may_read => {
                     // A closed connection cancels the client's requests.
-                    if !still_open {
+                    if received == 0 {
                         return CloseReason::ClientGone;
                     }
                     (received_at, last_activity) = (input_arrived_at(), net.now());
                     self.probe.mark_open(last_activity);
+                    self.turn.add_bytes(received);
                 }
                 // Unread input is still watched for a close, so that the pending requests can be cancelled.
                 () = client_gone(
@@ -296,6 +303,13 @@
         }
     }
 
+    /// Lets other tasks run, if the connection has done as much as it may do at a time.
+    async fn yield_after_turn(&mut self) {
+        if self.turn.take_end() {
+            self.clients.net.yield_now().await;
+        }
+    }
+
     /// Checks the invariant of closing for a connection that the node closes on its own initiative, and
     /// returns `reason`.
     fn checked_close(&self, reason: CloseReason) -> CloseReason {
--- a/crates/mothpier/src/clients/socket.rs
+++ b/crates/mothpier/src/clients/socket.rs
@@ -56,12 +56,12 @@
     write(last.finish()).await
 }
 
-/// Reads the available input and returns whether the client is still connected. The buffer grows only once
-/// there is input. Cancel-safe.
-pub(super) async fn receive(read_half: &impl ReadHalf, buffer: &mut BytesMut) -> bool {
+/// Waits for input and returns the number of bytes read; 0 if the client has closed the connection. The buffer
+/// grows only once there is input. Cancel-safe.
+pub(super) async fn receive(read_half: &impl ReadHalf, buffer: &mut BytesMut) -> usize {
     loop {
         if read_half.readable().await.is_err() {
-            return false;
+            return 0;
         }
         let spare = buffer.capacity() - buffer.len();
         // The buffer of a long value has room for all of it, and must not grow before its end.
@@ -69,9 +69,9 @@
             buffer.reserve(READ_SIZE);
         }
         match read_half.try_read_buf(buffer) {
-            Ok(read) => return read > 0,
+            Ok(read) => return read,
             Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-            Err(_) => return false,
+            Err(_) => return 0,
         }
     }
 }
@@ -125,11 +125,13 @@
             UnreadInput::Buffered(ahead) if ahead.reserve_room() => {
                 let received = receive(read_half, ahead.buffer).await;
                 (ahead.on_input)();
-                received
+                received > 0
             }
             UnreadInput::Discarded => {
                 discarded.clear();
-                receive(read_half, &mut discarded).await
+                // A client that sends as fast as it can must not keep other tasks waiting.
+                net.yield_now().await;
+                receive(read_half, &mut discarded).await > 0
             }
             // A close behind unread input can be polled, but not awaited.
             UnreadInput::Buffered(_) | UnreadInput::LeftUnread => {
--- a/crates/mothpier/tests/floods/main.rs
+++ b/crates/mothpier/tests/floods/main.rs
@@ -24,6 +24,8 @@
 /// Other clients, and the pause between two requests of one.
 const OTHER_CLIENTS: usize = 4;
 const REQUEST_PAUSE: Duration = Duration::from_millis(10);
+/// How often the node may refuse requests before the floods begin.
+const WARM_UP_ROUNDS: usize = 25;
 /// The memory limit of the node in [`config`], in kilobytes.
 const MEMORY_LIMIT_KB: u64 = 192 * 1024;
 
@@ -133,11 +135,22 @@
     let command = node_command(name, discovery.address, 1024, "");
     lift_quota(name);
     let node = Node::run(command, &discovery);
-    // A node that has just started admits little.
-    ask_on_all(&node, "warm", Duration::from_secs(1));
+    warm_up(&node);
     node
 }
 
+/// Asks until nothing is refused for a while: a node that has just started admits little.
+fn warm_up(node: &Node) {
+    for round in 0..WARM_UP_ROUNDS {
+        let answers = ask_on_all(node, &format!("warm{round}"), FLOOD_TIME);
+        println!("warm-up: {answers:?}");
+        if answers.refused == 0 {
+            return;
+        }
+    }
+    panic!("requests are refused without a flood");
+}
+
 /// Floods a node by a number of clients, with each kind of input in turn, and returns what went wrong.
 fn flood_with_each_input(name: &str, clients: usize) -> Vec<String> {
     let node = start_node(name);
