Ask the kernel whether a client is there; input that is read does not tell

Cause, by class: an inference from input to a state that only the kernel knows. Each read marked its connection as open for 10 ms, also where the close stood in the kernel behind what was read; a connection counted as open when it was accepted, however long it had waited.

Change: the probe takes a connection for open only after the kernel said so.

--- a/crates/mothpier/src/cancellation.rs
+++ b/crates/mothpier/src/cancellation.rs
@@ -21,29 +21,25 @@
 /// Checks with the kernel whether a client's connection is open.
 pub struct ConnectionProbe {
     hung_up: Box<dyn Fn() -> bool>,
-    /// When the connection was last seen open.
-    seen: Cell<Instant>,
+    /// When the kernel last said that the connection is open. Input that is read says nothing: the client may have
+    /// closed the connection behind it.
+    seen: Cell<Option<Instant>>,
 }
 
 impl ConnectionProbe {
-    /// Creates the probe of a connection that is open now.
-    pub fn new<R: ReadHalf>(read_half: Rc<R>, now: Instant) -> Self {
-        ConnectionProbe { hung_up: Box::new(move || read_half.hung_up()), seen: Cell::new(now) }
-    }
-
-    /// Records that the connection was seen open.
-    pub fn mark_open(&self, now: Instant) {
-        self.seen.set(now);
+    /// Creates the probe of a connection.
+    pub fn new<R: ReadHalf>(read_half: Rc<R>) -> Self {
+        ConnectionProbe { hung_up: Box::new(move || read_half.hung_up()), seen: Cell::default() }
     }
 
     /// Returns whether the client has closed or reset the connection, or shut down its sending side.
     fn hung_up(&self, now: Instant) -> bool {
-        if now.saturating_duration_since(self.seen.get()) < RECHECK_INTERVAL {
+        if self.seen.get().is_some_and(|seen| now.saturating_duration_since(seen) < RECHECK_INTERVAL) {
             return false;
         }
         let hung_up = (self.hung_up)();
         if !hung_up {
-            self.seen.set(now);
+            self.seen.set(Some(now));
         }
         hung_up
     }
--- a/crates/mothpier/src/clients.rs
+++ b/crates/mothpier/src/clients.rs
@@ -323,7 +323,7 @@
             let read_half = Rc::new(read_half);
             let pending = VecDeque::new();
             let connection_state = ConnectionState::new(connection_id);
-            let probe = Rc::new(ConnectionProbe::new(read_half.clone(), self.net.now()));
+            let probe = Rc::new(ConnectionProbe::new(read_half.clone()));
             let mut session = Session {
                 clients: self.clone(),
                 connection_id,
--- a/crates/mothpier/src/clients/session.rs
+++ b/crates/mothpier/src/clients/session.rs
@@ -203,10 +203,8 @@
                 ready = count_ready_replies(&mut self.pending, &clients.metrics), if !is_idle => {
                     let mut replies = self.take_replies(ready);
                     let (had_buffered_input, mut received_meanwhile) = (!buffer.is_empty(), None);
-                    let probe = self.probe.clone();
                     let mut on_input = || {
                         received_meanwhile.get_or_insert_with(|| (clients.now)());
-                        probe.mark_open(net.now());
                     };
                     let unread_input = match (self.input_ended, may_read) {
                         (true, _) => UnreadInput::Discarded,
@@ -265,7 +263,6 @@
                         return CloseReason::ClientGone;
                     }
                     (received_at, last_activity) = (input_arrived_at(), net.now());
-                    self.probe.mark_open(last_activity);
                     self.turn.add_bytes(received);
                 }
                 // Unread input is still watched for a close, so that the pending requests can be cancelled.
--- a/crates/mothpier/src/servers/tests.rs
+++ b/crates/mothpier/src/servers/tests.rs
@@ -569,7 +569,7 @@
     let client = tokio::net::TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
     let (accepted, _) = listener.accept().await.unwrap();
     let (read_half, _write_half) = accepted.split();
-    (CancelGuard::new(Rc::new(ConnectionProbe::new(Rc::new(read_half), Instant::now()))), client)
+    (CancelGuard::new(Rc::new(ConnectionProbe::new(Rc::new(read_half)))), client)
 }
 
 /// A client that takes nothing of a long answer must not hold up, until a deadline, the client that can only be sent
--- a/crates/mothpier/tests/unread_requests.rs
+++ b/crates/mothpier/tests/unread_requests.rs
@@ -22,8 +22,11 @@
 const ROUNDS: usize = 10;
 const SERVERS: usize = 4;
 const WARM_UP_REQUESTS: usize = 1000;
-/// Requests that a client sends at once: far more than the node reads at a time.
-const REQUESTS: usize = 2000;
+/// Requests that a client sends at once: more than the node reads at a time, but no more than the kernel takes in
+/// for it, so that the close arrives behind them.
+const REQUESTS: usize = 500;
+/// More requests than the kernel takes in: the close arrives only once the node has read some of them.
+const REQUESTS_BEYOND_WINDOW: usize = 2000;
 
 type Arrivals = Arc<Mutex<HashMap<String, Instant>>>;
 
@@ -112,9 +115,8 @@
 }
 
 /// The node is held up while requests and the end of their connection arrive, and reads both late.
-#[test]
-fn requests_read_long_after_their_client_closed_are_not_forwarded() {
-    let (node, arrivals) = start("unreadstop", Duration::from_millis(1));
+fn close_while_node_is_stopped(name: &str, count: usize) {
+    let (node, arrivals) = start(name, Duration::from_millis(1));
     let mut closed = Vec::new();
     let mut half_open = Vec::new();
     for round in 0..ROUNDS {
@@ -129,7 +131,7 @@
                     Connected::Before => accepted.into_stream(),
                     Connected::Meanwhile => TcpStream::connect(node.address).unwrap(),
                 };
-                let requests: String = (0..REQUESTS).map(|i| request(&format!("{prefix}{i}"))).collect();
+                let requests: String = (0..count).map(|i| request(&format!("{prefix}{i}"))).collect();
                 stream.write_all(requests.as_bytes()).unwrap();
                 match close {
                     Close::Shutdown => {
@@ -152,6 +154,16 @@
     assert_eq!(node.client().ask(&["PING"]), "+PONG");
 }
 
+#[test]
+fn requests_read_long_after_their_client_closed_are_not_forwarded() {
+    close_while_node_is_stopped("unreadstop", REQUESTS);
+}
+
+#[test]
+fn requests_read_long_after_a_close_behind_a_full_window_are_not_forwarded() {
+    close_while_node_is_stopped("unreadwindow", REQUESTS_BEYOND_WINDOW);
+}
+
 /// A client sends far more than the node reads at once, and closes without waiting for an answer.
 #[test]
 fn requests_that_a_client_leaves_unread_are_not_forwarded() {
@@ -159,7 +171,8 @@
     let mut closed = Vec::new();
     for round in 0..ROUNDS {
         let prefix = format!("much{round}-");
-        let requests: String = (0..REQUESTS).map(|i| request(&format!("{prefix}{i}"))).collect();
+        let requests: String =
+            (0..REQUESTS_BEYOND_WINDOW).map(|i| request(&format!("{prefix}{i}"))).collect();
         let mut stream = TcpStream::connect(node.address).unwrap();
         stream.set_write_timeout(Some(HUNG)).unwrap();
         let sent = stream.write_all(requests.as_bytes());
