Keep the id of an unsafe request that may have run from being used again

Cause: an id was reserved only as long as its request was open. With its client gone, or its answer unread, nothing told that the request had been sent to a server.

Safe and keyed requests are not concerned, nor one of which nothing was sent.

--- a/crates/mothpier/src/clients.rs
+++ b/crates/mothpier/src/clients.rs
@@ -33,10 +33,11 @@
 use crate::guards::{self, Invariant};
 use crate::membership::Membership;
 use crate::memory::NodeMemory;
-use crate::messages::{ClientEvent, Command, NodeInput, OpenRequestIds};
+use crate::messages::{ClientEvent, Command, NodeInput};
 use crate::metrics::{CloseReason, Metrics, RefusalReason};
 use crate::phase::ServingPhase;
 use crate::process_handover::Share;
+use crate::request_ids::RequestIds;
 use crate::{Mutation, mutation_active};
 
 /// Maximum number of open requests on one connection; further ones are refused.
@@ -87,7 +88,7 @@
     connections_accepted: Cell<u64>,
     commands_received: Cell<u64>,
     next_request: Cell<RequestId>,
-    ids: OpenRequestIds,
+    ids: RequestIds,
     memory: NodeMemory,
     max_connections: usize,
     phase: Rc<ServingPhase>,
@@ -129,7 +130,7 @@
             event_log,
             share,
             next_request: Cell::new(1),
-            ids: OpenRequestIds::default(),
+            ids: RequestIds::default(),
             memory,
             max_connections,
             phase,
@@ -151,7 +152,7 @@
 
     /// Returns the number of request ids in use.
     pub fn request_id_count(&self) -> usize {
-        self.ids.borrow().len()
+        self.ids.open_count()
     }
 
     /// Returns whether at least half of the permitted connections are open.
--- a/crates/mothpier/src/clients/commands.rs
+++ b/crates/mothpier/src/clients/commands.rs
@@ -123,7 +123,7 @@
             None => (None, None),
         };
         let memory = match self.forwarded < MAX_PIPELINE
-            && self.clients.ids.borrow().len() <= self.clients.site.max_open
+            && self.clients.ids.open_count() <= self.clients.site.max_open
         {
             true => request_memory.or_else(|| self.clients.reserve_request(length)),
             false => None,
--- a/crates/mothpier/src/clients/request.rs
+++ b/crates/mothpier/src/clients/request.rs
@@ -9,7 +9,8 @@
 use crate::binding;
 use crate::cancellation::CancelToken;
 use crate::memory::MAX_UNRESERVED_INPUT;
-use crate::messages::{Command, RequestIdClaim};
+use crate::messages::Command;
+use crate::request_ids::IdUnusable;
 
 impl<N: Net> Clients<N> {
     /// Parses a command's arguments. The error is sent to the client.
@@ -74,8 +75,10 @@
         };
         // Cache servers could not tell two open requests with the same id apart; the first one stays
         // unaffected.
-        let claim = RequestIdClaim::of(&self.ids, &Bytes::copy_from_slice(id))
-            .ok_or("ERR a request of this id is open")?;
+        let claim = self.ids.claim(&Bytes::copy_from_slice(id), self.net.now()).map_err(|e| match e {
+            IdUnusable::Open => "ERR a request of this id is open",
+            IdUnusable::MayHaveRun => "ERR a request of this id may have run",
+        })?;
         // Copied: a slice would keep the whole read buffer alive for as long as the request is open.
         let command = Command {
             name: Bytes::from_static(if write { b"CACHE.SET" } else { b"CACHE.GET" }),
--- a/crates/mothpier/src/lib.rs
+++ b/crates/mothpier/src/lib.rs
@@ -32,6 +32,7 @@
 mod peers;
 mod phase;
 mod process_handover;
+mod request_ids;
 mod resp;
 mod retry_open;
 mod segments;
--- a/crates/mothpier/src/messages.rs
+++ b/crates/mothpier/src/messages.rs
@@ -1,9 +1,7 @@
 //! Messages between the components of the node. Components depend on these types and not on each other:
 //! clients, servers, origin, discovery and peers send [`NodeInput`]s, and only the event loop drives them.
 
-use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet, HashSet};
-use std::rc::Rc;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use brassrouter::{Request, RequestId, ServerId, Status};
@@ -15,6 +13,7 @@
 use tokio::sync::oneshot;
 
 use crate::cancellation::CancelToken;
+use crate::request_ids::RequestIdClaim;
 use crate::resp;
 use crate::segments::Segments;
 use crate::streamed_value::StreamedValue;
@@ -248,7 +247,6 @@
     /// Cancelled when the client no longer waits.
     pub cancel: CancelToken,
     /// Reserves the request id until the command is dropped.
-    #[allow(dead_code, reason = "held for its drop")]
     pub claim: RequestIdClaim,
 }
 
@@ -259,33 +257,6 @@
     }
 }
 
-/// The ids of all open requests.
-pub type OpenRequestIds = Rc<RefCell<HashSet<Bytes>>>;
-
-/// A reservation of a request id, released on drop.
-#[derive(Debug)]
-pub struct RequestIdClaim(OpenRequestIds, Bytes);
-
-impl RequestIdClaim {
-    /// Reserves an id, unless an open request uses it.
-    pub fn of(ids: &OpenRequestIds, id: &Bytes) -> Option<RequestIdClaim> {
-        ids.borrow_mut().insert(id.clone()).then(|| RequestIdClaim(ids.clone(), id.clone()))
-    }
-
-    pub fn id(&self) -> &Bytes {
-        &self.1
-    }
-}
-
-impl Drop for RequestIdClaim {
-    fn drop(&mut self) {
-        if crate::mutation_active(crate::Mutation::LeakedId) {
-            return;
-        }
-        self.0.borrow_mut().remove(&self.1);
-    }
-}
-
 impl Command {
     /// Encodes the command for a cache server, with the deadline of this attempt.
     pub fn for_server(&self, wait: Duration) -> Segments {
--- a/crates/mothpier/src/node.rs
+++ b/crates/mothpier/src/node.rs
@@ -418,9 +418,19 @@
             if mutation_active(Mutation::LostAnswer) && request.is_multiple_of(100) {
                 return std::mem::forget(open);
             }
+            self.withdraw(&open.outstanding);
+            self.record_run(&open);
             // The client may have disconnected in the meantime.
             let _ = open.answer.send(answer);
-            self.withdraw(open.outstanding);
+        }
+    }
+
+    /// Keeps the id of a finished request from being used again, if the request may have run and must not run twice.
+    fn record_run(&self, open: &OpenRequest) {
+        let still_out = open.outstanding.iter().filter(|id| self.in_flight.contains_key(id)).count();
+        let ended = open.may_have_run as usize - open.outstanding.len();
+        if open.effect == Effect::Unsafe && ended + still_out > 0 {
+            open.command.claim.record_run(self.net.now());
         }
     }
 
--- a/crates/mothpier/src/node/attempts.rs
+++ b/crates/mothpier/src/node/attempts.rs
@@ -31,11 +31,11 @@
 impl<N: Net> Node<N> {
     /// Withdraws attempts of a finished request that have not begun to be written. Attempts that are partly
     /// written continue: aborting them would cost the connection all other attempts that it carries.
-    pub(super) fn withdraw(&mut self, attempts: Vec<AttemptId>) {
+    pub(super) fn withdraw(&mut self, attempts: &[AttemptId]) {
         if mutation_active(Mutation::SentAfterAnswer) {
             return;
         }
-        for id in attempts {
+        for id in attempts.iter().copied() {
             let Some(pending) = self.in_flight.get_mut(&id) else { continue };
             let unsent = match pending.call.take_if(|call| !call.has_started()) {
                 Some(call) => !call.give_up(),
@@ -53,7 +53,8 @@
             let (id, attempts) = (open.command.id_text(), open.attempts);
             self.log_event(&Logged::ClientGone { request: &id, attempts });
             self.events.push_back(Event::ClientGone(request));
-            self.withdraw(open.outstanding);
+            self.withdraw(&open.outstanding);
+            self.record_run(&open);
         }
     }
 
--- a/crates/mothpier/src/servers/tests.rs
+++ b/crates/mothpier/src/servers/tests.rs
@@ -10,7 +10,8 @@
 use super::*;
 use crate::cancellation::{CancelGuard, CancelToken, ConnectionProbe};
 use crate::memory::MAX_UNRESERVED;
-use crate::messages::{self, OpenRequestIds, RequestIdClaim};
+use crate::messages;
+use crate::request_ids::RequestIds;
 use crate::resp;
 use crate::time_budget::TimeBudget;
 
@@ -72,7 +73,7 @@
 
 fn cancellable_request(attempt: AttemptId, value: Option<Bytes>, cancel: CancelToken) -> Command {
     let id = Bytes::from_static(b"i");
-    let claim = RequestIdClaim::of(&OpenRequestIds::default(), &id).unwrap();
+    let claim = RequestIds::default().claim(&id, Instant::now()).unwrap();
     let write = value.is_some();
     let command = messages::Command {
         name: "GET".into(),
