Cut an answer off when it stalls, not when its server writes it slowly

Cause, by class: a time limit on a whole transfer where only its progress tells whether the other side is alive. An answer of up to 64 KB had to be complete 0.25 s after its first bytes, an origin's body 0.25 s after its head, whatever time its client had.

Change: 0.25 s bound the pause between two parts; the whole is bounded by the attempt, as that of longer answers was before. An answer whose attempt was given up still has to be complete within 0.25 s of its first bytes, so that it holds nobody up.

--- a/crates/mothpier/src/origin/body.rs
+++ b/crates/mothpier/src/origin/body.rs
@@ -14,7 +14,7 @@
 use crate::resp::{MAX_STREAMED_VALUE, MAX_VALUE};
 use crate::streamed_value::StreamedValue;
 
-/// Time limit for a buffered body after the head of its response.
+/// Time limit for each part of a buffered body, and for the whole of a body that carries no value.
 const BODY_TIMEOUT: Duration = Duration::from_millis(250);
 /// A streamed body is aborted if nothing more of it arrives for this long while its client would accept more.
 const STALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -67,8 +67,7 @@
             Ok(Bytes::new())
         }
         Plan::Buffer(reservation) => {
-            let buffered = net.timeout(BODY_TIMEOUT, buffer(body, memory, reservation)).await;
-            let value = buffered.unwrap_or(Err(Incomplete))?;
+            let value = buffer(net, body, memory, reservation).await?;
             end.check(net).await?;
             Ok(value)
         }
@@ -93,6 +92,7 @@
 
 /// Buffers a body. A length that was not announced is reserved for once the body exceeds [`MAX_UNRESERVED`].
 async fn buffer(
+    net: &impl Net,
     mut body: Incoming,
     memory: &NodeMemory,
     mut reservation: Option<Reservation>,
@@ -100,7 +100,7 @@
     let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     let most = if reservation.is_some() { MAX_VALUE } else { MAX_UNRESERVED };
     let mut bytes = BytesMut::with_capacity(announced.min(most));
-    while let Some(frame) = body.frame().await {
+    while let Some(frame) = net.timeout(BODY_TIMEOUT, body.frame()).await.ok_or(Incomplete)? {
         let frame = frame.map_err(|_| Incomplete)?;
         let Some(data) = frame.data_ref() else { continue };
         let length = bytes.len() + data.len();
--- a/crates/mothpier/src/servers/reader.rs
+++ b/crates/mothpier/src/servers/reader.rs
@@ -16,8 +16,9 @@
 use crate::resp::{self, AnswerForm, MAX_VALUE, ValueHeader};
 use crate::streamed_value::StreamedValue;
 
-/// An answer that has arrived in part must be complete within this time, since values are small and the
-/// servers near. Otherwise the answer counts as invalid, and those behind it get no answer.
+/// More of an answer that has arrived in part must arrive within this time. One whose attempt was given up must be
+/// complete within it, since it holds up those behind it. Otherwise the answer counts as invalid, and those behind it
+/// get no answer.
 const PARTIAL_ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
 /// Bytes read from a connection at once.
 pub(super) const READ_SIZE: usize = 4096;
@@ -149,8 +150,7 @@
             (self.buffer, self.partial_since) = (BytesMut::new(), None);
         }
         let net = &self.connection.net;
-        let until = (!self.buffer.is_empty())
-            .then(|| *self.partial_since.get_or_insert_with(|| net.now()) + PARTIAL_ANSWER_TIMEOUT);
+        let until = self.partial_answer_deadline();
         let read = async {
             self.read_half.readable().await?;
             // Memory has been reserved for the buffer as it is.
@@ -174,6 +174,17 @@
         }
     }
 
+    /// Returns by when more must arrive of the answer that has arrived in part, if there is one.
+    fn partial_answer_deadline(&mut self) -> Option<Instant> {
+        if self.buffer.is_empty() {
+            return None;
+        }
+        let now = self.connection.net.now();
+        let partial_since = *self.partial_since.get_or_insert(now);
+        let given_up = self.connection.shared.pipeline.borrow().sent.front().is_some_and(|s| s.given_up);
+        Some(if given_up { partial_since } else { now } + PARTIAL_ANSWER_TIMEOUT)
+    }
+
     /// Delivers what was read as the answer to the oldest command. Returns `None` if the connection must be
     /// closed.
     async fn deliver(&mut self, parsed: Result<Option<BytesFrame>, resp::Malformed>) -> Option<()> {
