--- a/crates/mothpier/tests/upgrade.rs
+++ b/crates/mothpier/tests/upgrade.rs
@@ -196,6 +196,39 @@
     assert_ne!(ask("last"), "$s-2");
 }
 
+/// The client of an unsafe request leaves the process that ends and sends the request again, to the other one.
+#[test]
+fn an_unsafe_request_does_not_run_again_at_the_other_process_of_an_upgrade() {
+    let runs = Arc::new(AtomicU64::new(0));
+    let counted = runs.clone();
+    let server = serve(command, move |request| {
+        counted.fetch_add(u64::from(request[2] == "once"), SeqCst);
+        thread::sleep(std::time::Duration::from_millis(150));
+        array(&request[2])
+    });
+    let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
+    let platform = Platform::new("upgradeids");
+    let address = platform.listener.local_addr().unwrap();
+    let old_node = platform.start(&discovery);
+    let arguments = ["CACHE.GET", "k", "once", "c=once,t=acme,d=9000"];
+    let mut leaving = Client::connect(address);
+    leaving.send(&arguments);
+    while runs.load(SeqCst) == 0 {
+        thread::yield_now();
+    }
+    let _new_node = platform.start(&discovery);
+    old_node.signal("TERM");
+    old_node.logged("stopping");
+    drop(leaving);
+    // Long enough for the old process to close its listener and end.
+    thread::sleep(std::time::Duration::from_secs(1));
+    let mut again = Client::connect(address);
+    while again.ask(&arguments).starts_with("-BUSY ") {
+        thread::sleep(std::time::Duration::from_millis(20));
+    }
+    assert_eq!(runs.load(SeqCst), 1);
+}
+
 /// A process that is killed hands nothing over itself: its successor reads what it had stored. A truncated,
 /// invalid, empty or unknown state file, or a missing directory, must not keep a process from starting.
 #[test]
