Metrics and events: delays of tasks, yields, rejected commands, protocol errors

`turn_seconds` covers the inputs of the event loop alone; a connection that kept the thread was seen nowhere, and neither were commands that are no requests.

Change: `edge_router_loop_delay_seconds` (how late a timer fires, ten times a second), `edge_router_downstream_yields_total`, `edge_router_downstream_rejected_commands_total` by reason; events `tasks_delayed` and `protocol_error`, and in the line of a closed connection how many commands it sent and how many were no requests.

--- a/crates/mothpier/src/clients.rs
+++ b/crates/mothpier/src/clients.rs
@@ -34,7 +34,7 @@
 use crate::membership::Membership;
 use crate::memory::NodeMemory;
 use crate::messages::{ClientEvent, Command, NodeInput};
-use crate::metrics::{CloseReason, Metrics, RefusalReason};
+use crate::metrics::{Metrics, RefusalReason};
 use crate::phase::ServingPhase;
 use crate::process_handover::Share;
 use crate::request_ids::RequestIds;
@@ -285,15 +285,11 @@
         let reason = if pipeline_full { RefusalReason::Pipeline } else { RefusalReason::Memory };
         self.metrics.count_refusal(reason);
         let (request, retry_after_ms) = (command.id_text(), BUSY_RETRY_MS);
-        let event = Event::Refused { request: &request, reason, attempts: 0, retry_after_ms };
-        if let Some(line) = self.event_log.format_line(self.net.now(), &event) {
-            self.net.log(line);
-        }
+        self.log_event(&Event::Refused { request: &request, reason, attempts: 0, retry_after_ms });
     }
 
-    fn log_close(&self, connection: u64, reason: CloseReason, unanswered: usize) {
-        let event = Event::ConnectionClosed { connection, reason, unanswered };
-        if let Some(line) = self.event_log.format_line(self.net.now(), &event) {
+    fn log_event(&self, event: &Event) {
+        if let Some(line) = self.event_log.format_line(self.net.now(), event) {
             self.net.log(line);
         }
     }
@@ -339,10 +335,18 @@
                 connection_state,
                 probe,
                 turn: Turn::default(),
+                commands: 0,
+                rejected: 0,
             };
             let reason = session.run(&*read_half, write_half, evict).await;
             self.metrics.count_close(reason);
-            self.log_close(connection_id, reason, session.pending.len());
+            self.log_event(&Event::ConnectionClosed {
+                connection: connection_id,
+                reason,
+                unanswered: session.pending.len(),
+                commands: session.commands,
+                rejected: session.rejected,
+            });
             // Drop every handle of the connection, so that it is closed now.
             drop(read_half);
             let Session { pending, .. } = session;
--- a/crates/mothpier/src/clients/commands.rs
+++ b/crates/mothpier/src/clients/commands.rs
@@ -12,21 +12,33 @@
 use super::session::Session;
 use super::{BUSY_RETRY_MS, MAX_PIPELINE};
 use crate::cancellation::CancelGuard;
+use crate::event_log::Event;
 use crate::membership::Membership;
 use crate::memory::MAX_UNRESERVED_INPUT;
 use crate::messages::{ClientEvent, Command, NodeInput};
-use crate::metrics::Ended;
+use crate::metrics::{Ended, RejectionReason};
 use crate::resp::{self, Malformed};
 
 /// Maximum size of locally generated replies that may be queued on one connection, in bytes. The slot map of
 /// a large cluster is long, and a client that requests it repeatedly without reading is disconnected.
 const MAX_QUEUED_REPLY_BYTES: usize = 1 << 20;
 
+/// Reply to a command that does not exist.
+pub(super) const UNKNOWN_COMMAND: &str = "ERR unknown command";
+
 impl<N: Net> Session<N> {
     /// Queues an error reply behind the pending ones and stops reading commands.
     pub(super) fn protocol_error(&mut self, error: Malformed) {
         self.input_ended = true;
-        self.push_reply(resp::error(&format!("ERR protocol: {error}")));
+        self.clients.log_event(&Event::ProtocolError { connection: self.connection_id, error: error.0 });
+        self.reject(RejectionReason::ProtocolError, &format!("ERR protocol: {error}"));
+    }
+
+    /// Queues an error reply to a command that is no request.
+    pub(super) fn reject(&mut self, reason: RejectionReason, error: &str) {
+        self.rejected += 1;
+        self.clients.metrics.count_rejection(reason);
+        self.push_reply(resp::error(error));
     }
 
     pub(super) fn push_reply(&mut self, bytes: Bytes) {
@@ -45,6 +57,7 @@
         let Some(arguments) = arguments.filter(|w| !w.is_empty()) else {
             return self.protocol_error(Malformed("a command is an array of bulk strings"));
         };
+        self.commands += 1;
         self.clients.commands_received.set(self.clients.commands_received.get() + 1);
         match arguments[0].as_ref() {
             b"CACHE.GET" | b"CACHE.SET" => match self.clients.parse_command(&arguments, received_at) {
@@ -52,7 +65,7 @@
                     self.has_sent_command = true;
                     self.forward_request(request, Box::new(command)).await;
                 }
-                Err(e) => self.push_reply(resp::error(&e)),
+                Err(e) => self.reject(RejectionReason::InvalidRequest, &e),
             },
             _ if self.answer_session_command(&arguments) => {}
             name if name.eq_ignore_ascii_case(b"PING") => {
@@ -66,7 +79,7 @@
                 self.input_ended = true;
                 self.push_reply(Bytes::from_static(b"+OK\r\n"));
             }
-            _ => self.push_reply(resp::error("ERR unknown command")),
+            _ => self.reject(RejectionReason::UnknownCommand, UNKNOWN_COMMAND),
         }
     }
 
--- a/crates/mothpier/src/clients/incoming_value.rs
+++ b/crates/mothpier/src/clients/incoming_value.rs
@@ -4,10 +4,12 @@
 use bytes::{Buf, Bytes, BytesMut};
 use mothpier_net::Net;
 
+use super::commands::UNKNOWN_COMMAND;
 use super::pending::{PendingReply, PendingRequest, ReplyState};
 use super::session::Session;
 use super::{BUSY_RETRY_MS, Clients};
 use crate::memory::{REQUEST_MEMORY, Reservation};
+use crate::metrics::RejectionReason;
 use crate::resp::{self, LargeCommand, MAX_VALUE};
 
 /// Maximum length of a command without a long value at its end, in bytes.
@@ -104,8 +106,8 @@
                 let state = ReplyState::Ready(resp::error(&format!("BUSY {BUSY_RETRY_MS}")));
                 self.pending.push_back(PendingReply { state, pending_request });
             }
-            Some(Err(e)) => self.push_reply(resp::error(&e)),
-            None => self.push_reply(resp::error("ERR unknown command")),
+            Some(Err(e)) => self.reject(RejectionReason::InvalidRequest, &e),
+            None => self.reject(RejectionReason::UnknownCommand, UNKNOWN_COMMAND),
         }
     }
 }
--- a/crates/mothpier/src/clients/session.rs
+++ b/crates/mothpier/src/clients/session.rs
@@ -75,6 +75,9 @@
     pub(super) probe: Rc<ConnectionProbe>,
     /// What the connection has done since other tasks last ran.
     pub(super) turn: Turn,
+    /// Commands received, and how many of them were answered with an error and are no requests.
+    pub(super) commands: u64,
+    pub(super) rejected: u64,
 }
 
 impl<N: Net> Session<N> {
@@ -303,6 +306,7 @@
     /// Lets other tasks run, if the connection has done as much as it may do at a time.
     async fn yield_after_turn(&mut self) {
         if self.turn.take_end() {
+            self.clients.metrics.count_yield();
             self.clients.net.yield_now().await;
         }
     }
--- a/crates/mothpier/src/event_log.rs
+++ b/crates/mothpier/src/event_log.rs
@@ -52,8 +52,12 @@
     ListTaken { revision: u64, complete: bool, lines: usize },
     /// One input occupied the node for so long that others had to wait.
     HeldUp { input: &'static str, took_ms: u64 },
-    /// A client's connection was closed.
-    ConnectionClosed { connection: u64, reason: CloseReason, unanswered: usize },
+    /// A task occupied the node for so long that all others had to wait.
+    TasksDelayed { late_ms: u64 },
+    /// A client sent what cannot be read as a command; its connection will be closed.
+    ProtocolError { connection: u64, error: &'static str },
+    /// A client's connection was closed. It had sent that many commands, and that many of them were no requests.
+    ConnectionClosed { connection: u64, reason: CloseReason, unanswered: usize, commands: u64, rejected: u64 },
 }
 
 /// Formats events as log lines, at a limited rate.
--- a/crates/mothpier/src/lib.rs
+++ b/crates/mothpier/src/lib.rs
@@ -21,6 +21,7 @@
 mod handover_store;
 mod http;
 mod lease_authority;
+mod loop_delay;
 mod membership;
 mod memory;
 mod messages;
@@ -257,7 +258,7 @@
             metrics: metrics.clone(),
             share: share.clone(),
             memory,
-            event_log,
+            event_log: event_log.clone(),
             tier: tier.clone(),
             membership: membership.clone(),
             binding: config.sidecar.map(|s| s.binding),
@@ -319,6 +320,7 @@
         start_phase.list_received();
     });
     let coordination = config.coordination;
+    net.spawn(loop_delay::run(net.clone(), metrics.clone(), event_log.clone()));
     let lease_authority = match coordination.clone() {
         Some(settings) => Some(LeaseAuthority::new(net.clone(), settings, handover.clone())?),
         None => None,
--- a/crates/mothpier/src/metrics.rs
+++ b/crates/mothpier/src/metrics.rs
@@ -60,6 +60,30 @@
     }
 }
 
+/// Why a command was answered with an error without becoming a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RejectionReason {
+    /// It cannot be read; its connection is closed.
+    ProtocolError,
+    /// There is no such command.
+    UnknownCommand,
+    /// A cache request with invalid arguments, or with an id that cannot be used now.
+    InvalidRequest,
+}
+
+impl RejectionReason {
+    const ALL: [RejectionReason; 3] =
+        [RejectionReason::ProtocolError, RejectionReason::UnknownCommand, RejectionReason::InvalidRequest];
+
+    fn name(self) -> &'static str {
+        match self {
+            RejectionReason::ProtocolError => "protocol_error",
+            RejectionReason::UnknownCommand => "unknown_command",
+            RejectionReason::InvalidRequest => "invalid_request",
+        }
+    }
+}
+
 /// Why a client's connection was closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -179,6 +203,10 @@
     /// By input.
     turns: HistogramVec,
     queue_time: Histogram,
+    loop_delay: Histogram,
+    yields: IntCounter,
+    /// By reason.
+    rejections: Vec<IntCounter>,
     /// By reason.
     refusals: Vec<IntCounter>,
     /// By invariant.
@@ -256,6 +284,28 @@
             "How long a request waited from when it was read until it was decided on.",
         ))?;
         registry.register(Box::new(queue_time.clone()))?;
+        let loop_delay = Histogram::with_opts(times(
+            "loop_delay_seconds",
+            "How late a timer fired, measured ten times a second: how long tasks wait for one another.",
+        ))?;
+        registry.register(Box::new(loop_delay.clone()))?;
+        let yields = IntCounter::with_opts(options(
+            "downstream_yields_total",
+            "How often a connection of a client had done as much as it may at a time, and others went first.",
+        ))?;
+        registry.register(Box::new(yields.clone()))?;
+        let rejections = IntCounterVec::new(
+            options(
+                "downstream_rejected_commands_total",
+                "Commands that were answered with an error and are no requests, by reason.",
+            ),
+            &["reason"],
+        )?;
+        registry.register(Box::new(rejections.clone()))?;
+        let rejections = RejectionReason::ALL
+            .iter()
+            .map(|reason| rejections.with_label_values(&[reason.name()]))
+            .collect();
         let refusals =
             RefusalReason::ALL.iter().map(|reason| refusals.with_label_values(&[reason.name()])).collect();
         let closes =
@@ -287,6 +337,9 @@
             server_closes,
             turns,
             queue_time,
+            loop_delay,
+            yields,
+            rejections,
             refusals,
             violations,
             states,
@@ -343,6 +396,21 @@
         self.queue_time.observe(waited.as_secs_f64());
     }
 
+    /// Records how late a timer fired.
+    pub fn observe_loop_delay(&self, delay: Duration) {
+        self.loop_delay.observe(delay.as_secs_f64());
+    }
+
+    /// Counts that a client's connection let other tasks run, since it had done as much as it may at a time.
+    pub fn count_yield(&self) {
+        self.yields.inc();
+    }
+
+    /// Counts a command that was answered with an error and is no request.
+    pub fn count_rejection(&self, reason: RejectionReason) {
+        self.rejections[reason as usize].inc();
+    }
+
     /// Counts a violated invariant. Returns whether to log it: the 1st, 2nd, 4th, 8th and so on.
     pub fn count_violation(&self, invariant: Invariant) -> bool {
         let counter = &self.violations[invariant as usize];
