--- a/crates/mothpier-trials/src/soak/faults.rs
+++ b/crates/mothpier-trials/src/soak/faults.rs
@@ -9,6 +9,7 @@
 use tokio::time::sleep;
 
 use super::discovery;
+use super::floods;
 use super::node::Node;
 use super::plan::{Kind, Trouble};
 use super::servers::{Server, Way};
@@ -97,6 +98,10 @@
                     self.half_requests.borrow_mut().push(client);
                 }
             }
+            Kind::Flood => {
+                floods::start(node.clients.at, trouble.target, lasts);
+                sleep(lasts).await;
+            }
             Kind::Quiet => {
                 node.clients.quiet.set(true);
                 sleep(lasts).await;
--- a/crates/mothpier-trials/src/soak/mod.rs
+++ b/crates/mothpier-trials/src/soak/mod.rs
@@ -8,6 +8,7 @@
 mod clients;
 mod discovery;
 mod faults;
+mod floods;
 mod ledger;
 mod node;
 mod oracle;
--- a/crates/mothpier-trials/src/soak/plan.rs
+++ b/crates/mothpier-trials/src/soak/plan.rs
@@ -83,11 +83,13 @@
     BadReload,
     /// A node is told to read its configuration and to end, several times in a row, and started again.
     SignalSeries,
+    /// Clients send small or unsound commands to a node at full speed.
+    Flood,
 }
 
 impl Kind {
     /// All of them.
-    pub const ALL: [Kind; 31] = [
+    pub const ALL: [Kind; 32] = [
         Kind::WallStep,
         Kind::ShortCalls,
         Kind::BrokenStreams,
@@ -119,6 +121,7 @@
         Kind::SpoiltAnswers,
         Kind::BadReload,
         Kind::SignalSeries,
+        Kind::Flood,
     ];
 }
 
