Hand the ids of unsafe requests that may have run to the other process

Cause: ids that must not run again were known to the process alone that had sent them.

Processes of the version before ignore the field. Within 0.2 s an id can still come unknown; a killed process hands none over.

--- a/crates/mothpier/src/clients.rs
+++ b/crates/mothpier/src/clients.rs
@@ -155,6 +155,11 @@
         self.ids.open_count()
     }
 
+    /// Returns the request ids that must not be used now.
+    pub fn request_ids(&self) -> &RequestIds {
+        &self.ids
+    }
+
     /// Returns whether at least half of the permitted connections are open.
     fn is_half_full(&self) -> bool {
         self.connection_count() * 2 >= self.max_connections()
--- a/crates/mothpier/src/handover.rs
+++ b/crates/mothpier/src/handover.rs
@@ -43,6 +43,9 @@
     /// The fleet's drains as last known to this node.
     #[serde(default)]
     drained: FleetDrains,
+    /// Hashes of the ids of unsafe requests that may have run at a process.
+    #[serde(default)]
+    pub(crate) run_ids: BTreeSet<u64>,
 }
 
 /// The drains of the fleet.
@@ -99,6 +102,7 @@
         self.emptied = self.emptied.max(other.emptied);
         self.raise_floors(&other.floors);
         self.drained = self.drained.clone().max(other.drained);
+        self.run_ids.extend(other.run_ids);
         for (id, flag) in other.hand {
             let own = self.hand.entry(id).or_default();
             *own = flag.max(*own);
--- a/crates/mothpier/src/lib.rs
+++ b/crates/mothpier/src/lib.rs
@@ -397,6 +397,11 @@
     if net.timeout_at(kill_at, all_closed).await.is_none() {
         net.log(format_args!("stopped with {} client connections still open", clients.connection_count()));
     }
+    if let Some(handover) = &handover {
+        // Lets the event loop handle the end of the last connection.
+        net.yield_now().await;
+        handover.store_run_ids(&net, clients.request_ids());
+    }
     Ok(())
 }
 
--- a/crates/mothpier/src/phase.rs
+++ b/crates/mothpier/src/phase.rs
@@ -159,6 +159,11 @@
         self.stopping.set(true);
     }
 
+    /// Returns whether the process is stopping.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
     /// Stops accepting and closes connections. With `leave_pending`, pending connections are left to another
     /// process.
     pub fn shut(&self, now: Instant, leave_pending: bool) {
--- a/crates/mothpier/src/process_handover.rs
+++ b/crates/mothpier/src/process_handover.rs
@@ -2,8 +2,9 @@
 //! the others' and applies it.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use mothpier_coordination::FenceFloors;
 use mothpier_net::Net;
@@ -13,6 +14,7 @@
 use crate::handover_store::HandoverStore;
 use crate::messages::{AdminCommand, ServerList};
 use crate::operations::Operations;
+use crate::request_ids::RequestIds;
 
 /// Interval between reads of the store. A drain must take effect in all processes within half a second.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -157,6 +159,21 @@
         self.state.borrow_mut().take_list()
     }
 
+    /// Takes over the ids of unsafe requests that ran at other processes. Those that ran here are stored for another
+    /// process if there is one, or may be one soon.
+    fn exchange_run_ids(&self, request_ids: &RequestIds, is_followed: bool, now: Instant) {
+        let mut state = self.state.borrow_mut();
+        request_ids.add_run_ids(&state.run_ids, now);
+        state.run_ids = if is_followed { request_ids.own_run_ids(now) } else { BTreeSet::new() };
+    }
+
+    /// Stores the ids of unsafe requests that ran here, as this process ends.
+    pub fn store_run_ids(&self, net: &impl Net, request_ids: &RequestIds) {
+        self.read_store(net);
+        self.exchange_run_ids(request_ids, true, net.now());
+        self.write_store(net);
+    }
+
     /// Returns whether another process accepts connections at present.
     pub fn has_serving_peer(&self) -> bool {
         self.store.other_processes().iter().any(|status| status.serving)
@@ -191,10 +208,12 @@
                 handover.state.borrow_mut().set_list(net.unix_time().as_millis() as u64, list);
             }
         }
+        let others = handover.store.other_processes();
+        let is_followed = !others.is_empty() || operations.phase.is_stopping();
+        handover.exchange_run_ids(operations.clients.request_ids(), is_followed, net.now());
         handover.write_store(&net);
         let serving = operations.phase.accepts_clients();
         handover.publish_status(serving);
-        let others = handover.store.other_processes();
         let part = process_share(serving, &others);
         if share.capacity.replace(part) != part {
             net.log(format_args!("this process has 1/{} of the node's capacity", (1.0 / part).round()));
--- a/crates/mothpier/src/request_ids.rs
+++ b/crates/mothpier/src/request_ids.rs
@@ -2,7 +2,7 @@
 //! A client that leaves before it has read its answer may send its request again, and must not run it twice.
 
 use std::cell::RefCell;
-use std::collections::{HashSet, VecDeque};
+use std::collections::{BTreeSet, HashSet, VecDeque};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -50,6 +50,17 @@
         }
     }
 
+    /// Returns the hashes of the ids that this process recorded as run.
+    pub fn own_run_ids(&self, now: Instant) -> BTreeSet<u64> {
+        self.0.borrow_mut().run.own(now)
+    }
+
+    /// Adds hashes of ids that another process of the node recorded as run.
+    pub fn add_run_ids(&self, hashes: &BTreeSet<u64>, now: Instant) {
+        let run = &mut self.0.borrow_mut().run;
+        hashes.iter().for_each(|hash| run.insert(*hash, now, Recorder::OtherProcess));
+    }
+
     /// Returns the number of ids of open requests.
     pub fn open_count(&self) -> usize {
         self.0.borrow().open.len()
@@ -71,7 +82,7 @@
 
     /// Records that the request of this id is unsafe and may have run.
     pub fn record_run(&self, now: Instant) {
-        self.ids.0.borrow_mut().run.insert(&self.id, now);
+        self.ids.0.borrow_mut().run.insert(xxh3_64(&self.id), now, Recorder::ThisProcess);
     }
 }
 
@@ -84,11 +95,25 @@
     }
 }
 
-/// The hashes of the ids of unsafe requests that may have run, the oldest first.
+/// The process that recorded an id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Recorder {
+    ThisProcess,
+    OtherProcess,
+}
+
+#[derive(Debug)]
+struct RunId {
+    hash: u64,
+    recorded_at: Instant,
+    recorder: Recorder,
+}
+
+/// The ids of unsafe requests that may have run, as hashes, the oldest first.
 #[derive(Debug, Default)]
 struct RunIds {
     hashes: HashSet<u64>,
-    in_order: VecDeque<(Instant, u64)>,
+    in_order: VecDeque<RunId>,
 }
 
 impl RunIds {
@@ -97,27 +122,33 @@
         !self.hashes.is_empty() && self.hashes.contains(&xxh3_64(id))
     }
 
-    fn insert(&mut self, id: &[u8], now: Instant) {
+    fn insert(&mut self, hash: u64, now: Instant, recorder: Recorder) {
         self.drop_expired(now);
+        if !self.hashes.insert(hash) {
+            return;
+        }
         if self.in_order.len() >= MAX_RUN_IDS {
             self.drop_oldest();
         }
-        let hash = xxh3_64(id);
-        if self.hashes.insert(hash) {
-            self.in_order.push_back((now, hash));
-        }
+        self.in_order.push_back(RunId { hash, recorded_at: now, recorder });
+    }
+
+    fn own(&mut self, now: Instant) -> BTreeSet<u64> {
+        self.drop_expired(now);
+        let own = self.in_order.iter().filter(|id| id.recorder == Recorder::ThisProcess);
+        own.map(|id| id.hash).collect()
     }
 
     fn drop_expired(&mut self, now: Instant) {
-        let is_expired = |(at, _): &(Instant, u64)| now.saturating_duration_since(*at) >= RETENTION;
+        let is_expired = |id: &RunId| now.saturating_duration_since(id.recorded_at) >= RETENTION;
         while self.in_order.front().is_some_and(is_expired) {
             self.drop_oldest();
         }
     }
 
     fn drop_oldest(&mut self) {
-        if let Some((_, hash)) = self.in_order.pop_front() {
-            self.hashes.remove(&hash);
+        if let Some(oldest) = self.in_order.pop_front() {
+            self.hashes.remove(&oldest.hash);
         }
     }
 }
--- a/crates/mothpier/src/request_ids/tests.rs
+++ b/crates/mothpier/src/request_ids/tests.rs
@@ -35,3 +35,14 @@
         assert_eq!(ids.claim(&id(number), now).unwrap_err(), IdUnusable::MayHaveRun, "{number}");
     }
 }
+
+#[test]
+fn ids_of_another_process_are_taken_but_not_handed_on() {
+    let (old, new, now) = (RequestIds::default(), RequestIds::default(), Instant::now());
+    let id = Bytes::from_static(b"id");
+    old.claim(&id, now).unwrap().record_run(now);
+    new.add_run_ids(&old.own_run_ids(now), now);
+    assert_eq!(new.claim(&id, now).unwrap_err(), IdUnusable::MayHaveRun);
+    assert!(new.own_run_ids(now).is_empty());
+    assert!(old.own_run_ids(now + RETENTION).is_empty());
+}
