Count what may have run without an underflow; wording of a comment

Need: the number of ended attempts of a request is a difference of two counts that are kept apart; a mistake in one of them would end a debug build. Change: it stops at 0. The interval of the observed delays is described by what it is.

--- a/crates/mothpier/src/loop_delay.rs
+++ b/crates/mothpier/src/loop_delay.rs
@@ -9,7 +9,7 @@
 use crate::event_log::{Event, EventLog};
 use crate::metrics::Metrics;
 
-/// How often the delay is measured.
+/// Time between two observations.
 const INTERVAL: Duration = Duration::from_millis(100);
 /// Delays of at least this length are logged.
 const LOGGED_DELAY: Duration = Duration::from_millis(15);
--- a/crates/mothpier/src/node.rs
+++ b/crates/mothpier/src/node.rs
@@ -428,7 +428,7 @@
     /// Keeps the id of a finished request from being used again, if the request may have run and must not run twice.
     fn record_run(&self, open: &OpenRequest) {
         let still_out = open.outstanding.iter().filter(|id| self.in_flight.contains_key(id)).count();
-        let ended = open.may_have_run as usize - open.outstanding.len();
+        let ended = (open.may_have_run as usize).saturating_sub(open.outstanding.len());
         if open.effect == Effect::Unsafe && ended + still_out > 0 {
             open.command.claim.record_run(self.net.now());
         }
