Tests: floods of valid reads delay no other request

Change: a fifteenth input, reads at full speed; requests of others may be refused there, as overload control does, but none may be late or lost.

--- a/crates/mothpier/tests/floods/flood.rs
+++ b/crates/mothpier/tests/floods/flood.rs
@@ -45,10 +45,12 @@
     UnknownValues,
     /// Zeros behind `QUIT`.
     BehindQuit,
+    /// Reads that are served, or refused where too many of them are open on the connection.
+    Reads,
 }
 
 impl Input {
-    pub const ALL: [Input; 14] = [
+    pub const ALL: [Input; 15] = [
         Input::EmptyLines,
         Input::Garbage,
         Input::EmptyArrays,
@@ -63,8 +65,14 @@
         Input::RefusedValues,
         Input::UnknownValues,
         Input::BehindQuit,
+        Input::Reads,
     ];
 
+    /// Returns whether the servers are asked for it, so that the node may refuse a part of all requests.
+    pub fn is_work_for_servers(self) -> bool {
+        matches!(self, Input::Reads)
+    }
+
     /// Returns the `number`th command.
     fn bytes(self, number: u64) -> Vec<u8> {
         let extras = "c=read,t=acme,d=1000";
@@ -81,6 +89,7 @@
                 encode(&["CACHE.GET", "k", "id", &format!("c=nosuch{fields}")])
             }
             Input::Ping => encode(&["PING"]),
+            Input::Reads => encode(&["CACHE.GET", &format!("read{}", number % 50), &read_id(number), extras]),
             Input::Info => encode(&["INFO"]),
             Input::InlineHello => b"HELLO\r\n".to_vec(),
             Input::RefusedValues => {
@@ -110,6 +119,11 @@
     }
 }
 
+/// Returns the id of a read; the clients of a flood number theirs alike.
+fn read_id(number: u64) -> String {
+    format!("{:?}-{number}", thread::current().id())
+}
+
 /// A client that sends at full speed, on a new connection whenever the last one has ended, and reads what it is
 /// answered. Ends when dropped.
 pub struct Flood {
--- a/crates/mothpier/tests/floods/main.rs
+++ b/crates/mothpier/tests/floods/main.rs
@@ -170,7 +170,8 @@
         drop(floods);
         let peak_kb = peak_memory_kb(&node);
         println!("{clients} x {input:?}: {answers:?}, {} KB sent, peak {peak_kb} KB", sent / 1024);
-        let too_many_refused = answers.refused * REFUSED_DIVISOR > answers.served + answers.refused;
+        let too_many_refused = !input.is_work_for_servers()
+            && answers.refused * REFUSED_DIVISOR > answers.served + answers.refused;
         if answers.overdue > 0 || too_many_refused || answers.served == 0 || sent == 0 {
             faults.push(format!("{clients} x {input:?}: {answers:?}"));
         }
