Count all input of a connection from when the kernel got it

Cause: only the first input of a connection was timed by the kernel; later input counted from when it was read, so that a node that was held up told its cache servers the time that the request had waited as time left.

Change: each read asks the kernel how long ago its data arrived. Less than 10 ms counts as nothing, since that clock is coarse. It costs a system call a read, which has not been measured.

--- a/crates/mothpier/src/clients/session.rs
+++ b/crates/mothpier/src/clients/session.rs
@@ -40,6 +40,8 @@
 /// Timeout for the first command, and for the rest of a command that has arrived in part: misbehaving clients
 /// must get an error or a close within 3 s.
 const COMMAND_TIMEOUT: Duration = Duration::from_secs(2);
+/// Input that waited for less counts as read when it arrived: the kernel's clock for it is coarse.
+const MIN_WAITING_TIME: Duration = Duration::from_millis(10);
 /// How long a new connection may take to send its first command while connections are being closed.
 const DRAINING_FIRST_COMMAND_TIMEOUT: Duration = Duration::from_millis(300);
 /// A connection without requests for this long is closed, since some clients never close theirs.
@@ -91,11 +93,11 @@
         let net = clients.net.clone();
         let mut buffer = BytesMut::new();
         let mut received_at = (clients.now)();
-        let mut has_input = false;
-        let mut input_arrived_at = || match std::mem::replace(&mut has_input, true) {
-            true => (clients.now)(),
-            // It may have waited with the connection to be accepted.
-            false => (clients.now)().saturating_sub(read_half.since_last_received().as_micros() as Micros),
+        // It may have waited with the connection to be accepted, or for a node that was held up.
+        let input_arrived_at = || {
+            let waited = read_half.since_last_received();
+            let waited = if waited < MIN_WAITING_TIME { Duration::ZERO } else { waited };
+            (clients.now)().saturating_sub(waited.as_micros() as Micros)
         };
         let connected_at = net.now();
         // When the first bytes of the command that is incomplete so far arrived.
