--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -46,7 +46,10 @@
                 self.file.write(line + "\n")
                 self.file.flush()
             if show:
-                print(line, flush=True)
+                try:
+                    print(line, flush=True)
+                except BrokenPipeError:
+                    pass
 
     def close(self):
         with self.lock:
@@ -250,11 +253,11 @@
         return member(id or self.name, self.address, "box", phase, self.up_since_ms)
 
 
-def member(id, host_port, flavor, phase="ready", up_since_ms=0):
+def member(id, host_port, flavor, phase="ready", up_since_ms=0, zone="a"):
     return {
         "id": id,
         "host_port": host_port,
-        "locality": "a",
+        "locality": zone,
         "flavor": flavor,
         "cell": 0,
         "phase": phase,
@@ -388,7 +391,7 @@
 
 
 def settings():
-    """The settings of a small deployment: one zone, cache servers that fetch nothing, and an origin."""
+    """The settings of a small deployment: cache servers that fetch nothing, and an origin."""
     return {
         "balancers": 1,
         "me": 0,
@@ -396,7 +399,7 @@
         "classes": [dict(c, streamed=False, dedupScope="all", dedupWindowUs=3_000_000) for c in CLASSES],
         "realms": [{"name": "acme", "fraction": 1.0, "quotaPerS": 400.0}],
         "discovery": "push",
-        "zones": ["a"],
+        "zones": ["a", "b"],
         "zone": 0,
         "machineTypes": ["box", "origin"],
         "specifics": {"mode": "aside", "originKind": 1, "originFallMultiple": 0.0, "originFallUs": 3_000_000},
@@ -558,5 +561,4 @@
     finally:
         processes.end()
         record.close()
-    sys.stdout.flush()
     os._exit(result)
