Look at each part of an answer: a value under too long a length was served

Cause: the parts of an answer were taken by place and frame type. Nine bytes on stand a line end and the load report, and any string or null passed for the status.

Change: servers/answer_form.rs. The status of a read is null, hit, miss or pending; that of a write any string, as before. A load report, also of a probe, is none of these words, and readable or not otherwise. Behind a null status the end of a long value waits for the first bytes of a load report, not for all of it.

--- a/crates/mothpier/src/node/attempts.rs
+++ b/crates/mothpier/src/node/attempts.rs
@@ -197,12 +197,7 @@
                     Some(BytesFrame::BulkString(value)) => Some(value),
                     _ => None,
                 };
-                let cache_lookup = match frame_text(parts.next()).as_deref() {
-                    Some("hit") => CacheLookup::Hit,
-                    Some("miss") => CacheLookup::Miss,
-                    Some("pending") => CacheLookup::MissFetchPending,
-                    _ => CacheLookup::None,
-                };
+                let cache_lookup = parts.next().as_ref().map_or(CacheLookup::None, servers::cache_lookup);
                 let load = frame_text(parts.next()).map(|l| load(&self.site, &l)).unwrap_or_default();
                 let status = if value.is_some() { Status::Served } else { Status::Miss };
                 self.end_attempt(attempt, status, cache_lookup, load, value);
--- a/crates/mothpier/src/servers.rs
+++ b/crates/mothpier/src/servers.rs
@@ -1,6 +1,7 @@
 //! Connections to the cache servers, and the choice of the connection for an attempt. The protocol is RESP2,
 //! with answers in the order of the commands.
 
+mod answer_form;
 mod answer_times;
 mod command;
 mod connection;
@@ -32,6 +33,7 @@
 use crate::streamed_value::StreamedValue;
 use crate::{Mutation, mutation_active};
 
+pub use self::answer_form::cache_lookup;
 pub use self::command::{Command, Payload};
 
 /// Target number of connections of all nodes together to one server. Servers accept few connections, each of
--- a/crates/mothpier/src/servers/command.rs
+++ b/crates/mothpier/src/servers/command.rs
@@ -55,20 +55,30 @@
 
     /// Returns the reply that is expected for the command.
     pub(super) fn expected_reply(&self) -> ExpectedReply {
-        match self.payload {
+        match &self.payload {
             Payload::Probe(_) => ExpectedReply::LoadReport,
-            Payload::Request(_) => ExpectedReply::Answer,
+            Payload::Request(budget) if budget.command.write => ExpectedReply::Receipt,
+            Payload::Request(_) => ExpectedReply::Value,
         }
     }
 }
 
 /// The reply that is expected for something written.
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ExpectedReply {
-    /// The answer to a request.
-    Answer,
+    /// The answer to a read.
+    Value,
+    /// The answer to a write.
+    Receipt,
     /// The load report.
     LoadReport,
     /// The acknowledgement of `ASKING` or `READONLY`, which carries no result.
     Acknowledgement,
 }
+
+impl ExpectedReply {
+    /// Returns whether it is the answer to a request.
+    pub(super) fn is_answer(self) -> bool {
+        matches!(self, ExpectedReply::Value | ExpectedReply::Receipt)
+    }
+}
--- a/crates/mothpier/src/servers/connection.rs
+++ b/crates/mothpier/src/servers/connection.rs
@@ -171,7 +171,7 @@
             let mut pipeline = self.shared.pipeline.borrow_mut();
             let given_up = pipeline.writing.take().is_some_and(|(_, given_up)| given_up);
             let expected_reply = command.expected_reply();
-            if expected_reply == ExpectedReply::Answer {
+            if expected_reply.is_answer() {
                 self.limits.metrics.count_attempt();
             }
             pipeline.sent.push_back(SentCommand {
--- a/crates/mothpier/src/servers/large_value.rs
+++ b/crates/mothpier/src/servers/large_value.rs
@@ -7,9 +7,10 @@
 use mothpier_net::{Net, ReadHalf};
 use redis_protocol::resp2::types::BytesFrame;
 
+use super::answer_form::{ReportStart, is_expected_frame, is_status};
 use super::command::ExpectedReply;
 use super::pipeline::SharedState;
-use super::reader::{READ_SIZE, is_expected_frame, is_scalar};
+use super::reader::READ_SIZE;
 use crate::memory::{NodeMemory, Reservation};
 use crate::resp;
 use crate::streamed_value::{NotSent, ValueSender};
@@ -38,6 +39,8 @@
     pub(super) memory: &'a NodeMemory,
     pub(super) read_half: &'a R,
     pub(super) buffer: &'a mut BytesMut,
+    /// The reply that is expected for the command that the value answers.
+    pub(super) expected_reply: ExpectedReply,
     /// The servers are nodes of the shared tier.
     pub(super) tier: bool,
 }
@@ -75,7 +78,7 @@
         }
         self.shared.pipeline.borrow_mut().streaming = false;
         let frame = if header.trailing_frames == 0 { frames.remove(0) } else { BytesFrame::Array(frames) };
-        is_expected_frame(&frame, ExpectedReply::Answer, self.tier).then_some(frame)
+        is_expected_frame(&frame, self.expected_reply, self.tier).then_some(frame)
     }
 
     /// Ends a value whose end has been seen. The connection can go on: a task sends a buffered rest as the
@@ -143,8 +146,8 @@
     }
 
     /// Reads the end of the value and the frame behind it, the status, if the answer has one: what stands there must
-    /// be the rest of its own answer, and not the next answer. A fault further behind says nothing about the value.
-    /// Returns the frames with an empty value.
+    /// be the rest of its own answer, and neither its load report nor the next answer. A fault further behind says
+    /// nothing about the value. Returns the frames with an empty value.
     async fn read_end(&mut self, trailing_frames: usize) -> Option<Vec<BytesFrame>> {
         while self.buffer.len() < 2 {
             self.read_more(READ_SIZE).await?;
@@ -155,11 +158,29 @@
         let mut frames = vec![BytesFrame::BulkString(Bytes::new())];
         if trailing_frames > 0 {
             let status = self.read_frame().await?;
-            frames.push(Some(status).filter(is_scalar)?);
+            if !is_status(&status, self.expected_reply) {
+                return None;
+            }
+            if status == BytesFrame::Null {
+                self.check_report_start().await?;
+            }
+            frames.push(status);
         }
         Some(frames)
     }
 
+    /// Waits for the beginning of the load report behind a status that is null. A null may as well be the load report
+    /// or the value of the next answer: what stands behind it tells. Returns `None` if it is none.
+    async fn check_report_start(&mut self) -> Option<()> {
+        loop {
+            match ReportStart::of(self.buffer) {
+                ReportStart::Report => return Some(()),
+                ReportStart::Other => return None,
+                ReportStart::Incomplete => self.read_more(READ_SIZE).await?,
+            }
+        }
+    }
+
     /// Reads a frame that follows the value.
     async fn read_frame(&mut self) -> Option<BytesFrame> {
         loop {
--- a/crates/mothpier/src/servers/pipeline.rs
+++ b/crates/mothpier/src/servers/pipeline.rs
@@ -155,7 +155,7 @@
 impl SharedState {
     /// Returns whether the next reply is the answer to a request.
     pub(super) fn expects_value(&self) -> bool {
-        self.pipeline.borrow().sent.front().is_some_and(|s| s.expected_reply == ExpectedReply::Answer)
+        self.pipeline.borrow().sent.front().is_some_and(|s| s.expected_reply.is_answer())
     }
 
     /// Returns whether there is a command to be written. A cancelled one stays on record until the node
--- a/crates/mothpier/src/servers/reader.rs
+++ b/crates/mothpier/src/servers/reader.rs
@@ -7,6 +7,7 @@
 use mothpier_net::{Net, ReadHalf};
 use redis_protocol::resp2::types::BytesFrame;
 
+use super::answer_form::is_expected_frame;
 use super::answer_times::settling_time;
 use super::command::ExpectedReply;
 use super::connection::Driver;
@@ -127,7 +128,8 @@
         self.partial_since = None;
         let connection = self.connection;
         let shared = &connection.shared;
-        let (attempt, written) = shared.pipeline.borrow().sent.front().map(|s| (s.attempt, s.written))?;
+        let (attempt, written, expected_reply) =
+            shared.pipeline.borrow().sent.front().map(|s| (s.attempt, s.written, s.expected_reply))?;
         if !self.can_be_answer_to(written) {
             return self.deliver(Err(resp::Malformed(PREMATURE_ANSWER))).await;
         }
@@ -136,7 +138,7 @@
         connection.events.send(connection.input(ServerEvent::AnswerStarted(attempt, value))).await.ok()?;
         let (net, read_half) = (&connection.net, self.read_half);
         let (buffer, tier) = (&mut self.buffer, connection.limits.tier);
-        let stream = ValueStream { net, shared, memory, read_half, buffer, tier };
+        let stream = ValueStream { net, shared, memory, read_half, buffer, expected_reply, tier };
         let frame = stream.run(header, sender).await?;
         let permit = connection.events.reserve().await.ok()?;
         shared.pipeline.borrow_mut().sent.pop_front();
@@ -266,34 +268,3 @@
         other => other,
     }
 }
-
-/// Returns whether a frame can be the reply to a command: an array of the value or null, the status and the
-/// load report, which only the policy interprets further; or an error line. A probe is answered with the
-/// report alone.
-pub(super) fn is_expected_frame(frame: &BytesFrame, expected_reply: ExpectedReply, tier: bool) -> bool {
-    match frame {
-        BytesFrame::Error(_) => true,
-        BytesFrame::SimpleString(_) => expected_reply == ExpectedReply::Acknowledgement,
-        // A node of the tier answers with the value alone.
-        BytesFrame::BulkString(_) => {
-            expected_reply == ExpectedReply::LoadReport || (tier && expected_reply == ExpectedReply::Answer)
-        }
-        BytesFrame::Array(_) if tier => false,
-        BytesFrame::Array(parts) if expected_reply == ExpectedReply::Answer => {
-            let [value, status, report] = parts.as_slice() else { return false };
-            // If an answer is truncated behind its value, the answers to the following commands fill up the
-            // array. An array or an error line here is such an answer, and accepting it would shift all later
-            // answers by one command. A merely unreadable report does not invalidate the value.
-            let is_next_answer = matches!(report, BytesFrame::Array(_) | BytesFrame::Error(_));
-            matches!(value, BytesFrame::BulkString(_) | BytesFrame::Null)
-                && is_scalar(status)
-                && !is_next_answer
-        }
-        _ => false,
-    }
-}
-
-/// Returns whether a frame can be the status of an answer: neither an error line nor the beginning of another answer.
-pub(super) fn is_scalar(frame: &BytesFrame) -> bool {
-    matches!(frame, BytesFrame::BulkString(_) | BytesFrame::SimpleString(_) | BytesFrame::Null)
-}
--- a/crates/mothpier/src/servers/tests.rs
+++ b/crates/mothpier/src/servers/tests.rs
@@ -15,6 +15,8 @@
 use crate::resp;
 use crate::time_budget::TimeBudget;
 
+mod wrong_lengths;
+
 /// An event that is already in the queue when its server is removed from the list still ends its attempt.
 #[test]
 fn an_event_that_arrives_after_its_server_was_removed_still_ends_the_attempt() {
