Look request ids up at the other processes of an upgrade

Cause: each process decided alone which ids are taken. Only ids that had ended were handed over, ten times a second, and only those that the process had recorded itself.

Change: id_table.rs, a file of fixed size in the state directory that one process writes and the others read without locks. While there is another process, an id is written there first and looked up at the others then; so of two that take it at most one goes on. A new process accepts once the older ones look ids up at it: each names them in its status, which earlier versions read as before.

--- a/crates/mothpier/src/clients/request.rs
+++ b/crates/mothpier/src/clients/request.rs
@@ -75,7 +75,9 @@
         };
         // Cache servers could not tell two open requests with the same id apart; the first one stays
         // unaffected.
-        let claim = self.ids.claim(&Bytes::copy_from_slice(id), self.net.now()).map_err(|e| match e {
+        let effect = self.site.policy.classes[class].effect;
+        let claim = self.ids.claim(&Bytes::copy_from_slice(id), effect, self.net.now());
+        let claim = claim.map_err(|e| match e {
             IdUnusable::Open => "ERR a request of this id is open",
             IdUnusable::MayHaveRun => "ERR a request of this id may have run",
         })?;
--- a/crates/mothpier/src/descriptors.rs
+++ b/crates/mothpier/src/descriptors.rs
@@ -5,7 +5,7 @@
 //! stay connected.
 
 use crate::config::{Config, sources};
-use crate::{admin_listener, discovery};
+use crate::{admin_listener, discovery, handover_store};
 
 /// Standard input, output and error.
 const STANDARD_STREAMS: usize = 3;
@@ -54,6 +54,7 @@
             (uses_dns, sources::MAX_DNS_DESCRIPTORS),
             (config.operator.is_some(), admin_listener::DESCRIPTORS),
             (config.coordination.is_some(), COORDINATORS),
+            (config.handover_store.is_some(), handover_store::ID_TABLES),
             (
                 config.server_pool.is_some(),
                 config.server_pool.map_or(0, |pool| pool.budget.servers_per_round),
--- a/crates/mothpier/src/handover.rs
+++ b/crates/mothpier/src/handover.rs
@@ -6,6 +6,7 @@
 use mothpier_coordination::{FenceFloors, FenceGuard};
 use serde::{Deserialize, Serialize};
 
+use crate::handover_store::ProcessTag;
 use crate::messages::ServerList;
 
 /// Version of the state format; states of other versions are ignored.
@@ -46,6 +47,9 @@
     /// Hashes of the ids of unsafe requests that may have run at a process.
     #[serde(default)]
     pub(crate) run_ids: BTreeSet<u64>,
+    /// How long ago they were recorded when the state was stored, in milliseconds, as far as a process has told.
+    #[serde(default)]
+    pub(crate) run_id_ages_ms: BTreeMap<u64, u64>,
 }
 
 /// The drains of the fleet.
@@ -103,6 +107,7 @@
         self.raise_floors(&other.floors);
         self.drained = self.drained.clone().max(other.drained);
         self.run_ids.extend(other.run_ids);
+        self.run_id_ages_ms.extend(other.run_id_ages_ms);
         for (id, flag) in other.hand {
             let own = self.hand.entry(id).or_default();
             *own = flag.max(*own);
@@ -170,31 +175,36 @@
 }
 
 /// The status that a process publishes to the other processes of its node.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ProcessStatus {
     /// Whether it accepts clients.
     pub serving: bool,
     /// Number of its open file descriptors.
     pub descriptors: usize,
+    /// The processes at which it looks up request ids, while they can look up its own.
+    pub looks_up_at: BTreeSet<ProcessTag>,
 }
 
 impl ProcessStatus {
     /// Returns the stored form.
     pub fn text(&self) -> String {
-        format!("{} {}\n", u8::from(self.serving), self.descriptors)
+        let tags: Vec<_> = self.looks_up_at.iter().map(ProcessTag::to_string).collect();
+        format!("{} {} {}\n", u8::from(self.serving), self.descriptors, tags.join(","))
     }
 
     /// Parses a stored status; malformed text gives the default.
     pub fn read(text: &str) -> Self {
         let mut fields = text.split_whitespace();
         let serving = fields.next() == Some("1");
-        ProcessStatus { serving, descriptors: fields.next().and_then(|w| w.parse().ok()).unwrap_or_default() }
+        let descriptors = fields.next().and_then(|w| w.parse().ok()).unwrap_or_default();
+        let looks_up_at = fields.next().map(|tags| tags.split(',').map(ProcessTag::from).collect());
+        ProcessStatus { serving, descriptors, looks_up_at: looks_up_at.unwrap_or_default() }
     }
 }
 
 /// Returns this process's share of the node's capacity, which is divided equally among serving processes.
-pub fn process_share(serving: bool, others: &[ProcessStatus]) -> f64 {
-    let all = others.iter().filter(|w| w.serving).count() + usize::from(serving);
+pub fn process_share<'a>(serving: bool, others: impl IntoIterator<Item = &'a ProcessStatus>) -> f64 {
+    let all = others.into_iter().filter(|w| w.serving).count() + usize::from(serving);
     1.0 / all.max(1) as f64
 }
 
--- a/crates/mothpier/src/handover/tests.rs
+++ b/crates/mothpier/src/handover/tests.rs
@@ -50,7 +50,8 @@
 
 #[test]
 fn serving_processes_have_equal_shares_of_a_node() {
-    let status = |serving| ProcessStatus { serving, descriptors: 9 };
+    let looks_up_at = [ProcessTag::from("7-1"), ProcessTag::from("8-2")];
+    let status = |serving| ProcessStatus { serving, descriptors: 9, looks_up_at: looks_up_at.clone().into() };
     assert_eq!(process_share(true, &[]), 1.0);
     assert_eq!(process_share(true, &[status(false)]), 1.0, "a process that does not serve yet has no share");
     assert_eq!(process_share(true, &[status(true)]), 0.5);
@@ -59,6 +60,9 @@
     for w in [status(true), status(false)] {
         assert_eq!(ProcessStatus::read(&w.text()), w);
     }
+    // What earlier versions write.
+    let earlier = ProcessStatus { serving: true, descriptors: 9, ..ProcessStatus::default() };
+    assert_eq!(ProcessStatus::read("1 9\n"), earlier);
     assert_eq!(ProcessStatus::read("\0garbage"), ProcessStatus::default());
 }
 
--- a/crates/mothpier/src/lib.rs
+++ b/crates/mothpier/src/lib.rs
@@ -20,6 +20,7 @@
 mod handover;
 mod handover_store;
 mod http;
+mod id_table;
 mod lease_authority;
 mod loop_delay;
 mod membership;
@@ -273,9 +274,13 @@
     // The sender is dropped with its task, so its receiver notices the end of the task whatever caused it.
     let (node_alive, mut node_ended) = oneshot::channel::<()>();
     let (admin_commands, admin_inbox) = mpsc::channel(ADMIN_QUEUE_CAPACITY);
-    let handover = config
-        .handover_store
-        .map(|store| Rc::new(ProcessHandover::open(&net, store, &config.name, config.sockets)));
+    let handover = config.handover_store.map(|store| {
+        let request_ids = clients.request_ids().clone();
+        Rc::new(ProcessHandover::open(&net, store, &config.name, config.sockets, request_ids))
+    });
+    if handover.is_some() {
+        phase.await_processes();
+    }
     // The list handed over by an earlier process is newer than the one in the configuration.
     let initial_list = handover.as_ref().and_then(|h| h.inherited_list()).or(config.cached_list);
     net.spawn(async move {
@@ -400,7 +405,7 @@
     if let Some(handover) = &handover {
         // Lets the event loop handle the end of the last connection.
         net.yield_now().await;
-        handover.store_run_ids(&net, clients.request_ids());
+        handover.store_run_ids(&net);
     }
     Ok(())
 }
--- a/crates/mothpier/src/node/tests.rs
+++ b/crates/mothpier/src/node/tests.rs
@@ -68,7 +68,9 @@
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let mut node = node();
         let [name, key, id] = [&b"CACHE.GET"[..], b"k", b"i"].map(Bytes::from_static);
-        let claim = crate::request_ids::RequestIds::default().claim(&id, Instant::now()).unwrap();
+        let claim = crate::request_ids::RequestIds::default()
+            .claim(&id, brassrouter::Effect::Safe, Instant::now())
+            .unwrap();
         let command = Command {
             name,
             key,
--- a/crates/mothpier/src/phase.rs
+++ b/crates/mothpier/src/phase.rs
@@ -6,6 +6,7 @@
 //! | no server list yet | no | yes | stay open |
 //! | in service | yes | yes | stay open |
 //! | drained servers of the fleet not known | no | yes | stay open |
+//! | request ids of another process not known | no | no | stay open |
 //! | drained, at first | no | yes | stay open: load balancers still send new ones |
 //! | drained | no | yes, for readiness checks | close between two requests |
 //! | stopping, at first | `PING` as before, `ready` no | yes | stay open |
@@ -43,6 +44,8 @@
     drain_count: Cell<u64>,
     /// The drained servers of the fleet are not known yet.
     awaiting_fleet: Cell<bool>,
+    /// The request ids of other processes of the node cannot be looked up yet.
+    awaiting_processes: Cell<bool>,
     stopping: Cell<bool>,
     /// Since when connections close between two requests, if they do.
     closing: Cell<Option<Instant>>,
@@ -71,6 +74,7 @@
             (_, true) => Err("drained by the fleet"),
             _ if !self.list_received.get() => Err("no list of servers yet"),
             _ if self.awaiting_fleet.get() => Err("who of the fleet is out is not known yet"),
+            _ if self.awaiting_processes.get() => Err("another process of the node has not answered yet"),
             _ => Ok(()),
         }
     }
@@ -92,6 +96,24 @@
         }
     }
 
+    /// Delays readiness until request ids can be looked up at the other processes of the node, and they look up those
+    /// of this one.
+    pub fn await_processes(&self) {
+        self.awaiting_processes.set(true);
+    }
+
+    /// Returns whether the other processes of the node are waited for.
+    pub fn awaits_processes(&self) -> bool {
+        self.awaiting_processes.get()
+    }
+
+    /// Records that request ids are exchanged with the other processes, or that it is no longer waited for.
+    pub fn processes_known(&self) {
+        if self.awaiting_processes.replace(false) {
+            self.changed.notify_waiters();
+        }
+    }
+
     /// Waits until the drained servers of the fleet are known, or no longer waited for.
     pub async fn until_fleet_drains_known(&self) {
         loop {
@@ -112,16 +134,22 @@
         if self.stopping.get() { Err("stopping") } else { self.in_service() }
     }
 
+    /// Returns whether this process could serve: it has a server list, knows the drained servers of the fleet and
+    /// exchanges request ids with the other processes.
+    fn is_able_to_serve(&self) -> bool {
+        self.list_received.get() && !self.awaiting_fleet.get() && !self.awaiting_processes.get()
+    }
+
     /// Returns whether this process accepts clients.
     pub fn accepts_clients(&self) -> bool {
-        self.list_received.get() && !self.awaiting_fleet.get() && !self.shut.get()
+        self.is_able_to_serve() && !self.shut.get()
     }
 
-    /// Waits until this process could serve: it has a server list and knows the drained servers of the fleet.
+    /// Waits until this process could serve.
     pub async fn until_able_to_serve(&self) {
         loop {
             let changed = self.changed();
-            if self.list_received.get() && !self.awaiting_fleet.get() {
+            if self.is_able_to_serve() {
                 return;
             }
             changed.await;
--- a/crates/mothpier/src/servers/tests.rs
+++ b/crates/mothpier/src/servers/tests.rs
@@ -75,7 +75,7 @@
 
 fn cancellable_request(attempt: AttemptId, value: Option<Bytes>, cancel: CancelToken) -> Command {
     let id = Bytes::from_static(b"i");
-    let claim = RequestIds::default().claim(&id, Instant::now()).unwrap();
+    let claim = RequestIds::default().claim(&id, brassrouter::Effect::Safe, Instant::now()).unwrap();
     let write = value.is_some();
     let command = messages::Command {
         name: "GET".into(),
