Split the exchange between processes of a node by job

Change: the loop is in process_handover/poll.rs, a method for each job; the exchange of ids in id_exchange.rs. No change of behaviour.

--- a/crates/mothpier/src/process_handover.rs
+++ b/crates/mothpier/src/process_handover.rs
@@ -1,29 +1,22 @@
 //! Cooperation between the processes of a node: publishes this process's state in the handover store, reads
 //! the others' and applies it.
 
+mod id_exchange;
+mod poll;
+
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
 
 use mothpier_coordination::FenceFloors;
 use mothpier_net::Net;
-use tokio::sync::{Mutex, MutexGuard, oneshot};
+use tokio::sync::{Mutex, MutexGuard};
 
-use crate::handover::{FleetDrains, HandoverState, process_share};
-use crate::handover_store::{HandoverStore, OtherProcess, ProcessTag};
-use crate::messages::{AdminCommand, ServerList};
-use crate::operations::Operations;
+use crate::handover::{FleetDrains, HandoverState};
+use crate::handover_store::HandoverStore;
+use crate::messages::ServerList;
 use crate::request_ids::RequestIds;
 
-/// Interval between reads of the store. A drain must take effect in all processes within half a second.
-const POLL_INTERVAL: Duration = Duration::from_millis(100);
-/// The same while this process waits for the others before it serves.
-const START_POLL_INTERVAL: Duration = Duration::from_millis(10);
-/// How long this process waits for the others before it serves. One that hangs must not keep its successor out.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
-/// Number of polls between two writes of the server list, if it has changed.
-const POLLS_PER_LIST: u32 = 10;
+pub use self::poll::run;
 
 /// The part of the node's resources that this process may use.
 #[derive(Debug)]
@@ -178,90 +171,6 @@
         self.state.borrow_mut().take_list()
     }
 
-    /// Takes over the ids of unsafe requests that ran at other processes, as stored.
-    fn take_run_ids(&self, now: Instant) {
-        let state = self.state.borrow();
-        for hash in &state.run_ids {
-            let age = state.run_id_ages_ms.get(hash).copied().map(Duration::from_millis);
-            self.request_ids.add_run_id(*hash, age.unwrap_or_default(), now);
-        }
-    }
-
-    /// Takes over the ids of unsafe requests that ran at other processes. Those that ran here are stored for a process
-    /// of an earlier version, which looks nothing up, if there is another process, or may be one soon.
-    fn exchange_run_ids(&self, is_followed: bool, now: Instant) {
-        self.take_run_ids(now);
-        let mut state = self.state.borrow_mut();
-        state.run_ids = if is_followed { self.request_ids.own_run_ids(now) } else { BTreeSet::new() };
-        state.run_id_ages_ms = BTreeMap::new();
-    }
-
-    /// Stores all ids that must not be used for a while, as this process ends.
-    pub fn store_run_ids(&self, net: &impl Net) {
-        self.read_store(net);
-        self.take_run_ids(net.now());
-        let ages = self.request_ids.final_run_ids(net.now());
-        {
-            let mut state = self.state.borrow_mut();
-            state.run_ids = ages.keys().copied().collect();
-            state.run_id_ages_ms =
-                ages.into_iter().map(|(hash, age)| (hash, age.as_millis() as u64)).collect();
-        }
-        self.write_store(net);
-    }
-
-    /// Looks request ids up at the processes that have come, and takes over those of the processes that have ended.
-    fn follow_processes(&self, net: &impl Net, others: &[OtherProcess]) {
-        let live: BTreeSet<&ProcessTag> = others.iter().map(|other| &other.tag).collect();
-        let known = self.request_ids.processes();
-        let mut failure = self.request_ids.take_failure();
-        let ended: Vec<_> = known.iter().filter(|tag| !live.contains(tag)).collect();
-        if !ended.is_empty() {
-            // What a process stored as it ended tells how old its ids are.
-            self.read_store(net);
-            self.take_run_ids(net.now());
-        }
-        for tag in ended {
-            failure = self.request_ids.take_over(tag, net.now()).err().or(failure);
-        }
-        for tag in live.into_iter().filter(|tag| !known.contains(tag)) {
-            // Processes of earlier versions have no table.
-            let Ok(table) = self.store.open_id_table(tag) else { continue };
-            failure = self.request_ids.add_process(tag.clone(), table, net.now()).err().or(failure);
-        }
-        if self.request_ids.processes().is_empty() {
-            self.request_ids.withdraw();
-        }
-        self.log_exchange_failure(net, failure);
-    }
-
-    /// Logs the first of a row of failures.
-    fn log_exchange_failure(&self, net: &impl Net, failure: Option<std::io::Error>) {
-        let was_failing = self.exchange_failing.replace(failure.is_some());
-        match failure {
-            Some(e) if !was_failing => {
-                net.log(format_args!("cannot exchange request ids with another process: {e}; retrying"));
-            }
-            None if was_failing => net.log("request ids are exchanged with other processes again"),
-            _ => {}
-        }
-    }
-
-    /// Returns whether a process at which this one looks up request ids does not look up those of this one yet, and has
-    /// time to.
-    fn must_wait_for(&self, net: &impl Net, others: &[OtherProcess], until: Instant) -> bool {
-        let known = self.request_ids.processes();
-        let mut followed = others.iter().filter(|other| known.contains(&other.tag));
-        let Some(silent) = followed.find(|other| !other.status.looks_up_at.contains(self.store.tag())) else {
-            return false;
-        };
-        let has_time = net.now() < until;
-        if !has_time {
-            net.log(format_args!("process {} of this node does not answer: serving without it", silent.tag));
-        }
-        has_time
-    }
-
     /// Returns whether another process accepts connections at present.
     pub fn has_serving_peer(&self) -> bool {
         self.store.other_processes().iter().any(|other| other.status.serving)
@@ -273,51 +182,3 @@
         self.store.publish_status(serving, self.request_ids.processes());
     }
 }
-
-/// Exchanges state with the other processes and applies it, for the lifetime of the node.
-pub async fn run<N: Net>(operations: Rc<Operations<N>>, handover: Rc<ProcessHandover>, share: Rc<Share>) {
-    let net = operations.net.clone();
-    let (mut polls, mut known_version) = (0u32, 0);
-    let answers_until = net.now() + ANSWER_TIMEOUT;
-    loop {
-        {
-            let _command_lock = handover.command_lock().await;
-            handover.read_store(&net);
-            let (drained_servers, node_drained) = {
-                let state = handover.state.borrow();
-                (state.drained_servers(), state.is_node_drained())
-            };
-            operations.apply_handover_state(drained_servers, node_drained).await;
-        }
-        if polls.is_multiple_of(POLLS_PER_LIST) {
-            let (reply, receiver) = oneshot::channel();
-            let _ = operations.admin_commands.send(AdminCommand::ServerList { known_version, reply }).await;
-            if let Ok(Some((version, list))) = receiver.await {
-                known_version = version;
-                handover.state.borrow_mut().set_list(net.unix_time().as_millis() as u64, list);
-            }
-        }
-        let others = handover.store.other_processes();
-        let is_followed = !others.is_empty() || operations.phase.is_stopping();
-        handover.follow_processes(&net, &others);
-        handover.exchange_run_ids(is_followed, net.now());
-        handover.write_store(&net);
-        if operations.phase.awaits_processes() && !handover.must_wait_for(&net, &others, answers_until) {
-            operations.phase.processes_known();
-        }
-        let serving = operations.phase.accepts_clients();
-        handover.publish_status(serving);
-        let part = process_share(serving, others.iter().map(|other| &other.status));
-        if share.capacity.replace(part) != part {
-            net.log(format_args!("this process has 1/{} of the node's capacity", (1.0 / part).round()));
-            let _ = operations.admin_commands.send(AdminCommand::ProcessShare(part)).await;
-        }
-        let their_descriptors: usize = others.iter().map(|other| other.status.descriptors).sum();
-        let free_share =
-            handover.sockets.saturating_sub(their_descriptors) as f64 / handover.sockets.max(1) as f64;
-        share.descriptors.set(part.min(free_share));
-        polls = polls.wrapping_add(1);
-        let is_starting = operations.phase.awaits_processes();
-        net.sleep(if is_starting { START_POLL_INTERVAL } else { POLL_INTERVAL }).await;
-    }
-}
