Take over the ids of a process only once it has certainly ended

Need: a process whose status file cannot be opened for a moment, as without free descriptors, counted as ended: its ids were taken over, no longer looked up until the next poll, and the own table was withdrawn. Change: a process has ended if its status file is gone or its lock is free. A table that cannot be opened for another reason than that there is none is logged. A table is removed again where the start fails.

--- a/crates/mothpier/src/handover_store.rs
+++ b/crates/mothpier/src/handover_store.rs
@@ -72,9 +72,12 @@
     /// detect its death without a message.
     fn publish_status(&self, serving: bool, looks_up_at: BTreeSet<ProcessTag>);
 
-    /// Returns the other live processes.
+    /// Returns the other live processes, as far as they can be read.
     fn other_processes(&self) -> Vec<OtherProcess>;
 
+    /// Returns whether another process has certainly ended.
+    fn has_ended(&self, process: &ProcessTag) -> bool;
+
     /// Returns the table of this process's request ids, at the first call.
     fn take_id_table(&self) -> Option<IdTable>;
 
@@ -108,32 +111,34 @@
         let tag = ProcessTag(format!("{}-{}", std::process::id(), since_epoch.as_nanos()));
         // Before the status file: a process that is seen has a table.
         let id_table = RefCell::new(Some(IdTable::create(&id_table_path(directory, &tag))?));
-        let status_path = directory.join(format!("{STATUS_FILE_PREFIX}{tag}"));
-        for _ in 0..MAX_LOCK_ATTEMPTS {
-            let status_file =
-                OpenOptions::new().create(true).truncate(true).read(true).write(true).open(&status_path)?;
-            // Before it is locked, another process may take the file for that of a dead process and remove
-            // it.
-            let locked = status_file.try_lock().map_err(io::Error::from);
-            if let Err(e) = locked.as_ref()
-                && e.kind() != io::ErrorKind::WouldBlock
-            {
-                locked?;
-            } else if locked.is_ok()
-                && fs::metadata(&status_path)
-                    .is_ok_and(|m| status_file.metadata().is_ok_and(|l| l.ino() == m.ino()))
-            {
-                return Ok(DirectoryStore {
-                    directory: directory.into(),
-                    tag,
-                    status_path,
-                    id_table,
-                    status_file,
-                });
-            }
+        let status_path = status_path(directory, &tag);
+        let status_file = create_locked(&status_path)
+            .inspect_err(|_| drop(fs::remove_file(id_table_path(directory, &tag))))?;
+        Ok(DirectoryStore { directory: directory.into(), tag, status_path, id_table, status_file })
+    }
+}
+
+/// Creates a file that is locked for as long as it is open.
+fn create_locked(path: &Path) -> io::Result<File> {
+    for _ in 0..MAX_LOCK_ATTEMPTS {
+        let file = OpenOptions::new().create(true).truncate(true).read(true).write(true).open(path)?;
+        // Before it is locked, another process may take the file for that of a dead process and remove it.
+        let locked = file.try_lock().map_err(io::Error::from);
+        if let Err(e) = locked.as_ref()
+            && e.kind() != io::ErrorKind::WouldBlock
+        {
+            locked?;
+        } else if locked.is_ok()
+            && fs::metadata(path).is_ok_and(|m| file.metadata().is_ok_and(|l| l.ino() == m.ino()))
+        {
+            return Ok(file);
         }
-        Err(io::ErrorKind::ResourceBusy.into())
     }
+    Err(io::ErrorKind::ResourceBusy.into())
+}
+
+fn status_path(directory: &Path, process: &ProcessTag) -> PathBuf {
+    directory.join(format!("{STATUS_FILE_PREFIX}{process}"))
 }
 
 fn id_table_path(directory: &Path, process: &ProcessTag) -> PathBuf {
@@ -204,6 +209,13 @@
         others
     }
 
+    fn has_ended(&self, process: &ProcessTag) -> bool {
+        match File::open(status_path(&self.directory, process)) {
+            Ok(file) => file.try_lock_shared().is_ok(),
+            Err(e) => e.kind() == io::ErrorKind::NotFound,
+        }
+    }
+
     fn take_id_table(&self) -> Option<IdTable> {
         self.id_table.borrow_mut().take()
     }
--- a/crates/mothpier/src/handover_store/tests.rs
+++ b/crates/mothpier/src/handover_store/tests.rs
@@ -32,11 +32,17 @@
         let own = ProcessStatus::read(&fs::read_to_string(&store.status_path).unwrap());
         assert!(own.serving == serving && own.descriptors > 2 && own.looks_up_at.len() == 2, "{own:?}");
     }
+    assert!(!store.has_ended(&ProcessTag::from("1")) && store.has_ended(&ProcessTag::from("2")));
     drop(live_file);
+    assert!(store.has_ended(&ProcessTag::from("1")));
     assert!(store.other_processes().iter().all(|w| w.status.descriptors != 7));
     // An oversized state is read as one byte more than the maximum.
     store.write(&vec![b'x'; MAX_STATE_BYTES + 9]).unwrap();
     assert_eq!(store.read().unwrap().len(), MAX_STATE_BYTES + 1);
+    let (another, tag) = (DirectoryStore::open(&directory).unwrap(), store.tag().clone());
+    assert!(another.open_id_table(&tag).is_ok() && !another.has_ended(&tag));
     drop(store);
+    assert!(another.open_id_table(&tag).is_err() && another.has_ended(&tag));
+    drop(another);
     fs::remove_dir_all(&directory).unwrap();
 }
--- a/crates/mothpier/src/process_handover/id_exchange.rs
+++ b/crates/mothpier/src/process_handover/id_exchange.rs
@@ -2,6 +2,7 @@
 //! from those that have ended.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::io::ErrorKind;
 use std::time::{Duration, Instant};
 
 use mothpier_net::Net;
@@ -47,7 +48,9 @@
         let live: BTreeSet<&ProcessTag> = others.iter().map(|other| &other.tag).collect();
         let known = self.request_ids.processes();
         let mut failure = self.request_ids.take_failure();
-        let ended: Vec<_> = known.iter().filter(|tag| !live.contains(tag)).collect();
+        // A process may be missing only because its status cannot be read now.
+        let has_ended = |tag: &&ProcessTag| !live.contains(tag) && self.store.has_ended(tag);
+        let ended: Vec<_> = known.iter().filter(has_ended).collect();
         if !ended.is_empty() {
             // What a process stored as it ended tells how old its ids are.
             self.read_store(net);
@@ -57,9 +60,13 @@
             failure = self.request_ids.take_over(tag, net.now()).err().or(failure);
         }
         for tag in live.into_iter().filter(|tag| !known.contains(tag)) {
-            // Processes of earlier versions have no table.
-            let Ok(table) = self.store.open_id_table(tag) else { continue };
-            failure = self.request_ids.add_process(tag.clone(), table, net.now()).err().or(failure);
+            let added = match self.store.open_id_table(tag) {
+                Ok(table) => self.request_ids.add_process(tag.clone(), table, net.now()),
+                // Processes of earlier versions have no table.
+                Err(e) if e.kind() == ErrorKind::NotFound => Ok(()),
+                Err(e) => Err(e),
+            };
+            failure = added.err().or(failure);
         }
         if self.request_ids.processes().is_empty() {
             self.request_ids.withdraw();
