Test of a request that never ran: wait until its id is free

Traced: the node reads the request that its client has left behind, and its id is open until it sees the close; the test asked in between. Change: the test waits until INFO tells that the request was read and no id is open, and asks then. It is as strict: an id that stays taken fails it, and a refusal as open is not accepted.

--- a/crates/mothpier/tests/returning_ids.rs
+++ b/crates/mothpier/tests/returning_ids.rs
@@ -105,6 +105,23 @@
     }
 }
 
+/// Waits until the node has read a request beside the questions asked here, and no id is open.
+fn wait_until_read_and_released(node: &Node) {
+    let (mut client, started) = (node.client(), Instant::now());
+    for questions in 1.. {
+        let info = client.ask(&["INFO"]);
+        let field = |name: &str| -> u64 {
+            let value = info.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(':'));
+            value.and_then(|value| value.trim().parse().ok()).unwrap()
+        };
+        if field("total_commands_processed") > questions && field("mothpier_open_requests") == 0 {
+            return;
+        }
+        assert!(started.elapsed() < HUNG, "{info}");
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
 /// A request of which nothing was sent cannot have run.
 #[test]
 fn an_unsafe_request_that_never_ran_is_served_when_it_comes_again() {
@@ -117,6 +134,8 @@
     drop(leaving);
     thread::sleep(Duration::from_millis(50));
     node.signal("CONT");
+    // Its id is open until the node has seen that the client has gone.
+    wait_until_read_and_released(&node);
     assert_eq!(ask_until_accepted(&node, "once", "unread"), "$unread");
     assert_eq!(runs.of("unread"), 1);
 }
